--- /dev/null
+++ b/demo/main.go
@@ -0,0 +1,4 @@
+// Command demo is a program of mustardseam.
+package main
+
+func main() {}
--- /dev/null
+++ b/measure/main.go
@@ -0,0 +1,4 @@
+// Command measure is a program of mustardseam.
+package main
+
+func main() {}
--- /dev/null
+++ b/mustardctl/main.go
@@ -0,0 +1,4 @@
+// Command mustardctl is a program of mustardseam.
+package main
+
+func main() {}
--- /dev/null
+++ b/mustardseam/engine/config.go
@@ -0,0 +1,9 @@
+package engine
+
+import "time"
+
+// Config bounds the calls to engines.
+type Config struct {
+	Idle time.Duration // Longest silence inside a stream before it counts as broken.
+	Poll time.Duration // Timeout of load reports, cache events, cancels and orders.
+}
--- /dev/null
+++ b/mustardseam/peer/handler.go
@@ -0,0 +1,11 @@
+package peer
+
+// Handler answers the messages of other instances.
+type Handler interface {
+	Ask(AskRequest) AskAnswer
+	Done(DoneRequest) Ack
+	Heartbeat(Heartbeat) Heartbeat
+	Consent(ConsentRequest) ConsentAnswer
+	Document(digest string) ([]byte, bool)
+	Answer(request string) ([]byte, bool)
+}
--- /dev/null
+++ b/mustardseam/pool/config.go
@@ -0,0 +1,42 @@
+package pool
+
+import "github.com/mustardseam/mustardseam/operator"
+
+// Config is what a pool's home needs to know of the configuration in force.
+type Config struct {
+	Pool        operator.Pool
+	Teams       []operator.Team
+	Tiers       []operator.Tier
+	Routes      []operator.Route         // Those that lead to the pool.
+	Servers     []operator.BackendServer // Those of the pool in the region.
+	DataCentres []operator.DataCentre
+	Seed        uint64 // Of the picker's random numbers.
+}
+
+// ConfigOf returns the part of the document that concerns the named pool in the region.
+func ConfigOf(d operator.Document, pool, region string, seed uint64) Config {
+	cfg := Config{Teams: d.Teams, Tiers: d.Tiers, Seed: seed}
+	in := map[string]bool{}
+	for _, dc := range d.DataCentres {
+		if dc.Region == region {
+			cfg.DataCentres = append(cfg.DataCentres, dc)
+			in[dc.Name] = true
+		}
+	}
+	for _, p := range d.Pools {
+		if p.Name == pool {
+			cfg.Pool = p
+		}
+	}
+	for _, r := range d.Routes {
+		if r.Pool == pool {
+			cfg.Routes = append(cfg.Routes, r)
+		}
+	}
+	for _, b := range d.BackendServers {
+		if b.Pool == pool && in[b.DataCentre] {
+			cfg.Servers = append(cfg.Servers, b)
+		}
+	}
+	return cfg
+}
--- /dev/null
+++ b/mustardseam/pool/permit.go
@@ -0,0 +1,10 @@
+package pool
+
+// Permit lets an entry instance start one request on one backend server.
+type Permit struct {
+	Ask     string `json:"ask"`
+	Server  string `json:"server"`
+	Address string `json:"address"`
+	Version string `json:"version"`
+	Epoch   uint64 `json:"epoch"`
+}
--- /dev/null
+++ b/operator/pool.go
@@ -0,0 +1,25 @@
+package operator
+
+// PoolKind says what the backend servers of a pool are.
+type PoolKind string
+
+// The kinds of a pool.
+const (
+	Engines  PoolKind = "engines"
+	Services PoolKind = "services"
+)
+
+// Pool is a set of backend servers that serve the same routes and share one queue in each region.
+type Pool struct {
+	Name       string   `json:"name"        yaml:"name"`
+	Kind       PoolKind `json:"kind"        yaml:"kind"`
+	MaxWaiting int      `json:"max-waiting" yaml:"max-waiting"` // Requests that may wait in the queue.
+}
+
+func (p Pool) key() string { return p.Name }
+
+// WithMaxWaiting returns a copy of the pool whose queue holds at most n requests.
+func (p Pool) WithMaxWaiting(n int) Pool {
+	p.MaxWaiting = n
+	return p
+}
--- /dev/null
+++ b/operator/rollout.go
@@ -0,0 +1,32 @@
+package operator
+
+import "time"
+
+// Rollout moves the traffic of a route from its version to another one until a deadline.
+type Rollout struct {
+	ID          string    `json:"id"                   yaml:"id"`
+	To          string    `json:"to"                   yaml:"to"`
+	CanaryShare float64   `json:"canary-share"         yaml:"canary-share"` // Share of requests, 0 to 1.
+	Start       time.Time `json:"start"                yaml:"start"`
+	Deadline    time.Time `json:"deadline"             yaml:"deadline"`
+	Supersedes  string    `json:"supersedes,omitempty" yaml:"supersedes,omitempty"`
+}
+
+// WithCanaryShare returns a copy of the rollout with the given first share of requests, 0 to 1.
+func (r Rollout) WithCanaryShare(share float64) Rollout {
+	r.CanaryShare = share
+	return r
+}
+
+// WithWindow returns a copy of the rollout that starts and must be complete at the given times.
+func (r Rollout) WithWindow(start, deadline time.Time) Rollout {
+	r.Start = start
+	r.Deadline = deadline
+	return r
+}
+
+// WithSupersedes returns a copy of the rollout that replaces the running rollout of the given id.
+func (r Rollout) WithSupersedes(id string) Rollout {
+	r.Supersedes = id
+	return r
+}
--- /dev/null
+++ b/standin/doc.go
@@ -0,0 +1,2 @@
+// Package standin holds the stand-ins of engines, services and the platform.
+package standin
