--- /dev/null
+++ b/mustardseam/instance/open.go
@@ -0,0 +1,192 @@
+package instance
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/mustardseam/mustardseam/mustardseam/caller"
+	"github.com/mustardseam/mustardseam/mustardseam/engine"
+	"github.com/mustardseam/mustardseam/mustardseam/event"
+	"github.com/mustardseam/mustardseam/mustardseam/peer"
+	"github.com/mustardseam/mustardseam/mustardseam/pool"
+	"github.com/mustardseam/mustardseam/mustardseam/revision"
+	"github.com/mustardseam/mustardseam/mustardseam/service"
+	"github.com/mustardseam/mustardseam/operator"
+)
+
+// Config returns the configuration in force, nil when the instance takes no requests.
+func (i *Instance) Config() *revision.Config { return i.holder.Current() }
+
+// Open runs a request until its answer begins or it is refused.
+func (i *Instance) Open(r caller.Request) (caller.Exchange, *caller.Problem) {
+	if !i.enter() {
+		return nil, draining()
+	}
+	x, problem := i.run(r)
+	if problem != nil {
+		i.leave()
+	}
+	return x, problem
+}
+
+// run asks for permits and dispatches until an attempt was not certainly without effect.
+func (i *Instance) run(r caller.Request) (caller.Exchange, *caller.Problem) {
+	i.metrics.Add("requests", 1)
+	ask := i.newAsk(r)
+	for {
+		g, x, problem := i.obtain(r, ask)
+		if problem != nil || x != nil {
+			return x, problem
+		}
+		x, again, problem := i.dispatch(r, ask, g)
+		if !again {
+			return x, problem
+		}
+		i.metrics.Add("attempts-not-run", 1)
+		ask = i.nextAsk(ask, g.permit.Server)
+	}
+}
+
+// newAsk describes the request for the home.
+func (i *Instance) newAsk(r caller.Request) pool.Ask {
+	a := pool.Ask{
+		ID: i.nextID(), From: i.cfg.Incarnation, DataCentre: i.cfg.DataCentre,
+		Team: r.Team.Name, Group: r.Group, Tier: r.Tier.Rank, Route: r.Route.Name,
+		Prompt: r.Prompt, MaxOutput: r.MaxOutput, Prefix: r.Prefix, Deadline: r.Deadline,
+		NonIdempotent: r.NonIdempotent,
+	}
+	if r.Key != "" {
+		a.Key = r.Key
+	}
+	return a
+}
+
+// nextAsk describes the retry of a request that certainly did not run.
+func (i *Instance) nextAsk(a pool.Ask, refusedBy string) pool.Ask {
+	a.ID = i.nextID()
+	a.Attempt++
+	a.Avoid = append(append([]string{}, a.Avoid...), refusedBy)
+	return a
+}
+
+func (i *Instance) nextID() string {
+	return i.cfg.Incarnation + "-" + strconv.FormatUint(i.sequence.Add(1), 36)
+}
+
+// dispatch starts a granted request; again is true when it certainly did not run and may be asked for anew.
+func (i *Instance) dispatch(r caller.Request, a pool.Ask, g grant) (x caller.Exchange, again bool, problem *caller.Problem) {
+	if !i.mayStart(r.Route.Pool, g) {
+		event.StalePermit.On(&i.log).Str("request", a.ID).Str("server", g.permit.Server).Send()
+		i.report(r.Route.Pool, pool.Outcome{Ask: a.ID, Result: pool.NotRun})
+		return nil, true, nil
+	}
+	i.metrics.Add("dispatched", 1)
+	if r.Kind == operator.Services {
+		return i.callService(r, a, g.permit)
+	}
+	return i.startEngine(r, a, g.permit)
+}
+
+// startEngine starts a request on an engine.
+func (i *Instance) startEngine(r caller.Request, a pool.Ask, p pool.Permit) (caller.Exchange, bool, *caller.Problem) {
+	body, err := streamed(r.Body)
+	if err != nil {
+		i.report(r.Route.Pool, pool.Outcome{Ask: a.ID, Result: pool.NotRun})
+		return nil, false, caller.NewProblem("bad-request", http.StatusBadRequest, true, err.Error())
+	}
+	call := engine.Call{ID: a.ID, Address: p.Address, Path: r.Path, Body: body, Deadline: r.Deadline}
+	x := &modelExchange{inst: i, request: r, ask: a, permit: p, call: call, started: i.cfg.Now(), finish: "stop"}
+	x.stream, err = i.engines.Start(call)
+	if err == nil {
+		return x, false, nil
+	}
+	var status *engine.StatusError
+	switch {
+	case errors.Is(err, engine.ErrNotRun):
+		return nil, i.notRun(r, a, p, err), nil
+	case errors.As(err, &status):
+		i.report(r.Route.Pool, pool.Outcome{Ask: a.ID, Result: pool.Failed, Status: status.Status})
+		if status.Status/100 == 4 {
+			return nil, false, caller.NewProblem("backend-refused", status.Status, false, string(status.Body))
+		}
+		return nil, false, caller.NewProblem("backend-failed", http.StatusBadGateway, false, err.Error())
+	}
+	// The request may be running without a reader; a cancel keeps it from wasting the engine.
+	_ = i.engines.Cancel(p.Address, a.ID)
+	i.report(r.Route.Pool, pool.Outcome{Ask: a.ID, Result: pool.Unknown})
+	return nil, false, unknown(err)
+}
+
+// callService makes a call of a service.
+func (i *Instance) callService(r caller.Request, a pool.Ask, p pool.Permit) (caller.Exchange, bool, *caller.Problem) {
+	started := i.cfg.Now()
+	out, err := i.services.Do(service.Call{
+		Address: p.Address, Method: r.Method, Path: r.Path, Header: r.Header, Body: r.Body, Deadline: r.Deadline,
+	})
+	switch {
+	case errors.Is(err, service.ErrNotRun):
+		return nil, i.notRun(r, a, p, err), nil
+	case err != nil:
+		i.report(r.Route.Pool, pool.Outcome{Ask: a.ID, Result: pool.Unknown})
+		return nil, false, unknown(err)
+	}
+	s := stored{Status: out.Status, Header: out.Header, Body: out.Body}
+	if a.Key != "" {
+		i.replay.put(a.ID, s)
+	}
+	o := pool.Outcome{Ask: a.ID, Result: pool.OK, Status: out.Status, First: i.cfg.Now().Sub(started), Prompt: 1}
+	if out.Status >= http.StatusInternalServerError {
+		o.Result = pool.Failed
+	}
+	i.finish(r, o)
+	return &wholeExchange{stored: s}, false, nil
+}
+
+// notRun reports an attempt that certainly did not run.
+func (i *Instance) notRun(r caller.Request, a pool.Ask, p pool.Permit, err error) bool {
+	event.NotRun.On(&i.log).Str("request", a.ID).Str("server", p.Server).Err(err).Send()
+	i.report(r.Route.Pool, pool.Outcome{Ask: a.ID, Result: pool.NotRun})
+	return true
+}
+
+// finish reports the outcome of a request whose answer has ended.
+func (i *Instance) finish(r caller.Request, o pool.Outcome) {
+	i.report(r.Route.Pool, o)
+	i.metrics.Add("finished-"+string(o.Result), 1)
+	i.leave()
+}
+
+// replayed fetches the answer of an earlier request with the same key.
+func (i *Instance) replayed(a peer.AskAnswer) (caller.Exchange, *caller.Problem) {
+	b, ok := i.replay.get(a.Request)
+	if !ok && a.Holder != "" && a.Holder != i.PeerAddress() {
+		var err error
+		b, err = i.peers.Answer(a.Holder, a.Request)
+		ok = err == nil
+	}
+	var s stored
+	if !ok || json.Unmarshal(b, &s) != nil {
+		return nil, caller.NewProblem("already-done", http.StatusConflict, false,
+			fmt.Sprintf("the request with this key has run, its status was %d, and its answer is no longer held", a.Code))
+	}
+	header := map[string]string{"Mustardseam-Replayed": "true"}
+	for k, v := range s.Header {
+		header[k] = v
+	}
+	s.Header = header
+	i.leave()
+	return &wholeExchange{stored: s}, nil
+}
+
+func unknown(err error) *caller.Problem {
+	return caller.NewProblem("outcome-unknown", http.StatusBadGateway, false, "it is not known whether the request ran: "+err.Error())
+}
+
+func draining() *caller.Problem {
+	return caller.NewProblem("draining", http.StatusServiceUnavailable, true,
+		"this instance is stopping").WithRetryAfter(time.Second)
+}
