--- /dev/null
+++ b/mustardseam/rollout/doc.go
@@ -0,0 +1,31 @@
+// Package rollout moves the traffic of a route from one version to another: a sequential test of the new version, a
+// schedule of shares, the record of a rollout, and the grow-only set of rollback marks.
+//
+// The package starts no goroutine and reads no clock. The home of the route's pool drives a rollout like this:
+//
+//	rec := rollout.NewRecord(now, route) // Or the record read from the store at rollout.Key(id).
+//	judge := rollout.NewJudge(rollout.JudgeConfig{Route: rec.Route, Old: rec.From, New: rec.To})
+//	judge.SetStep(now, rec.Step)
+//	// For each outcome of the route:
+//	v := judge.Observe(now, rollout.Sample{Version: version, OK: ok, First: first, Between: between, Load: load})
+//	if v.Decision == rollout.Bad {
+//		marks.Add(rec.ID) // At once; the record follows when the store answers.
+//	}
+//	// Every 500 ms, as long as rec.Open():
+//	next, changed := rec, false
+//	switch {
+//	case marks.Has(rec.ID):
+//		next, changed = rollout.TakeBack(now, rec, v.Reason)
+//	default:
+//		next, changed = rollout.Advance(now, rec, judge.Verdict(now))
+//		if !changed {
+//			next, changed = rollout.MarkLate(now, rec)
+//		}
+//	}
+//	if changed && swap(rollout.Key(rec.ID), next) { // Compare-and-swap; after a lost answer, read back.
+//		rec = next
+//		judge.SetStep(now, rec.Step)
+//	}
+//	// The split of the pool: the share of a marked rollout is 0 everywhere, whatever its record says.
+//	share := rec.Plan().Share(now, rec.Step)
+package rollout
