Wire the instance: homes, asks, outcomes, heartbeats and drain

Cause: the thin path needs a program. Change: an instance follows configuration and membership, serves as home of pools and asks other homes.

--- /dev/null
+++ b/mustardseam/admin/doc.go
@@ -0,0 +1,2 @@
+// Package admin serves health, metrics and the state dump of an instance to its operators.
+package admin
--- /dev/null
+++ b/mustardseam/admin/server.go
@@ -0,0 +1,58 @@
+package admin
+
+import (
+	"errors"
+	"expvar"
+	"net"
+	"time"
+
+	"github.com/gofiber/fiber/v3"
+)
+
+const (
+	maxBody     = 1 << 10
+	idleTimeout = time.Minute
+	readTimeout = 5 * time.Second
+)
+
+// Config says what the server shows.
+type Config struct {
+	Ready   func() bool
+	State   func() any // A JSON-friendly value.
+	Metrics *expvar.Map
+}
+
+// Server is the HTTP server for operators.
+type Server struct {
+	app *fiber.App
+}
+
+// New returns a server that does not listen yet.
+func New(cfg Config) *Server {
+	app := fiber.New(fiber.Config{BodyLimit: maxBody, IdleTimeout: idleTimeout, ReadTimeout: readTimeout})
+	app.Get("/live", func(c fiber.Ctx) error { return c.SendString("live\n") })
+	app.Get("/ready", func(c fiber.Ctx) error {
+		if !cfg.Ready() {
+			return c.Status(fiber.StatusServiceUnavailable).SendString("not ready\n")
+		}
+		return c.SendString("ready\n")
+	})
+	app.Get("/state", func(c fiber.Ctx) error { return c.JSON(cfg.State()) })
+	app.Get("/metrics", func(c fiber.Ctx) error {
+		c.Set(fiber.HeaderContentType, fiber.MIMEApplicationJSON)
+		return c.SendString(cfg.Metrics.String())
+	})
+	return &Server{app: app}
+}
+
+// Serve answers on the listener until Close.
+func (s *Server) Serve(ln net.Listener) error {
+	err := s.app.Listener(ln, fiber.ListenConfig{DisableStartupMessage: true})
+	if errors.Is(err, net.ErrClosed) {
+		return nil
+	}
+	return err
+}
+
+// Close ends the server.
+func (s *Server) Close(timeout time.Duration) error { return s.app.ShutdownWithTimeout(timeout) }
--- /dev/null
+++ b/mustardseam/instance/ask.go
@@ -0,0 +1,311 @@
+package instance
+
+import (
+	"time"
+
+	"github.com/mustardseam/mustardseam/mustardseam/claim"
+	"github.com/mustardseam/mustardseam/mustardseam/peer"
+	"github.com/mustardseam/mustardseam/mustardseam/pool"
+	"github.com/mustardseam/mustardseam/mustardseam/tenure"
+)
+
+// notHome answers an ask that reached an instance which is not the home of the pool.
+var notHome = peer.AskAnswer{Proto: peer.Current(), Status: peer.NotHome}
+
+// ask is a request at its home, from its first poll until its outcome.
+type ask struct {
+	ask       pool.Ask
+	polled    time.Time
+	unclaimed bool // Its key is to be claimed before it is queued.
+	committed bool // It is in the queue, or was.
+	delivered bool // The decision went out at least once.
+	decided   bool
+	answer    peer.AskAnswer
+	done      chan struct{} // Closed with the decision.
+}
+
+// settle fixes the answer; later calls have no effect.
+func (a *ask) settle(answer peer.AskAnswer) {
+	if a.decided {
+		return
+	}
+	a.decided = true
+	a.answer = answer
+	close(a.done)
+}
+
+// ask queues a request, or waits on for the decision on an earlier ask of the same id.
+func (h *home) ask(r peer.AskRequest) peer.AskAnswer {
+	now := h.inst.cfg.Now()
+	h.inst.marks.Merge(r.Marks)
+	h.mu.Lock()
+	if h.serving == 0 {
+		h.mu.Unlock()
+		return notHome
+	}
+	a := h.asks[r.Ask.ID]
+	if a == nil {
+		a = &ask{ask: r.Ask, done: make(chan struct{})}
+		a.ask.Deadline = now.Add(time.Duration(r.LeftMS) * time.Millisecond)
+		h.asks[r.Ask.ID] = a
+		h.admit(now, a)
+	}
+	a.polled = now
+	h.decide(now)
+	h.mu.Unlock()
+	hold := time.NewTimer(time.Duration(r.HoldMS) * time.Millisecond)
+	defer hold.Stop()
+	select {
+	case <-a.done:
+	case <-hold.C:
+	}
+	return h.deliver(a)
+}
+
+// deliver returns the decision, or that it is pending. A permit is only handed out while the right to grant holds,
+// because its start window is counted from this poll.
+func (h *home) deliver(a *ask) peer.AskAnswer {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := h.inst.cfg.Now()
+	if !a.decided {
+		a.polled = now
+		return peer.AskAnswer{Proto: peer.Current(), Status: peer.Pending}
+	}
+	if a.answer.Status == peer.Granted && (!h.tenure.MayGrant(now) || a.answer.Permit.Epoch != h.serving) {
+		return notHome
+	}
+	a.delivered = true
+	return a.answer
+}
+
+// admit claims the key of an ask, if it has one, and queues it; it must be called with mu held.
+func (h *home) admit(now time.Time, a *ask) {
+	if a.ask.Key == "" {
+		a.committed = true
+		h.pool.Ask(now, a.ask)
+		return
+	}
+	standing := claim.ByStore
+	switch h.tenure.Mode(now) {
+	case tenure.Consent:
+		standing = claim.ByConsent
+	case tenure.Static:
+		standing = claim.ByShare
+	}
+	if h.journal == nil && standing != claim.ByShare {
+		a.unclaimed = true
+		return
+	}
+	a.unclaimed = false
+	if h.journal == nil {
+		a.settle(h.claimAnswer(claim.Decision{Result: claim.Unavailable}))
+		return
+	}
+	d := h.journal.Claim(now, scoped(a.ask), a.ask.ID, a.ask.From, standing)
+	switch d.Result {
+	case claim.Proceed:
+		a.committed = true
+		h.pool.Ask(now, a.ask)
+	case claim.Wait:
+	default:
+		a.settle(h.claimAnswer(d))
+	}
+}
+
+// scoped returns the key with the team and the route for which it is unique; a time in the key stays in front.
+func scoped(a pool.Ask) string { return a.Key + "|" + a.Team + "|" + a.Route }
+
+// claimAnswer turns the decision on a claim into an answer.
+func (h *home) claimAnswer(d claim.Decision) peer.AskAnswer {
+	answer := peer.AskAnswer{Proto: peer.Current(), Code: d.Status, Holder: d.Holder, Request: d.Request}
+	switch d.Result {
+	case claim.InProgress:
+		answer.Status = peer.InProgress
+	case claim.Done:
+		answer.Status = peer.Done
+	case claim.Expired:
+		answer.Status = peer.Expired
+	case claim.Unknown:
+		answer.Status = peer.Unknown
+	default:
+		answer.Status = peer.NoClaim
+	}
+	return answer
+}
+
+// commit queues the asks whose claims are in the store; it must be called with mu held.
+func (h *home) commit(now time.Time, ids []string) {
+	for _, id := range ids {
+		a := h.asks[id]
+		if a == nil || a.decided {
+			h.journal.NotRun(now, id)
+			continue
+		}
+		if !a.committed {
+			a.committed = true
+			h.pool.Ask(now, a.ask)
+		}
+	}
+}
+
+// decide delivers the decisions that are due; it must be called with mu held.
+func (h *home) decide(now time.Time) {
+	if h.serving == 0 || !h.tenure.MayGrant(now) {
+		return
+	}
+	h.pool.SetShare(h.tenure.Share(now))
+	d := h.pool.Decide(now)
+	for _, p := range d.Permits {
+		h.grant(now, p)
+	}
+	for _, r := range d.Refusals {
+		a := h.asks[r.Ask]
+		if a == nil {
+			continue
+		}
+		if a.ask.Key != "" && h.journal != nil {
+			h.journal.NotRun(now, r.Ask)
+		}
+		a.settle(peer.AskAnswer{Proto: peer.Current(), Status: peer.Refused, Refusal: &r})
+	}
+}
+
+// grant hands out a permit; it must be called with mu held.
+func (h *home) grant(now time.Time, p pool.Permit) {
+	a := h.asks[p.Ask]
+	if a == nil || a.decided {
+		h.pool.Done(now, pool.Outcome{Ask: p.Ask, Result: pool.NotRun})
+		return
+	}
+	if a.ask.Key != "" && (h.journal == nil || !h.journal.Start(now, p.Ask)) {
+		h.pool.Done(now, pool.Outcome{Ask: p.Ask, Result: pool.NotRun})
+		a.settle(h.claimAnswer(claim.Decision{Result: claim.Unavailable}))
+		return
+	}
+	load := 0
+	for _, r := range h.started {
+		if r.permit.Server == p.Server {
+			load++
+		}
+	}
+	h.started[p.Ask] = running{a.ask, p, load}
+	a.settle(peer.AskAnswer{Proto: peer.Current(), Status: peer.Granted, Permit: &p, Epoch: p.Epoch})
+}
+
+// sweep drops asks whose entry instance no longer polls, and settles what failed instances left; it must be called
+// with mu held.
+func (h *home) sweep(now time.Time) {
+	if h.serving == 0 {
+		return
+	}
+	for id, a := range h.asks {
+		if a.unclaimed && !a.decided {
+			h.admit(now, a)
+		}
+		if now.Sub(a.polled) < askLapse {
+			continue
+		}
+		if a.answer.Status == peer.Granted && a.delivered {
+			delete(h.asks, id) // The outcome, or the failure of the entry instance, settles it.
+			continue
+		}
+		h.drop(now, id)
+	}
+	if now.Sub(h.checked) >= beatInterval {
+		h.checked = now
+		h.settleFailed(now)
+	}
+}
+
+// drop forgets an ask that certainly was not started; it must be called with mu held.
+func (h *home) drop(now time.Time, id string) {
+	a := h.asks[id]
+	delete(h.asks, id)
+	delete(h.started, id)
+	if !h.pool.Withdraw(now, id) {
+		h.pool.Done(now, pool.Outcome{Ask: id, Result: pool.NotRun})
+	}
+	if a != nil && a.ask.Key != "" && h.journal != nil && (!a.decided || a.answer.Status == peer.Granted) {
+		h.journal.NotRun(now, id)
+	}
+}
+
+// settleFailed hands the running requests of failed entry instances to the load reports, and their claims to the
+// journal as unknown; it must be called with mu held.
+func (h *home) settleFailed(now time.Time) {
+	gone := map[string]bool{}
+	for _, r := range h.started {
+		gone[r.ask.From] = false
+	}
+	if h.journal != nil {
+		for _, from := range h.journal.Owners() {
+			gone[from] = false
+		}
+	}
+	for from := range gone {
+		if !h.inst.failed(now, from) {
+			continue
+		}
+		h.pool.Orphan(now, from)
+		if h.journal != nil {
+			h.journal.Abandon(now, from)
+		}
+		for id, r := range h.started {
+			if r.ask.From == from {
+				delete(h.started, id)
+			}
+		}
+	}
+}
+
+// done takes in outcomes and withdrawals; it reports whether this instance is the home.
+func (h *home) done(r peer.DoneRequest) bool {
+	now := h.inst.cfg.Now()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.serving == 0 {
+		return false
+	}
+	for _, o := range r.Outcomes {
+		h.outcome(now, o, r.Address)
+	}
+	for _, id := range r.Withdraw {
+		h.drop(now, id)
+	}
+	h.decide(now)
+	return true
+}
+
+// outcome accounts for the end of a granted request; it must be called with mu held.
+func (h *home) outcome(now time.Time, o pool.Outcome, holder string) {
+	h.pool.Done(now, o)
+	if run, ok := h.started[o.Ask]; ok {
+		h.judge(now, run, o)
+	}
+	delete(h.asks, o.Ask)
+	delete(h.started, o.Ask)
+	if h.journal == nil {
+		return
+	}
+	switch o.Result {
+	case pool.NotRun:
+		h.journal.NotRun(now, o.Ask)
+	case pool.Unknown:
+		h.journal.Unknown(now, o.Ask)
+	default:
+		h.journal.Finish(now, o.Ask, status(o), holder)
+	}
+}
+
+// status returns the HTTP status that a retry of a finished request is told.
+func status(o pool.Outcome) int {
+	switch o.Result {
+	case pool.Cancelled:
+		return 499
+	case pool.Incomplete:
+		return 502
+	default:
+		return o.Status
+	}
+}
--- /dev/null
+++ b/mustardseam/instance/followconfig.go
@@ -0,0 +1,70 @@
+package instance
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/mustardseam/mustardseam/mustardseam/etcd"
+	"github.com/mustardseam/mustardseam/mustardseam/event"
+	"github.com/mustardseam/mustardseam/mustardseam/revision"
+)
+
+// watchRetry is the wait before a watch is begun anew; heartbeats carry news in the meantime.
+const watchRetry = 500 * time.Millisecond
+
+// followConfig reads the head, watches it, and begins anew when the watch ends.
+func (i *Instance) followConfig() {
+	for i.ctx.Err() == nil {
+		head, mod, err := revision.ReadHead(i.ctx, i.store)
+		if err == nil {
+			i.adopt(head.Revision, head.Digest, "")
+			err = i.store.Watch(i.ctx, revision.HeadKey, mod+1, func(kv etcd.KeyValue) {
+				var h revision.Head
+				if !kv.Deleted && json.Unmarshal(kv.Value, &h) == nil {
+					i.adopt(h.Revision, h.Digest, "")
+				}
+			})
+		}
+		event.WatchEnded.On(&i.log).Err(err).Send()
+		i.sleep(watchRetry)
+	}
+}
+
+// adopt puts a revision in force unless the current one is as high; the document comes from the peer at addr, or from
+// the store when addr is empty.
+func (i *Instance) adopt(number uint64, digest, addr string) {
+	if cur := i.holder.Current(); number == 0 || (cur != nil && cur.Revision >= number) {
+		return
+	}
+	packed, err := i.fetch(digest, addr)
+	if err != nil {
+		event.BadDocument.On(&i.log).Uint64("revision", number).Err(err).Send()
+		return
+	}
+	doc, err := revision.Decode(packed, digest)
+	if err != nil {
+		event.BadDocument.On(&i.log).Uint64("revision", number).Err(err).Send()
+		return
+	}
+	first := i.holder.Current() == nil
+	if !i.holder.Apply(revision.NewConfig(number, digest, packed, doc)) {
+		return
+	}
+	event.Applied.On(&i.log).Uint64("revision", number).Str("digest", digest).Send()
+	i.configureHomes()
+	if first {
+		event.Ready.On(&i.log).Send()
+	}
+}
+
+// fetch reads a document from a peer or the store.
+func (i *Instance) fetch(digest, addr string) ([]byte, error) {
+	if addr == "" {
+		return revision.Fetch(i.ctx, i.store, digest)
+	}
+	packed, err := i.peers.Document(addr, digest)
+	if err == nil {
+		event.FetchedByPeer.On(&i.log).Str("digest", digest).Str("peer", addr).Send()
+	}
+	return packed, err
+}
--- /dev/null
+++ b/mustardseam/instance/homes.go
@@ -0,0 +1,39 @@
+package instance
+
+import (
+	"github.com/mustardseam/mustardseam/mustardseam/event"
+)
+
+// configureHomes creates, configures and closes homes so that there is one for each pool of the configuration.
+func (i *Instance) configureHomes() {
+	i.homesMu.Lock()
+	defer i.homesMu.Unlock()
+	c := i.holder.Current()
+	old := *i.homes.Load()
+	next := map[string]*home{}
+	for _, p := range c.Document.Pools {
+		if h := old[p.Name]; h != nil {
+			h.configure(c)
+			next[p.Name] = h
+			continue
+		}
+		next[p.Name] = newHome(i, p, c)
+	}
+	i.homes.Store(&next)
+	for name, h := range old {
+		if next[name] == nil {
+			h.close()
+		}
+	}
+}
+
+// storeAnswered logs when the store begins or ceases to answer.
+func (i *Instance) storeAnswered(err error) {
+	if down := err != nil; i.storeDown.Swap(down) != down {
+		if down {
+			event.StoreFailed.On(&i.log).Err(err).Send()
+		} else {
+			event.StoreBack.On(&i.log).Send()
+		}
+	}
+}
--- /dev/null
+++ b/mustardseam/instance/instance.go
@@ -0,0 +1,161 @@
+package instance
+
+import (
+	"context"
+	"expvar"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/rs/zerolog"
+	"github.com/sourcegraph/conc"
+
+	"github.com/mustardseam/mustardseam/mustardseam/admin"
+	"github.com/mustardseam/mustardseam/mustardseam/caller"
+	"github.com/mustardseam/mustardseam/mustardseam/engine"
+	"github.com/mustardseam/mustardseam/mustardseam/etcd"
+	"github.com/mustardseam/mustardseam/mustardseam/event"
+	"github.com/mustardseam/mustardseam/mustardseam/member"
+	"github.com/mustardseam/mustardseam/mustardseam/peer"
+	"github.com/mustardseam/mustardseam/mustardseam/platform"
+	"github.com/mustardseam/mustardseam/mustardseam/revision"
+	"github.com/mustardseam/mustardseam/mustardseam/rollout"
+	"github.com/mustardseam/mustardseam/mustardseam/service"
+)
+
+const (
+	// engineIdle is the longest silence inside a stream before it is resumed.
+	engineIdle = 10 * time.Second
+	enginePoll = time.Second
+)
+
+// Instance is one running entry instance; its methods are safe for concurrent use.
+type Instance struct {
+	cfg      Config
+	log      zerolog.Logger
+	holder   revision.Holder
+	marks    rollout.Marks
+	store    *etcd.Client
+	engines  *engine.Client
+	services *service.Client
+	peers    *peer.Client
+	platform *platform.Client
+	replay   *replay
+	metrics  expvar.Map
+	sequence atomic.Uint64
+
+	homesMu   sync.Mutex                       // Held while homes are created and closed.
+	homes     atomic.Pointer[map[string]*home] // By pool; replaced as a whole.
+	storeDown atomic.Bool
+
+	membersMu sync.Mutex
+	members   *member.Table // Guarded by membersMu.
+
+	running  atomic.Int64
+	draining atomic.Bool
+
+	callerServer *caller.Server
+	peerServer   *peer.Server
+	adminServer  *admin.Server
+	listeners    [3]net.Listener // Of callers, peers and admin.
+
+	ctx    context.Context // Ends with the instance.
+	cancel context.CancelFunc
+	wg     conc.WaitGroup
+}
+
+// New opens the listeners and starts an instance, which runs until Stop or Kill; the error says which address failed.
+func New(cfg Config) (*Instance, error) {
+	cfg = cfg.withDefaults()
+	i := &Instance{
+		cfg:      cfg,
+		log:      cfg.Log.With().Str("instance", cfg.ID).Logger(),
+		store:    etcd.New(cfg.Store),
+		engines:  engine.New(engine.Config{Idle: engineIdle, Poll: enginePoll}),
+		services: service.New(),
+		platform: platform.New(cfg.PlatformAddress),
+		replay:   newReplay(cfg.ReplayBytes),
+	}
+	i.metrics.Init()
+	i.homes.Store(&map[string]*home{})
+	i.peers = peer.NewClient(peer.ClientConfig{Key: cfg.PeerKey, Now: cfg.Now})
+	if err := i.listen(); err != nil {
+		return nil, err
+	}
+	i.members = member.New(member.Config{Self: member.Member{
+		ID: cfg.ID, Incarnation: cfg.Incarnation, Address: i.PeerAddress(), DataCentre: cfg.DataCentre,
+	}})
+	i.ctx, i.cancel = context.WithCancel(context.Background())
+	i.callerServer = caller.New(caller.Config{
+		Scheduler: i, BodyBytes: cfg.BodyBytes, HeaderBytes: cfg.HeaderBytes, Connections: cfg.Connections,
+		Idle: cfg.Idle, Request: cfg.Request, Now: cfg.Now,
+	})
+	i.peerServer = peer.NewServer(peer.ServerConfig{
+		Keys: [][]byte{cfg.PeerKey, cfg.PreviousPeerKey}, Handler: (*handler)(i), Now: cfg.Now,
+	})
+	i.adminServer = admin.New(admin.Config{Ready: i.Ready, State: func() any { return i.State() }, Metrics: &i.metrics})
+	for n, serve := range []func(net.Listener) error{i.callerServer.Serve, i.peerServer.Serve, i.adminServer.Serve} {
+		i.wg.Go(func() {
+			if err := serve(i.listeners[n]); err != nil {
+				event.ListenFailed.On(&i.log).Err(err).Send()
+			}
+		})
+	}
+	i.wg.Go(i.followConfig)
+	i.wg.Go(i.followPlatform)
+	i.wg.Go(i.beat)
+	event.Started.On(&i.log).Str("callers", i.CallerAddress()).Str("peers", i.PeerAddress()).Send()
+	return i, nil
+}
+
+// listen opens the three listeners.
+func (i *Instance) listen() error {
+	for n, addr := range []string{i.cfg.CallerAddress, i.cfg.PeerAddress, i.cfg.AdminAddress} {
+		ln, err := net.Listen("tcp", addr)
+		if err != nil {
+			for _, open := range i.listeners[:n] {
+				_ = open.Close()
+			}
+			return eris.Wrapf(err, "listen on %s", addr)
+		}
+		i.listeners[n] = ln
+	}
+	return nil
+}
+
+// CallerAddress returns the address for callers, IP:port.
+func (i *Instance) CallerAddress() string { return i.listeners[0].Addr().String() }
+
+// PeerAddress returns the address for other instances, IP:port.
+func (i *Instance) PeerAddress() string { return i.listeners[1].Addr().String() }
+
+// AdminAddress returns the address for health, state and metrics, IP:port.
+func (i *Instance) AdminAddress() string { return i.listeners[2].Addr().String() }
+
+// Ready reports whether the instance takes requests.
+func (i *Instance) Ready() bool { return i.holder.Current() != nil && !i.draining.Load() }
+
+// enter counts a request in, unless the instance is stopping.
+func (i *Instance) enter() bool {
+	i.running.Add(1)
+	if i.draining.Load() {
+		i.running.Add(-1)
+		return false
+	}
+	return true
+}
+
+// leave counts a request out.
+func (i *Instance) leave() { i.running.Add(-1) }
+
+// sleep waits and reports whether the instance still runs.
+func (i *Instance) sleep(d time.Duration) bool {
+	select {
+	case <-i.ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
--- /dev/null
+++ b/mustardseam/instance/obtain.go
@@ -0,0 +1,126 @@
+package instance
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/mustardseam/mustardseam/mustardseam/caller"
+	"github.com/mustardseam/mustardseam/mustardseam/event"
+	"github.com/mustardseam/mustardseam/mustardseam/peer"
+	"github.com/mustardseam/mustardseam/mustardseam/pool"
+	"github.com/mustardseam/mustardseam/mustardseam/tenure"
+)
+
+const (
+	// askHold is how long a home may hold a poll; it is below the start window, which is counted from the poll.
+	askHold = 300 * time.Millisecond
+	// askRetry is the wait before an ask goes out again when no home took it.
+	askRetry = 50 * time.Millisecond
+)
+
+// obtain asks the home of the route's pool until it has decided. It returns a permit that may be started at once, or the
+// answer of an earlier request with the same key, or a problem.
+func (i *Instance) obtain(r caller.Request, a *pool.Ask) (pool.Permit, caller.Exchange, *caller.Problem) {
+	h := (*i.homes.Load())[r.Route.Pool]
+	if h == nil {
+		return pool.Permit{}, nil, caller.NewProblem("not-ready", http.StatusServiceUnavailable, true,
+			"the route's pool is not known yet").WithRetryAfter(time.Second)
+	}
+	for {
+		now := i.cfg.Now()
+		if i.draining.Load() {
+			h.withdraw(a.ID)
+			return pool.Permit{}, nil, draining()
+		}
+		left := r.Deadline.Sub(now)
+		if left <= 0 {
+			h.withdraw(a.ID)
+			return pool.Permit{}, nil, caller.NewProblem("deadline-exceeded", http.StatusGatewayTimeout, true,
+				"the request was still waiting at its deadline").WithRetryAfter(time.Second)
+		}
+		answer := i.askHome(h, *a, left)
+		switch answer.Status {
+		case peer.Granted:
+			if h.mayStart(i.cfg.Now(), now, answer.Permit.Epoch) {
+				return *answer.Permit, nil, nil
+			}
+			event.StalePermit.On(&i.log).Str("request", a.ID).Str("server", answer.Permit.Server).Send()
+			i.report(r.Route.Pool, pool.Outcome{Ask: a.ID, Result: pool.NotRun})
+			a.ID = i.nextID()
+		case peer.Done:
+			x, problem := i.replayed(answer)
+			return pool.Permit{}, x, problem
+		case peer.Pending:
+		case peer.NotHome, "":
+			i.sleep(askRetry)
+		default:
+			return pool.Permit{}, nil, refused(answer)
+		}
+	}
+}
+
+// askHome polls the home of the pool once; an empty status means that no home answered.
+func (i *Instance) askHome(h *home, a pool.Ask, left time.Duration) peer.AskAnswer {
+	hold := min(askHold, left)
+	r := peer.AskRequest{
+		Proto: peer.Current(), Region: i.cfg.Region, Pool: h.name, Ask: a,
+		LeftMS: left.Milliseconds(), HoldMS: max(1, hold.Milliseconds()), Marks: i.marks.List(),
+	}
+	addr, self, ok := h.target(i.cfg.Now())
+	if self {
+		return h.ask(r)
+	}
+	if !ok {
+		return peer.AskAnswer{}
+	}
+	answer, err := i.peers.Ask(addr, r)
+	if err != nil {
+		return peer.AskAnswer{}
+	}
+	return answer
+}
+
+// target returns where asks go: to this instance itself, or to the address of the home.
+func (h *home) target(now time.Time) (addr string, self, ok bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.serving != 0 || h.tenure.Mode(now) == tenure.Static {
+		return "", true, true
+	}
+	ref, ok := h.tenure.HomeRef()
+	return ref.Address, false, ok && ref.Home != h.inst.cfg.Incarnation
+}
+
+// mayStart reports whether a permit of the epoch, fetched by a poll that was sent at the given time, may be started.
+func (h *home) mayStart(now, sent time.Time, epoch uint64) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.tenure.Fence(epoch) && h.tenure.MayStart(now, sent)
+}
+
+// refused turns the home's refusal into a problem.
+func refused(a peer.AskAnswer) *caller.Problem {
+	switch a.Status {
+	case peer.InProgress:
+		return caller.NewProblem("in-progress", http.StatusConflict, false,
+			"a request with this key is running").WithRetryAfter(time.Second)
+	case peer.Expired:
+		return caller.NewProblem("key-expired", http.StatusConflict, true,
+			"the time in the key lies outside the time that keys are remembered")
+	case peer.Unknown:
+		return caller.NewProblem("outcome-unknown", http.StatusConflict, false,
+			"it is not known whether the request with this key ran; it will not be run again")
+	case peer.NoClaim:
+		return caller.NewProblem("claim-unavailable", http.StatusServiceUnavailable, true,
+			"the key cannot be recorded while the store does not answer").WithRetryAfter(5 * time.Second)
+	}
+	if a.Refusal == nil {
+		return caller.NewProblem("refused", http.StatusServiceUnavailable, true, "the request was refused")
+	}
+	status := http.StatusServiceUnavailable
+	if a.Refusal.Reason == pool.UnknownRoute {
+		status = http.StatusNotFound
+	}
+	return caller.NewProblem(string(a.Refusal.Reason), status, true,
+		"the request was refused before it ran").WithRetryAfter(a.Refusal.RetryAfter)
+}
--- a/mustardseam/instance/open.go
+++ b/mustardseam/instance/open.go
@@ -38,16 +38,16 @@
 	i.metrics.Add("requests", 1)
 	ask := i.newAsk(r)
 	for {
-		g, x, problem := i.obtain(r, ask)
+		permit, x, problem := i.obtain(r, &ask)
 		if problem != nil || x != nil {
 			return x, problem
 		}
-		x, again, problem := i.dispatch(r, ask, g)
+		x, again, problem := i.dispatch(r, ask, permit)
 		if !again {
 			return x, problem
 		}
 		i.metrics.Add("attempts-not-run", 1)
-		ask = i.nextAsk(ask, g.permit.Server)
+		ask = i.nextAsk(ask, permit.Server)
 	}
 }
 
@@ -78,17 +78,12 @@
 }
 
 // dispatch starts a granted request; again is true when it certainly did not run and may be asked for anew.
-func (i *Instance) dispatch(r caller.Request, a pool.Ask, g grant) (x caller.Exchange, again bool, problem *caller.Problem) {
-	if !i.mayStart(r.Route.Pool, g) {
-		event.StalePermit.On(&i.log).Str("request", a.ID).Str("server", g.permit.Server).Send()
-		i.report(r.Route.Pool, pool.Outcome{Ask: a.ID, Result: pool.NotRun})
-		return nil, true, nil
-	}
+func (i *Instance) dispatch(r caller.Request, a pool.Ask, p pool.Permit) (x caller.Exchange, again bool, problem *caller.Problem) {
 	i.metrics.Add("dispatched", 1)
 	if r.Kind == operator.Services {
-		return i.callService(r, a, g.permit)
+		return i.callService(r, a, p)
 	}
-	return i.startEngine(r, a, g.permit)
+	return i.startEngine(r, a, p)
 }
 
 // startEngine starts a request on an engine.
--- /dev/null
+++ b/mustardseam/instance/stop.go
@@ -0,0 +1,60 @@
+package instance
+
+import (
+	"time"
+
+	"github.com/mustardseam/mustardseam/mustardseam/event"
+)
+
+const (
+	// drainPoll is the interval at which a stopping instance looks whether answers are still running.
+	drainPoll = 20 * time.Millisecond
+	// serverGrace lets responses that have ended reach their callers.
+	serverGrace = time.Second
+)
+
+// Stop drains the instance: it leaves the ready state, hands its pools over, hands waiting requests back as not run,
+// lets running answers end within the grace period, and reports whether all did.
+func (i *Instance) Stop(grace time.Duration) bool {
+	i.draining.Store(true)
+	event.Draining.On(&i.log).Send()
+	end := i.cfg.Now().Add(grace)
+	for _, h := range *i.homes.Load() {
+		h.stop()
+	}
+	for i.running.Load() > 0 && i.cfg.Now().Before(end) {
+		time.Sleep(drainPoll)
+	}
+	for _, h := range *i.homes.Load() {
+		h.release(end)
+	}
+	clean := i.running.Load() == 0
+	if !clean {
+		event.GraceOver.On(&i.log).Send()
+	}
+	_ = i.callerServer.Close(serverGrace)
+	i.close()
+	event.Stopped.On(&i.log).Send()
+	return clean
+}
+
+// Kill ends the instance at once, as a crash does.
+func (i *Instance) Kill() {
+	i.draining.Store(true)
+	i.close()
+}
+
+// close ends all goroutines and connections.
+func (i *Instance) close() {
+	i.cancel()
+	for _, ln := range i.listeners {
+		_ = ln.Close()
+	}
+	i.engines.Close()
+	i.services.Close()
+	i.store.Close()
+	_ = i.callerServer.Close(time.Millisecond)
+	_ = i.peerServer.Close(time.Millisecond)
+	_ = i.adminServer.Close(time.Millisecond)
+	i.wg.Wait()
+}
--- a/mustardseam/peer/client.go
+++ b/mustardseam/peer/client.go
@@ -43,8 +43,10 @@
 }
 
 // Done reports outcomes to the home at addr.
-func (c *Client) Done(addr string, r DoneRequest) error {
-	return c.post(addr, "/peer/v1/done", r, &Ack{}, c.cfg.Timeout)
+func (c *Client) Done(addr string, r DoneRequest) (Ack, error) {
+	var a Ack
+	err := c.post(addr, "/peer/v1/done", r, &a, c.cfg.Timeout)
+	return a, err
 }
 
 // Heartbeat exchanges heartbeats with the instance at addr.
--- a/mustardseam/peer/message.go
+++ b/mustardseam/peer/message.go
@@ -1,6 +1,9 @@
 package peer
 
-import "github.com/mustardseam/mustardseam/mustardseam/pool"
+import (
+	"github.com/mustardseam/mustardseam/mustardseam/member"
+	"github.com/mustardseam/mustardseam/mustardseam/pool"
+)
 
 // AskRequest asks a home for a permit, or polls for the decision on an earlier ask of the same id.
 type AskRequest struct {
@@ -46,37 +49,28 @@
 	Proto    Proto          `json:"proto"`
 	Pool     string         `json:"pool"`
 	From     string         `json:"from"`
+	Address  string         `json:"address"` // Of the sender, which keeps the answers.
 	Outcomes []pool.Outcome `json:"outcomes,omitempty"`
 	Withdraw []string       `json:"withdraw,omitempty"`
 }
 
 // Ack answers a message that needs no other answer.
 type Ack struct {
-	Proto Proto `json:"proto"`
+	Proto   Proto `json:"proto"`
+	NotHome bool  `json:"not-home,omitempty"` // The receiver is not the home of the pool.
 }
 
 // Heartbeat spreads membership, configuration, rollback marks and home epochs.
 type Heartbeat struct {
 	Proto    Proto              `json:"proto"`
-	From     Member             `json:"from"`
-	Members  []Member           `json:"members,omitempty"`
+	From     member.Member      `json:"from"`
+	Members  []member.Member    `json:"members,omitempty"`
 	Revision uint64             `json:"revision"`
 	Digest   string             `json:"digest"`
 	Marks    []string           `json:"marks,omitempty"`
 	Homes    map[string]HomeRef `json:"homes,omitempty"` // By pool.
 }
 
-// Member is what a heartbeat says of an instance.
-type Member struct {
-	ID          string `json:"id"`
-	Incarnation string `json:"incarnation"`
-	Address     string `json:"address"`
-	DataCentre  string `json:"data-centre"`
-	Counter     uint64 `json:"counter"` // Rises with each heartbeat of the instance itself.
-	Leaving     bool   `json:"leaving,omitempty"`
-	Revision    uint64 `json:"revision,omitempty"`
-}
-
 // HomeRef names the home of a pool.
 type HomeRef struct {
 	Epoch   uint64 `json:"epoch"`
@@ -96,6 +90,7 @@
 // ConsentAnswer says whether the candidate promised.
 type ConsentAnswer struct {
 	Proto Proto  `json:"proto"`
+	From  string `json:"from"` // Incarnation.
 	Given bool   `json:"given"`
 	Epoch uint64 `json:"epoch"` // Highest epoch that the candidate has seen.
 }
--- a/mustardseam/peer/server.go
+++ b/mustardseam/peer/server.go
@@ -73,7 +73,7 @@
 			return c.Status(fiber.StatusBadRequest).SendString("invalid JSON: " + err.Error())
 		}
 		if !proto(r).Readable() {
-			return c.Status(fiber.StatusUpgradeRequired).JSON(Ack{Current()})
+			return c.Status(fiber.StatusUpgradeRequired).JSON(Ack{Proto: Current()})
 		}
 		return c.JSON(do(r))
 	}
