Implement the tenure state machine

Cause: the surface had empty bodies. Change: confirmations by store and by consent, takeover, static share by agreement, release, and settling of lost swaps.

--- a/mustardseam/tenure/doc.go
+++ b/mustardseam/tenure/doc.go
@@ -25,7 +25,7 @@
 // Before each grant the caller checks MayGrant(now), and limits its requests on each server according to Share(now). When
 // MayGrant turns false, the queue is handed back as "not home". A new home discards load reports made before Baseline.
 //
-// A planned stop calls Stop (no grant from then on, and no later takeover), announces the instance as leaving, keeps the
-// loop running, and calls Release until it returns a record with Settled set, or until the grace period is over; it
-// writes that record with the same three results as a Swap.
+// A planned stop calls Stop (no grant from then on, and no later takeover), then announces the instance as leaving, keeps
+// the loop running, and calls Release while Holding is true and the grace period lasts. Release returns the record to
+// write once no permit can be started any more; its result is reported like that of a Swap.
 package tenure
--- a/mustardseam/tenure/record.go
+++ b/mustardseam/tenure/record.go
@@ -14,8 +14,7 @@
 	Home       string      `json:"home"`  // Incarnation.
 	Address    string      `json:"address"`
 	Candidates []Candidate `json:"candidates"`
-	Released   bool        `json:"released,omitempty"` // The home gave its right up.
-	Settled    bool        `json:"settled,omitempty"`  // With Released: no permit of the home can still be started.
+	Released   bool        `json:"released,omitempty"` // The home stopped, and none of its permits can still be started.
 	Since      time.Time   `json:"since"`              // By the wall clock of the writer; for people only.
 }
 
--- /dev/null
+++ b/mustardseam/tenure/right.go
@@ -0,0 +1,106 @@
+package tenure
+
+import "time"
+
+// MayGrant tells whether this instance may grant requests now, as home or within its static share.
+func (t *Tenure) MayGrant(now time.Time) bool {
+	switch t.Mode(now) {
+	case Home, Consent, Static:
+		return true
+	default:
+		return false
+	}
+}
+
+// Share returns 1, or the number of candidates while only the static share may be granted.
+func (t *Tenure) Share(now time.Time) int {
+	if t.Mode(now) == Static {
+		return len(t.rec.Candidates)
+	}
+	return 1
+}
+
+// Baseline returns the time after which load reports count as the baseline of the servers' occupancy.
+func (t *Tenure) Baseline() time.Time {
+	if t.Holding() {
+		return t.grantFrom
+	}
+	return t.staticFrom
+}
+
+// Mode returns the mode; its name is for the state dump.
+func (t *Tenure) Mode(now time.Time) Mode {
+	switch {
+	case t.closed:
+		return Closed
+	case t.Holding():
+		return t.homeMode(now)
+	case t.static(now):
+		return Static
+	default:
+		return Follower
+	}
+}
+
+func (t *Tenure) homeMode(now time.Time) Mode {
+	byStore := t.current(t.confirmed, now)
+	switch {
+	case t.superseded() || !byStore && !t.unanimous(now):
+		return Lapsed
+	case now.Before(t.grantFrom):
+		return Waiting
+	case byStore:
+		return Home
+	default:
+		return Consent
+	}
+}
+
+// current tells whether a confirmation that began at started still holds.
+func (t *Tenure) current(started, now time.Time) bool {
+	return !started.IsZero() && elapsed(started, now) < t.cfg.GrantRight
+}
+
+// unanimous tells whether the consent of every candidate that is not excused, in the record or in a swap that may still
+// take effect, holds. The own entry stands for the round itself.
+func (t *Tenure) unanimous(now time.Time) bool {
+	if !t.current(t.consents[t.cfg.Self.ID], now) {
+		return false
+	}
+	for _, c := range t.voters() {
+		if !t.current(t.consents[c.ID], now) {
+			return false
+		}
+	}
+	return true
+}
+
+// lapsedLong tells whether the right ended so long ago that others may have begun a static share.
+func (t *Tenure) lapsedLong(now time.Time) bool {
+	last := t.confirmed
+	if own := t.consents[t.cfg.Self.ID]; own.After(last) {
+		last = own
+	}
+	return elapsed(last, now) > 2*t.cfg.GrantRight
+}
+
+// await holds grants back for d from now, and until no permit under a right that this instance consented to, or of its
+// own static share, can be started.
+func (t *Tenure) await(now time.Time, d time.Duration) {
+	consented := t.promise.until().Add(t.cfg.drifted(t.cfg.StartWindow))
+	t.grantFrom = later(now.Add(d), later(consented, t.staticUntil))
+}
+
+// withdraw ends the right at once.
+func (t *Tenure) withdraw() {
+	t.confirmed = time.Time{}
+	clear(t.consents)
+	t.staticFrom = time.Time{}
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- a/mustardseam/tenure/tenure.go
+++ b/mustardseam/tenure/tenure.go
@@ -4,71 +4,113 @@
 
 // Tenure is one instance's view of who is home of one pool.
 type Tenure struct {
-	cfg Config
+	cfg    Config
+	seen   uint64 // Highest epoch learned from anyone.
+	unread int    // Reads until one that was sent after seen was raised has answered.
+	known  bool   // Whether the store was read at all.
+	exists bool
+	rec    Record
+	mod    int64
+	learnt time.Time // When rec was last read or written; the start of that call.
+
+	store    store
+	promise  promise
+	presence presence
+
+	confirmed time.Time            // Start of the last read or swap that showed the own epoch.
+	consents  map[string]time.Time // By incarnation, the start of the last round that it consented to.
+	asked     time.Time            // Start of the last round.
+	grantFrom time.Time            // Earlier rights are void from then on.
+
+	staticFrom  time.Time // Static share may be granted from then on; zero without unanimity.
+	staticUntil time.Time // Until then, permits of the static share may be started.
+	differs     time.Time // Since when the record's candidates differ from the view.
+
+	closed   bool
+	closedAt time.Time
 }
 
 // New returns a Tenure that knows no record yet.
-func New(cfg Config) *Tenure { return &Tenure{cfg: cfg.withDefaults()} }
-
-// Observed takes the answer of a store read that was sent at started.
-func (t *Tenure) Observed(now, started time.Time, rec Record, mod int64, exists bool) {}
-
-// StoreFailed reports a read without an answer.
-func (t *Tenure) StoreFailed(now time.Time) {}
-
-// Swapped reports that the store applied a swap sent at started; mod is the key's new mod revision.
-func (t *Tenure) Swapped(now, started time.Time, rec Record, mod int64) {}
-
-// SwapLost reports a swap without an answer; a read settles it before anything else is done.
-func (t *Tenure) SwapLost(now time.Time) {}
-
-// SwapConflict reports a swap that the store refused because the mod revision differs.
-func (t *Tenure) SwapConflict(now time.Time) {}
-
-// Consented reports that a candidate consented to an Ask that was sent at started.
-func (t *Tenure) Consented(now, started time.Time, from string) {}
-
-// Denied reports that a candidate refused, and the highest epoch that it has seen.
-func (t *Tenure) Denied(now time.Time, from string, epoch uint64) {}
-
-// Consent answers another instance's Ask: whether the consent is given for hold, and the highest epoch seen here.
-func (t *Tenure) Consent(now time.Time, from string, epoch uint64, hold time.Duration) (bool, uint64) {
-	return false, 0
+func New(cfg Config) *Tenure {
+	return &Tenure{
+		cfg:      cfg.withDefaults(),
+		consents: map[string]time.Time{},
+		presence: presence{absent: map[string]time.Time{}, leaving: map[string]bool{}},
+	}
 }
 
-// SeenEpoch takes an epoch that a peer announced.
-func (t *Tenure) SeenEpoch(now time.Time, epoch uint64) {}
+// Record returns the last record learned, and false when none exists.
+func (t *Tenure) Record() (Record, bool) { return t.rec, t.exists }
 
-// Step returns what the caller has to do now.
-func (t *Tenure) Step(now time.Time, v View) []Action { return nil }
-
-// MayGrant tells whether this instance may grant requests now, as home or within its static share.
-func (t *Tenure) MayGrant(now time.Time) bool { return false }
+// HomeRef returns the home to which asks go, and false when none is known.
+func (t *Tenure) HomeRef() (HomeRef, bool) {
+	if !t.exists || t.rec.Released {
+		return HomeRef{}, false
+	}
+	return HomeRef{Epoch: t.rec.Epoch, Home: t.rec.Home, Address: t.rec.Address}, true
+}
 
-// Share returns 1, or the number of candidates while only the static share may be granted.
-func (t *Tenure) Share(now time.Time) int { return 1 }
+// Holding tells whether the record names this instance as home, with or without a right to grant.
+func (t *Tenure) Holding() bool {
+	return t.exists && t.rec.Home == t.cfg.Self.ID && !t.rec.Released
+}
 
-// Mode returns the mode, for the state dump.
-func (t *Tenure) Mode(now time.Time) Mode { return Follower }
+// SeenEpoch takes an epoch that a peer announced; a higher one than that of the own record ends the right to grant.
+func (t *Tenure) SeenEpoch(_ time.Time, epoch uint64) { t.raise(epoch) }
 
-// Baseline returns the time after which load reports count as the baseline of the servers' occupancy.
-func (t *Tenure) Baseline() time.Time { return time.Time{} }
+// Fence tells whether a permit or message of the epoch is current, and remembers the highest epoch.
+func (t *Tenure) Fence(epoch uint64) bool {
+	t.raise(epoch)
+	return epoch == t.seen
+}
 
-// HomeRef returns the home to which asks go, and false when none is known.
-func (t *Tenure) HomeRef() (HomeRef, bool) { return HomeRef{}, false }
+func (t *Tenure) raise(epoch uint64) {
+	if epoch <= t.seen {
+		return
+	}
+	t.seen = epoch
+	t.unread = 1
+	if t.store.reading {
+		t.unread = 2 // The read on its way may have been sent before the record changed.
+	}
+}
 
-// Fence tells whether a permit or message of the epoch is current, and remembers the highest epoch.
-func (t *Tenure) Fence(epoch uint64) bool { return true }
+// superseded tells whether a higher epoch than that of the known record was announced.
+func (t *Tenure) superseded() bool { return t.seen > t.rec.Epoch }
 
-// Stop ends every right of this instance for good.
-func (t *Tenure) Stop(now time.Time) {}
+// behind tells whether the record may have changed since it was read. When a later read shows a lower epoch than was
+// announced, the store has lost the key's history, and the epochs go on above the highest one.
+func (t *Tenure) behind() bool { return t.superseded() && t.unread > 0 }
 
-// Release returns the record that hands the pool over and the mod revision it replaces; it is false when this instance
-// holds no record or a swap is not settled. The record is Settled once no permit can be started any more.
-func (t *Tenure) Release(now time.Time) (Record, int64, bool) { return Record{}, 0, false }
+// Step returns what the caller has to do now.
+func (t *Tenure) Step(now time.Time, v View) []Action {
+	t.notice(now, v)
+	var actions []Action
+	if t.readDue(now, v) {
+		t.store.reading = true
+		t.store.readAt = now
+		actions = append(actions, Action{Kind: Read})
+	}
+	switch {
+	case t.closed:
+	case t.Holding():
+		actions = append(actions, t.stepHome(now, v)...)
+	default:
+		actions = append(actions, t.stepFollower(now, v)...)
+	}
+	return actions
+}
 
-// StartBy returns the moment until which a permit may be started whose poll was sent at the given time.
-func (t *Tenure) StartBy(sent time.Time) time.Time { return sent.Add(t.cfg.StartWindow) }
+func (t *Tenure) stepHome(now time.Time, v View) []Action {
+	if t.slow(now) && t.askDue(now) {
+		return t.ask(now)
+	}
+	return t.updateCandidates(now, v)
+}
 
-// MayStart tells whether a permit whose poll was sent at the given time may be started now, by both clocks.
-func (t *Tenure) MayStart(now, sent time.Time) bool { return false }
+func (t *Tenure) stepFollower(now time.Time, v View) []Action {
+	if t.takeoverDue(now, v) {
+		return t.swap(t.successor(now, v))
+	}
+	return t.stepStatic(now)
+}
