Add the settings of an entry instance

Cause: the runtime needs addresses, limits and secrets from a strict YAML file. Change: package settings with defaults, a decoder that goes on after a fault and remembers lines, range checks, and a secret type that prints only its reference. Conclusion: id, data centre, region, the addresses and the peer key suffice as a file.

--- /dev/null
+++ b/mustardseam/settings/settings.go
@@ -0,0 +1,67 @@
+package settings
+
+import (
+	"os"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// Format is the only value that the format member may have.
+const Format = "mustardseam-settings/1"
+
+// Settings of an entry instance; Default and Parse fill in what a file leaves out.
+type Settings struct {
+	Format          string   `json:"format"                      yaml:"format"`
+	ID              string   `json:"id"                          yaml:"id"`
+	DataCentre      string   `json:"data-centre"                 yaml:"data-centre"`
+	Region          string   `json:"region"                      yaml:"region"`
+	CallerAddress   string   `json:"caller-address"              yaml:"caller-address"` // IP:port, as all addresses.
+	PeerAddress     string   `json:"peer-address"                yaml:"peer-address"`
+	AdminAddress    string   `json:"admin-address"               yaml:"admin-address"`
+	Store           Store    `json:"store"                       yaml:"store"`
+	Platform        Platform `json:"platform"                    yaml:"platform"`
+	PeerKey         Secret   `json:"peer-key"                    yaml:"peer-key"`
+	PreviousPeerKey Secret   `json:"previous-peer-key,omitempty" yaml:"previous-peer-key,omitempty"`
+	Limits          Limits   `json:"limits"                      yaml:"limits"`
+	// Grace is how long a planned stop waits for running answers; it is limits.request when left out.
+	Grace  time.Duration `json:"grace"  yaml:"grace"`
+	Log    Log           `json:"log"    yaml:"log"`
+	Replay Replay        `json:"replay" yaml:"replay"`
+}
+
+// Default returns the settings of an empty file; addresses, names and the peer key are still missing.
+func Default() Settings {
+	return Settings{
+		Format:   Format,
+		Store:    Store{Prefix: "mustardseam/", Timeout: time.Second},
+		Platform: Platform{Poll: time.Second},
+		Limits:   defaultLimits(),
+		Log:      Log{Level: "info", Format: JSON},
+		Replay:   Replay{Bytes: 8 << 20},
+	}
+}
+
+// Load reads and checks a file; the error is FieldErrors unless the file cannot be read.
+func Load(path string) (Settings, error) {
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, eris.Wrap(err, "read settings")
+	}
+	return Parse(b)
+}
+
+// Parse reads and checks a YAML document and the secrets it refers to; the error is FieldErrors.
+func Parse(b []byte) (Settings, error) {
+	s := Default()
+	d := decode(b, &s)
+	if s.Grace == 0 {
+		s.Grace = s.Limits.Request
+	}
+	c := check{at: d.lines, faulty: d.faulty(), faults: d.faults}
+	c.settings(&s)
+	if len(c.faults) > 0 {
+		return Settings{}, c.faults.sorted()
+	}
+	return s, nil
+}
