--- a/mustardseam/settings/check.go
+++ b/mustardseam/settings/check.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"regexp"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 )
@@ -91,7 +92,7 @@
 	case s.IsZero() && !required:
 		return
 	case (s.File == "") == (s.Env == ""):
-		c.add(path, "must have either file or env")
+		c.add(path, "must have either file or env, as in {env: NAME}")
 		return
 	}
 	if err := s.read(); err != nil {
@@ -106,19 +107,19 @@
 func (c *check) address(path, value string) {
 	a, err := netip.ParseAddrPort(value)
 	if err != nil || a.Port() == 0 {
-		c.add(path, "must be IP:port such as 10.0.0.1:8080, is %q", value)
+		c.add(path, "must be IP:port such as 10.0.0.1:8080, is %s", shown(value))
 	}
 }
 
 func (c *check) name(path, value string) {
 	if !name.MatchString(value) {
-		c.add(path, "must be 1 to 63 lower-case letters, digits, hyphens or dots, is %q", value)
+		c.add(path, "must be 1 to 63 lower-case letters, digits, hyphens or dots, is %s", shown(value))
 	}
 }
 
 func (c *check) oneOf(path, value string, allowed ...string) {
 	if !slices.Contains(allowed, value) {
-		c.add(path, "must be %s, is %q", strings.Join(allowed, " or "), value)
+		c.add(path, "must be one of %s, is %s", strings.Join(allowed, ", "), shown(value))
 	}
 }
 
@@ -135,3 +136,11 @@
 		c.add(path, "must be %v to %v, is %v", low, high, value)
 	}
 }
+
+// shown quotes a value for a message.
+func shown(value string) string {
+	if value == "" {
+		return "missing"
+	}
+	return strconv.Quote(value)
+}
--- a/mustardseam/settings/decode.go
+++ b/mustardseam/settings/decode.go
@@ -36,6 +36,9 @@
 	return d
 }
 
+// unusable reports whether no field could be read, so that checks of single fields would only add noise.
+func (d *decoder) unusable() bool { return len(d.faults) == 1 && d.faults[0].Path == "" }
+
 // faulty returns the paths that already have a fault, whose values are not checked further.
 func (d *decoder) faulty() map[string]bool {
 	paths := map[string]bool{}
@@ -56,7 +59,7 @@
 func (d *decoder) syntax(err error) {
 	fault := FieldError{Reason: "invalid YAML: " + err.Error()}
 	var pointed yaml.Error
-	if errors.As(err, &pointed) {
+	if errors.As(err, &pointed) && pointed.GetToken() != nil {
 		fault.Line = pointed.GetToken().Position.Line
 		fault.Reason = "invalid YAML: " + pointed.GetMessage()
 	}
@@ -106,21 +109,17 @@
 	}
 }
 
+// scalar checks the node's type first, because the library would convert 1.5 to the integer 1.
 func (d *decoder) scalar(path string, node ast.Node, v reflect.Value) {
-	if err := yaml.NodeToValue(node, v.Addr().Interface()); err != nil {
-		d.add(path, node, "must be %s", kind(v.Type()))
-	}
-}
-
-// kind says what a scalar field takes.
-func kind(t reflect.Type) string {
+	want, kind := ast.StringType, "a string"
 	switch {
-	case t == reflect.TypeFor[time.Duration]():
-		return "a duration such as 500ms, 30s or 5m"
-	case t.Kind() == reflect.Int:
-		return "a whole number"
-	default:
-		return "a string"
+	case v.Type() == reflect.TypeFor[time.Duration]():
+		kind = "a duration such as 500ms, 30s or 5m"
+	case v.Kind() == reflect.Int:
+		want, kind = ast.IntegerType, "a whole number"
+	}
+	if node.Type() != want || yaml.NodeToValue(node, v.Addr().Interface()) != nil {
+		d.add(path, node, "must be %s", kind)
 	}
 }
 
--- a/mustardseam/settings/settings.go
+++ b/mustardseam/settings/settings.go
@@ -55,6 +55,9 @@
 func Parse(b []byte) (Settings, error) {
 	s := Default()
 	d := decode(b, &s)
+	if d.unusable() {
+		return Settings{}, d.faults
+	}
 	if s.Grace == 0 {
 		s.Grace = s.Limits.Request
 	}
