--- a/mustardseam/settings/check.go
+++ b/mustardseam/settings/check.go
@@ -8,6 +8,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/mustardseam/mustardseam/operator/strict"
 )
 
 // minKeyBytes is the shortest peer key: 128 bits, below which an HMAC key can be guessed.
@@ -26,6 +28,14 @@
 	faults FieldErrors
 }
 
+func newCheck(in *strict.Decoder) *check {
+	c := &check{at: in.Lines, faulty: map[string]bool{}, faults: in.Faults}
+	for _, f := range in.Faults {
+		c.faulty[f.Path] = true
+	}
+	return c
+}
+
 func (c *check) settings(s *Settings) {
 	c.oneOf("format", s.Format, Format)
 	c.name("id", s.ID)
--- a/mustardseam/settings/settings.go
+++ b/mustardseam/settings/settings.go
@@ -2,9 +2,12 @@
 
 import (
 	"os"
+	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/mustardseam/mustardseam/operator/strict"
 )
 
 // Format is the only value that the format member may have.
@@ -54,17 +57,18 @@
 // Parse reads and checks a YAML document and the secrets it refers to; the error is FieldErrors.
 func Parse(b []byte) (Settings, error) {
 	s := Default()
-	d := decode(b, &s)
-	if d.unusable() {
-		return Settings{}, d.faults
+	in := strict.Decode(b, &s)
+	if in.Unusable() {
+		return Settings{}, in.Faults
 	}
 	if s.Grace == 0 {
 		s.Grace = s.Limits.Request
 	}
-	c := check{at: d.lines, faulty: d.faulty(), faults: d.faults}
+	c := newCheck(in)
 	c.settings(&s)
 	if len(c.faults) > 0 {
-		return Settings{}, c.faults.sorted()
+		slices.SortStableFunc(c.faults, func(a, b FieldError) int { return a.Line - b.Line })
+		return Settings{}, c.faults
 	}
 	return s, nil
 }
--- a/operator/backendserver.go
+++ b/operator/backendserver.go
@@ -16,6 +16,8 @@
 
 func (b BackendServer) key() string { return b.Name }
 
+func (b BackendServer) clone() BackendServer { return b }
+
 // WithVersion returns a copy of the backend server that runs the named version.
 func (b BackendServer) WithVersion(version string) BackendServer {
 	b.Version = version
--- a/operator/datacentre.go
+++ b/operator/datacentre.go
@@ -9,6 +9,8 @@
 
 func (d DataCentre) key() string { return d.Name }
 
+func (d DataCentre) clone() DataCentre { return d }
+
 // WithOutOfService returns a copy of the data centre that is taken out of service or brought back.
 func (d DataCentre) WithOutOfService(out bool) DataCentre {
 	d.OutOfService = out
--- a/operator/document.go
+++ b/operator/document.go
@@ -1,7 +1,5 @@
 package operator
 
-import "slices"
-
 // Format is the only value that the format member of a document may have.
 const Format = "mustardseam/1"
 
@@ -23,47 +21,72 @@
 
 // WithTier returns a copy of the document in which tier is added or replaced by name.
 func (d Document) WithTier(tier Tier) Document {
-	d.Tiers = put(d.Tiers, tier, Tier.key)
+	d.Tiers = put(d.Tiers, tier)
 	return d
 }
 
 // WithTeam returns a copy of the document in which team is added or replaced by name.
 func (d Document) WithTeam(team Team) Document {
-	d.Teams = put(d.Teams, team, Team.key)
+	d.Teams = put(d.Teams, team)
 	return d
 }
 
 // WithDataCentre returns a copy of the document in which dc is added or replaced by name.
 func (d Document) WithDataCentre(dc DataCentre) Document {
-	d.DataCentres = put(d.DataCentres, dc, DataCentre.key)
+	d.DataCentres = put(d.DataCentres, dc)
 	return d
 }
 
 // WithPool returns a copy of the document in which pool is added or replaced by name.
 func (d Document) WithPool(pool Pool) Document {
-	d.Pools = put(d.Pools, pool, Pool.key)
+	d.Pools = put(d.Pools, pool)
 	return d
 }
 
 // WithBackendServer returns a copy of the document in which server is added or replaced by name.
 func (d Document) WithBackendServer(server BackendServer) Document {
-	d.BackendServers = put(d.BackendServers, server, BackendServer.key)
+	d.BackendServers = put(d.BackendServers, server)
 	return d
 }
 
 // WithRoute returns a copy of the document in which route is added or replaced by name.
 func (d Document) WithRoute(route Route) Document {
-	d.Routes = put(d.Routes, route, Route.key)
+	d.Routes = put(d.Routes, route)
 	return d
 }
 
-// put returns a copy of list in which v replaces the entry of the same key or is appended.
-func put[T any](list []T, v T, key func(T) string) []T {
-	list = slices.Clone(list)
-	at := slices.IndexFunc(list, func(old T) bool { return key(old) == key(v) })
-	if at < 0 {
-		return append(list, v)
-	}
-	list[at] = v
-	return list
+// WithoutTier returns a copy of the document without the named tier.
+func (d Document) WithoutTier(name string) Document {
+	d.Tiers = remove(d.Tiers, name)
+	return d
+}
+
+// WithoutTeam returns a copy of the document without the named team.
+func (d Document) WithoutTeam(name string) Document {
+	d.Teams = remove(d.Teams, name)
+	return d
+}
+
+// WithoutDataCentre returns a copy of the document without the named data centre.
+func (d Document) WithoutDataCentre(name string) Document {
+	d.DataCentres = remove(d.DataCentres, name)
+	return d
+}
+
+// WithoutPool returns a copy of the document without the named pool.
+func (d Document) WithoutPool(name string) Document {
+	d.Pools = remove(d.Pools, name)
+	return d
+}
+
+// WithoutBackendServer returns a copy of the document without the named backend server.
+func (d Document) WithoutBackendServer(name string) Document {
+	d.BackendServers = remove(d.BackendServers, name)
+	return d
+}
+
+// WithoutRoute returns a copy of the document without the named route.
+func (d Document) WithoutRoute(name string) Document {
+	d.Routes = remove(d.Routes, name)
+	return d
 }
--- a/operator/pool.go
+++ b/operator/pool.go
@@ -18,6 +18,8 @@
 
 func (p Pool) key() string { return p.Name }
 
+func (p Pool) clone() Pool { return p }
+
 // WithMaxWaiting returns a copy of the pool whose queue holds at most n requests.
 func (p Pool) WithMaxWaiting(n int) Pool {
 	p.MaxWaiting = n
--- a/operator/rollout.go
+++ b/operator/rollout.go
@@ -12,6 +12,26 @@
 	Supersedes  string    `json:"supersedes,omitempty" yaml:"supersedes,omitempty"`
 }
 
+// DefaultCanaryShare is the share of requests that a new version gets first when a document names none.
+const DefaultCanaryShare = 0.01
+
+// RolloutConfig describes a rollout by the time that it may take.
+type RolloutConfig struct {
+	ID         string // Never used before, because a rollback of an id is final.
+	To         string // Version.
+	Start      time.Time
+	Within     time.Duration
+	Supersedes string // Id of the running rollout that this one replaces, if any.
+}
+
+// NewRollout returns a rollout with the default canary share.
+func NewRollout(cfg RolloutConfig) Rollout {
+	return Rollout{
+		ID: cfg.ID, To: cfg.To, CanaryShare: DefaultCanaryShare, Start: cfg.Start, Deadline: cfg.Start.Add(cfg.Within),
+		Supersedes: cfg.Supersedes,
+	}
+}
+
 // WithCanaryShare returns a copy of the rollout with the given first share of requests, 0 to 1.
 func (r Rollout) WithCanaryShare(share float64) Rollout {
 	r.CanaryShare = share
--- a/operator/route.go
+++ b/operator/route.go
@@ -1,5 +1,7 @@
 package operator
 
+import "time"
+
 // Route maps a model name, or a path segment under /services/, to a pool and a version.
 type Route struct {
 	Name          string   `json:"name"                      yaml:"name"`
@@ -12,6 +14,14 @@
 
 func (r Route) key() string { return r.Name }
 
+func (r Route) clone() Route {
+	if r.Rollout != nil {
+		rollout := *r.Rollout
+		r.Rollout = &rollout
+	}
+	return r
+}
+
 // WithVersion returns a copy of the route whose settled version is the named one.
 func (r Route) WithVersion(version string) Route {
 	r.Version = version
@@ -24,6 +34,12 @@
 	return r
 }
 
+// WithTimeout returns a copy of the route whose calls may take that long; 0 leaves only the instance's limit.
+func (r Route) WithTimeout(timeout time.Duration) Route {
+	r.Timeout = timeout.Seconds()
+	return r
+}
+
 // WithRollout returns a copy of the route that moves to another version.
 func (r Route) WithRollout(rollout Rollout) Route {
 	r.Rollout = &rollout
--- a/operator/tier.go
+++ b/operator/tier.go
@@ -8,6 +8,8 @@
 
 func (t Tier) key() string { return t.Name }
 
+func (t Tier) clone() Tier { return t }
+
 // WithRank returns a copy of the tier with the given rank.
 func (t Tier) WithRank(rank int) Tier {
 	t.Rank = rank
--- a/operator/validate.go
+++ b/operator/validate.go
@@ -2,10 +2,23 @@
 
 import (
 	"fmt"
-	"net"
+	"regexp"
 	"slices"
+	"strings"
 )
 
+// maxWeight bounds a team's weight, so that sums of weights stay exact enough for shares.
+const maxWeight = 1e6
+
+// segment is the form of names that become a path segment of a URL or of a store key; "." and ".." are excluded
+// because clients and proxies resolve them.
+var segment = regexp.MustCompile(`^[A-Za-z0-9_~-][A-Za-z0-9._~-]{0,62}$`)
+
+const segmentRule = "must be 1 to 63 letters, digits or any of . _ ~ - and not begin with a dot"
+
+// keyHash is the form in which KeyHash prints; other spellings would never match a key.
+var keyHash = regexp.MustCompile(`^[0-9a-f]{64}$`)
+
 // validation collects the faults of a document and the names that references may use.
 type validation struct {
 	faults  FieldErrors
@@ -36,61 +49,71 @@
 	v.faults = append(v.faults, FieldError{Path: path, Reason: fmt.Sprintf(format, args...)})
 }
 
-// names checks that every name is present and unique.
+// names checks that every name can be a path segment and is unique.
 func (v *validation) names(path string, names []string) {
-	seen := map[string]bool{}
 	for i, name := range names {
-		at := fmt.Sprintf("%s[%d].name", path, i)
-		if name == "" {
-			v.add(at, "must not be empty")
+		if !segment.MatchString(name) {
+			v.add(fmt.Sprintf("%s[%d].name", path, i), segmentRule)
 		}
-		if seen[name] {
-			v.add(at, "%q stands twice", name)
+	}
+	v.unique(path, names)
+}
+
+func (v *validation) unique(path string, names []string) {
+	for i, name := range names {
+		if name != "" && slices.Contains(names[:i], name) {
+			v.add(fmt.Sprintf("%s[%d].name", path, i), "%q is used twice", name)
 		}
-		seen[name] = true
 	}
 }
 
 func (v *validation) checkTiers(tiers []Tier) {
-	v.names("tiers", keys(tiers, Tier.key))
+	v.names("tiers", keys(tiers))
 	if len(tiers) == 0 {
 		v.add("tiers", "must name at least one tier")
 	}
-	ranks := map[int]bool{}
+	taken := map[int]bool{}
 	for i, t := range tiers {
-		if t.Rank < 0 || ranks[t.Rank] {
-			v.add(fmt.Sprintf("tiers[%d].rank", i), "must be 0 or more and unique")
+		if t.Rank < 0 || t.Rank >= len(tiers) || taken[t.Rank] {
+			v.add(fmt.Sprintf("tiers[%d].rank", i), "ranks must be 0 to %d, each once", len(tiers)-1)
 		}
-		ranks[t.Rank] = true
+		taken[t.Rank] = true
 		v.tiers[t.Name] = true
 	}
 }
 
 func (v *validation) checkTeams(teams []Team) {
-	v.names("teams", keys(teams, Team.key))
+	v.names("teams", keys(teams))
 	owner := map[string]string{}
 	for i, t := range teams {
 		at := fmt.Sprintf("teams[%d]", i)
-		if !(t.Weight > 0) || t.Weight > 1e6 {
-			v.add(at+".weight", "must be above 0 and at most 1000000")
-		}
-		if len(t.Tiers) == 0 {
-			v.add(at+".tiers", "must name at least one tier")
-		}
-		for j, name := range t.Tiers {
-			if !v.tiers[name] {
-				v.add(fmt.Sprintf("%s.tiers[%d]", at, j), "no tier %q", name)
-			}
+		if !(t.Weight > 0) || t.Weight > maxWeight { // The negation also catches NaN.
+			v.add(at+".weight", "must be above 0 and at most %g", maxWeight)
 		}
+		v.checkTeamTiers(at, t.Tiers)
 		for j, hash := range t.KeyHashes {
 			v.checkKeyHash(fmt.Sprintf("%s.key-hashes[%d]", at, j), hash, t.Name, owner)
 		}
 	}
 }
 
+func (v *validation) checkTeamTiers(at string, tiers []string) {
+	if len(tiers) == 0 {
+		v.add(at+".tiers", "must name at least one tier")
+	}
+	for j, name := range tiers {
+		if !v.tiers[name] {
+			v.add(fmt.Sprintf("%s.tiers[%d]", at, j), "no tier %q", name)
+		}
+		if slices.Contains(tiers[:j], name) {
+			v.add(fmt.Sprintf("%s.tiers[%d]", at, j), "%q is listed twice", name)
+		}
+	}
+}
+
 func (v *validation) checkKeyHash(path, hash, team string, owner map[string]string) {
-	if len(hash) != 64 {
-		v.add(path, "must be a SHA-256 in 64 hexadecimal digits")
+	if !keyHash.MatchString(hash) {
+		v.add(path, "must be a SHA-256 in 64 lower-case hexadecimal digits")
 	}
 	if other, ok := owner[hash]; ok {
 		v.add(path, "team %q has the same key", other)
@@ -99,17 +122,17 @@
 }
 
 func (v *validation) checkDataCentres(dcs []DataCentre) {
-	v.names("data-centres", keys(dcs, DataCentre.key))
+	v.names("data-centres", keys(dcs))
 	for i, dc := range dcs {
-		if dc.Region == "" {
-			v.add(fmt.Sprintf("data-centres[%d].region", i), "must not be empty")
+		if !segment.MatchString(dc.Region) {
+			v.add(fmt.Sprintf("data-centres[%d].region", i), segmentRule)
 		}
 		v.centres[dc.Name] = true
 	}
 }
 
 func (v *validation) checkPools(pools []Pool) {
-	v.names("pools", keys(pools, Pool.key))
+	v.names("pools", keys(pools))
 	for i, p := range pools {
 		at := fmt.Sprintf("pools[%d]", i)
 		if p.Kind != Engines && p.Kind != Services {
@@ -122,77 +145,7 @@
 	}
 }
 
-func (v *validation) checkServers(servers []BackendServer) {
-	v.names("backend-servers", keys(servers, BackendServer.key))
-	for i, b := range servers {
-		at := fmt.Sprintf("backend-servers[%d]", i)
-		if _, ok := v.pools[b.Pool]; !ok {
-			v.add(at+".pool", "no pool %q", b.Pool)
-		}
-		if !v.centres[b.DataCentre] {
-			v.add(at+".data-centre", "no data centre %q", b.DataCentre)
-		}
-		if host, _, err := net.SplitHostPort(b.Address); err != nil || net.ParseIP(host) == nil {
-			v.add(at+".address", "must be IP:port")
-		}
-		if b.Limit < 1 {
-			v.add(at+".limit", "must be at least 1")
-		}
-		if b.ColdLimit < 1 || b.ColdLimit > b.Limit {
-			v.add(at+".cold-limit", "must be 1 to limit")
-		}
-	}
-}
-
-func (v *validation) checkRoutes(routes []Route, servers []BackendServer) {
-	v.names("routes", keys(routes, Route.key))
-	for i, r := range routes {
-		at := fmt.Sprintf("routes[%d]", i)
-		if _, ok := v.pools[r.Pool]; !ok {
-			v.add(at+".pool", "no pool %q", r.Pool)
-		}
-		if !offers(servers, r.Pool, r.Version) {
-			v.add(at+".version", "no backend server of pool %q runs %q", r.Pool, r.Version)
-		}
-		if r.Timeout < 0 {
-			v.add(at+".timeout-seconds", "must not be negative")
-		}
-		if r.Rollout != nil {
-			v.checkRollout(at+".rollout", r, servers)
-		}
-	}
-}
-
-func (v *validation) checkRollout(at string, r Route, servers []BackendServer) {
-	o := r.Rollout
-	if o.ID == "" {
-		v.add(at+".id", "must not be empty")
-	}
-	if o.To == r.Version {
-		v.add(at+".to", "must differ from the route's version %q", r.Version)
-	}
-	if !offers(servers, r.Pool, o.To) {
-		v.add(at+".to", "no backend server of pool %q runs %q", r.Pool, o.To)
-	}
-	if !(o.CanaryShare > 0) || o.CanaryShare > 0.5 {
-		v.add(at+".canary-share", "must be above 0 and at most 0.5")
-	}
-	if !o.Deadline.After(o.Start) {
-		v.add(at+".deadline", "must be after start")
-	}
-}
-
-// offers reports whether a backend server of the pool runs the version.
-func offers(servers []BackendServer, pool, version string) bool {
-	return slices.ContainsFunc(servers, func(b BackendServer) bool {
-		return b.Pool == pool && b.Version == version
-	})
-}
-
-func keys[T any](list []T, key func(T) string) []string {
-	names := make([]string, len(list))
-	for i, v := range list {
-		names[i] = key(v)
-	}
-	return names
+// oneLine reports whether s is a short text without spaces and control characters.
+func oneLine(s string) bool {
+	return s != "" && len(s) <= 200 && !strings.ContainsFunc(s, func(r rune) bool { return r <= ' ' || r == 0x7f })
 }
--- a/operator/yaml.go
+++ b/operator/yaml.go
@@ -3,16 +3,28 @@
 import (
 	"github.com/goccy/go-yaml"
 	"github.com/rotisserie/eris"
+
+	"github.com/mustardseam/mustardseam/operator/strict"
 )
 
-// Parse reads a YAML or JSON document, refuses unknown members and checks it; the error may be FieldErrors.
+// Parse reads a YAML or JSON document, refuses unknown members and checks it; a rollout without a canary share gets
+// DefaultCanaryShare. The error is FieldErrors, with the lines of the fields.
 func Parse(b []byte) (Document, error) {
 	var d Document
-	if err := yaml.UnmarshalWithOptions(b, &d, yaml.Strict()); err != nil {
-		return Document{}, eris.Wrap(err, "parse configuration")
+	in := strict.Decode(b, &d)
+	if len(in.Faults) > 0 {
+		return Document{}, in.Faults
 	}
-	if err := d.Validate(); err != nil {
-		return Document{}, err
+	for _, r := range d.Routes {
+		if r.Rollout != nil && r.Rollout.CanaryShare == 0 {
+			r.Rollout.CanaryShare = DefaultCanaryShare
+		}
+	}
+	if faults, ok := d.Validate().(FieldErrors); ok {
+		for i := range faults {
+			faults[i].Line = in.Lines[faults[i].Path]
+		}
+		return Document{}, faults
 	}
 	return d, nil
 }
