--- /dev/null
+++ b/demo/cluster/doc.go
@@ -0,0 +1,2 @@
+// Package cluster runs the stand-ins and the entry instances of a site on loopback within one process.
+package cluster
--- a/mustardseam/engine/client.go
+++ b/mustardseam/engine/client.go
@@ -27,6 +27,9 @@
 
 // New returns a client that connects on demand.
 func New(cfg Config) *Client {
+	if cfg.LineBytes == 0 {
+		cfg.LineBytes = defaultLine
+	}
 	c := &Client{cfg: cfg, dialer: tcp.New(tcp.Config{Idle: cfg.Idle})}
 	c.stream = &fasthttp.Client{
 		StreamResponseBody: true, MaxIdemponentCallAttempts: 1, RetryIfErr: never,
@@ -65,7 +68,7 @@
 	resp := fasthttp.AcquireResponse()
 	err := c.stream.DoDeadline(req, resp, call.Deadline)
 	if err == nil && resp.StatusCode() == fasthttp.StatusOK {
-		return newStream(call.Address, req, resp), nil
+		return newStream(call.Address, c.cfg.LineBytes, req, resp), nil
 	}
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
--- a/mustardseam/engine/stream.go
+++ b/mustardseam/engine/stream.go
@@ -9,8 +9,8 @@
 	"github.com/valyala/fasthttp"
 )
 
-// maxLine bounds one line of a stream in bytes.
-const maxLine = 1 << 20
+// defaultLine bounds one line of a stream in bytes when the configuration does not.
+const defaultLine = 1 << 20
 
 // Stream reads the events of one request; it is not safe for concurrent use.
 type Stream struct {
@@ -32,9 +32,9 @@
 	Usage *Usage `json:"usage"`
 }
 
-func newStream(peer string, req *fasthttp.Request, resp *fasthttp.Response) *Stream {
+func newStream(peer string, line int, req *fasthttp.Request, resp *fasthttp.Response) *Stream {
 	s := &Stream{peer: peer, req: req, resp: resp, r: bufio.NewScanner(resp.BodyStream())}
-	s.r.Buffer(make([]byte, 0, 4<<10), maxLine)
+	s.r.Buffer(make([]byte, 0, 4<<10), line)
 	return s
 }
 
--- a/mustardseam/instance/ask.go
+++ b/mustardseam/instance/ask.go
@@ -292,7 +292,7 @@
 	case pool.NotRun:
 		h.journal.NotRun(now, o.Ask)
 	case pool.Unknown:
-		h.journal.Unknown(now, o.Ask)
+		h.journal.Abandon(now, "")
 	default:
 		h.journal.Finish(now, o.Ask, status(o), holder)
 	}
--- a/mustardseam/instance/config.go
+++ b/mustardseam/instance/config.go
@@ -27,7 +27,9 @@
 
 	BodyBytes   int
 	HeaderBytes int
+	LineBytes   int // One line of an engine's stream.
 	Connections int
+	Waiting     int           // Requests that may wait for a permit.
 	Idle        time.Duration // Of a caller's connection between requests.
 	Request     time.Duration // Total time of a request.
 	ReplayBytes int           // Memory for answers of keyed requests.
@@ -53,7 +55,9 @@
 	}
 	setInt(&c.BodyBytes, 4<<20)
 	setInt(&c.HeaderBytes, 16<<10)
+	setInt(&c.LineBytes, 1<<20)
 	setInt(&c.Connections, 4096)
+	setInt(&c.Waiting, 1024)
 	setInt(&c.ReplayBytes, 8<<20)
 	if c.Now == nil {
 		c.Now = time.Now
--- a/mustardseam/instance/instance.go
+++ b/mustardseam/instance/instance.go
@@ -53,7 +53,8 @@
 	membersMu sync.Mutex
 	members   *member.Table // Guarded by membersMu.
 
-	running  atomic.Int64
+	running  atomic.Int64 // Requests until the end of their answers.
+	waiting  atomic.Int64 // Those of them that wait for a permit.
 	draining atomic.Bool
 
 	callerServer *caller.Server
@@ -73,7 +74,7 @@
 		cfg:      cfg,
 		log:      cfg.Log.With().Str("instance", cfg.ID).Logger(),
 		store:    etcd.New(cfg.Store),
-		engines:  engine.New(engine.Config{Idle: engineIdle, Poll: enginePoll}),
+		engines:  engine.New(engine.Config{Idle: engineIdle, Poll: enginePoll, LineBytes: cfg.LineBytes}),
 		services: service.New(),
 		platform: platform.New(cfg.PlatformAddress),
 		replay:   newReplay(cfg.ReplayBytes),
@@ -134,6 +135,9 @@
 // AdminAddress returns the address for health, state and metrics, IP:port.
 func (i *Instance) AdminAddress() string { return i.listeners[2].Addr().String() }
 
+// Metrics returns the counters of the instance.
+func (i *Instance) Metrics() *expvar.Map { return &i.metrics }
+
 // Ready reports whether the instance takes requests.
 func (i *Instance) Ready() bool { return i.holder.Current() != nil && !i.draining.Load() }
 
--- a/mustardseam/instance/membership.go
+++ b/mustardseam/instance/membership.go
@@ -160,10 +160,10 @@
 		v.Preferred = append(v.Preferred, tenure.Candidate{ID: m.Incarnation, Address: m.Address})
 	}
 	dump := i.members.Dump(now)
+	if len(dump.Listed) > 0 {
+		v.Listed = map[string]bool{i.cfg.Incarnation: i.members.IsListed(now, i.cfg.Incarnation)}
+	}
 	for _, line := range dump.Members {
-		if v.Listed == nil && len(dump.Listed) > 0 {
-			v.Listed = map[string]bool{}
-		}
 		if line.Listed && v.Listed != nil {
 			v.Listed[line.Incarnation] = true
 		}
--- a/mustardseam/instance/open.go
+++ b/mustardseam/instance/open.go
@@ -26,6 +26,11 @@
 	if !i.enter() {
 		return nil, draining()
 	}
+	if i.waiting.Load() >= int64(i.cfg.Waiting) {
+		i.leave()
+		return nil, caller.NewProblem("instance-full", http.StatusServiceUnavailable, true,
+			"too many requests wait at this instance").WithRetryAfter(time.Second)
+	}
 	x, problem := i.run(r)
 	if problem != nil {
 		i.leave()
@@ -38,7 +43,9 @@
 	i.metrics.Add("requests", 1)
 	ask := i.newAsk(r)
 	for {
+		i.waiting.Add(1)
 		permit, x, problem := i.obtain(r, &ask)
+		i.waiting.Add(-1)
 		if problem != nil || x != nil {
 			return x, problem
 		}
--- a/mustardseam/instance/perform.go
+++ b/mustardseam/instance/perform.go
@@ -232,15 +232,15 @@
 func (h *home) release(end time.Time) {
 	for h.inst.cfg.Now().Before(end) {
 		h.mu.Lock()
-		rec, last, ok := h.tenure.Release(h.inst.cfg.Now())
+		holding := h.tenure.Holding()
+		rec, last, due := h.tenure.Release(h.inst.cfg.Now())
 		h.mu.Unlock()
-		if !ok {
+		if !holding {
 			return
 		}
-		h.swapRecord(tenure.Action{Record: rec, Last: last})
-		if rec.Settled {
+		if due {
+			h.swapRecord(tenure.Action{Record: rec, Last: last})
 			event.HomeReleased.On(&h.inst.log).Str("pool", h.name).Uint64("epoch", rec.Epoch).Send()
-			return
 		}
 		time.Sleep(homeTick)
 	}
--- a/mustardseam/instance/stop.go
+++ b/mustardseam/instance/stop.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/sourcegraph/conc"
+
 	"github.com/mustardseam/mustardseam/mustardseam/event"
 )
 
@@ -19,15 +21,15 @@
 	i.draining.Store(true)
 	event.Draining.On(&i.log).Send()
 	end := i.cfg.Now().Add(grace)
+	var handover conc.WaitGroup
 	for _, h := range *i.homes.Load() {
 		h.stop()
+		handover.Go(func() { h.release(end) })
 	}
+	handover.Wait()
 	for i.running.Load() > 0 && i.cfg.Now().Before(end) {
 		time.Sleep(drainPoll)
 	}
-	for _, h := range *i.homes.Load() {
-		h.release(end)
-	}
 	clean := i.running.Load() == 0
 	if !clean {
 		event.GraceOver.On(&i.log).Send()
--- a/standin/engine/http.go
+++ b/standin/engine/http.go
@@ -5,11 +5,11 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"hash/fnv"
 	"net"
 	"strconv"
 	"strings"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/gofiber/fiber/v3"
 )
 
@@ -80,9 +80,7 @@
 	for _, m := range r.Messages {
 		text += m.Role + ":" + m.Content + "\n"
 	}
-	h := fnv.New64a()
-	_, _ = h.Write([]byte(text))
-	sum := h.Sum64()
+	sum := xxhash.Sum64String(text)
 	length := r.MaxTokens
 	if length <= 0 {
 		length = 8 + int(sum%56)
@@ -95,11 +93,11 @@
 
 // Blocks returns the chained hashes of the whole blocks of a prompt, four bytes counted as one token.
 func Blocks(text string) []uint64 {
-	h := fnv.New64a()
+	h := xxhash.New()
 	var list []uint64
 	const size = BlockTokens * 4
 	for len(text) >= size {
-		_, _ = h.Write([]byte(text[:size]))
+		_, _ = h.WriteString(text[:size])
 		list = append(list, h.Sum64())
 		text = text[size:]
 	}
