--- a/demo/cluster/cluster.go
+++ b/demo/cluster/cluster.go
@@ -278,3 +278,6 @@
 	}
 	c.wg.Wait()
 }
+
+// StoreAddress returns the address of the store, IP:port.
+func (c *Cluster) StoreAddress() string { return c.storeAddr }
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"maps"
 	"sync"
 	"time"
 )
@@ -30,6 +31,7 @@
 	reports   []timedLoad
 	broken    bool
 	perKey    map[string]int
+	perTag    map[string]int
 	prefilled int
 	reused    int
 }
@@ -49,6 +51,7 @@
 		cache:    newCache(cfg.CacheBlocks),
 		coldLeft: cfg.ColdFor,
 		perKey:   map[string]int{},
+		perTag:   map[string]int{},
 	}
 	go func() {
 		for {
@@ -93,19 +96,16 @@
 	Prefilled int            // Prompt tokens computed.
 	Reused    int            // Prompt tokens read from the cache.
 	PerID     map[string]int // Executions by request id.
+	PerTag    map[string]int // Executions by the prompt's tag.
 }
 
 // Stats returns the counters.
 func (e *Engine) Stats() Stats {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	per := make(map[string]int, len(e.perKey))
-	for k, n := range e.perKey {
-		per[k] = n
-	}
 	return Stats{
-		Admitted: e.admitted, Fallen: e.fallen, OverCold: e.overCold,
-		Prefilled: e.prefilled, Reused: e.reused, PerID: per,
+		Admitted: e.admitted, Fallen: e.fallen, OverCold: e.overCold, Prefilled: e.prefilled, Reused: e.reused,
+		PerID: maps.Clone(e.perKey), PerTag: maps.Clone(e.perTag),
 	}
 }
 
@@ -115,6 +115,7 @@
 	defer e.mu.Unlock()
 	e.admitted++
 	e.perKey[s.id]++
+	e.perTag[s.tag]++
 	n := len(e.running) + len(e.waiting) + 1
 	if e.faults.FailEvery > 0 && e.faults.hit(s.model, n) && e.admitted%e.faults.FailEvery == 0 {
 		return true
