--- /dev/null
+++ b/mustardctl/cli.go
@@ -0,0 +1,81 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+
+	"github.com/alecthomas/kong"
+)
+
+// cli is the command line; the global flags take precedence over the settings file.
+type cli struct {
+	Config   string `help:"YAML file with any of store, prefix, admin, timeout and output." env:"MUSTARDCTL_CONFIG"`
+	settings `embed:""`
+
+	Submit  submitCommand  `cmd:"" help:"Submit a configuration."`
+	Diff    diffCommand    `cmd:"" help:"List what a file would change in the configuration in force."`
+	Get     getCommand     `cmd:"" help:"Print a configuration as YAML."`
+	History historyCommand `cmd:"" help:"List the last accepted submissions."`
+	Status  statusCommand  `cmd:"" help:"Show rollouts, data centres, backend servers and instances."`
+	Events  eventsCommand  `cmd:"" help:"List events of rollouts and data centres."`
+	Drain   drainCommand   `cmd:"" help:"Give a data centre or a backend server no new work."`
+	Restore restoreCommand `cmd:"" help:"Give a data centre or a backend server work again."`
+	Dump    dumpCommand    `cmd:"" help:"Print the state of an instance."`
+}
+
+// stdio is where a command reads and writes.
+type stdio struct {
+	in  io.Reader
+	out io.Writer
+	err io.Writer
+}
+
+// run executes one command line and returns the exit code.
+func run(ctx context.Context, args []string, std stdio, dial dialer) int {
+	var c cli
+	parser, err := kong.New(&c, kong.Name("mustardctl"), kong.Writers(std.out, std.err), kong.Exit(exitNow),
+		kong.Description("Operates mustardseam. Exit codes: 0 done, 1 failed, 2 usage, 3 conflict, 4 invalid, 5 unknown."))
+	if err != nil {
+		return report(std.err, false, err)
+	}
+	code, parsed, err := parse(parser, args)
+	if parsed == nil && err == nil {
+		return code
+	}
+	if err != nil {
+		_, _ = fmt.Fprintf(std.err, "mustardctl: %v\n", err)
+		return exitUsage
+	}
+	cfg, err := c.resolve(c.Config)
+	if err != nil {
+		return report(std.err, c.Output == outputJSON, err)
+	}
+	return execute(ctx, parsed, newEnv(std, cfg, dial), c.Events.Follow)
+}
+
+// helpShown carries the exit code of --help out of the parser, which expects its exit function not to return.
+type helpShown struct{ code int }
+
+func exitNow(code int) { panic(helpShown{code}) }
+
+// parse returns neither a context nor an error when the help was shown.
+func parse(parser *kong.Kong, args []string) (code int, parsed *kong.Context, err error) {
+	defer func() {
+		if shown, ok := recover().(helpShown); ok {
+			code, parsed, err = shown.code, nil, nil
+		}
+	}()
+	parsed, err = parser.Parse(args)
+	return 0, parsed, err
+}
+
+func execute(ctx context.Context, parsed *kong.Context, e *env, endless bool) int {
+	if !endless {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, e.cfg.Timeout)
+		defer cancel()
+	}
+	parsed.BindTo(ctx, (*context.Context)(nil))
+	return report(e.std.err, e.cfg.Output == outputJSON, parsed.Run(e))
+}
--- /dev/null
+++ b/mustardctl/get.go
@@ -0,0 +1,67 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/mustardseam/mustardseam/mustardseam/revision"
+	"github.com/mustardseam/mustardseam/operator"
+)
+
+// getCommand prints a configuration.
+type getCommand struct {
+	Revision uint64 `help:"Revision, one of the last 64; default: the one in force."`
+}
+
+// Run prints the document, after a comment from which submit takes the base revision.
+func (c *getCommand) Run(ctx context.Context, e *env) error {
+	head, _, err := revision.ReadHead(ctx, e.store)
+	if err != nil {
+		return err
+	}
+	s, err := pick(head, c.Revision)
+	if err != nil {
+		return err
+	}
+	doc, err := e.fetch(ctx, s.Digest)
+	if err != nil {
+		return err
+	}
+	yaml, err := doc.YAML()
+	if err != nil {
+		return err
+	}
+	return e.print(gotten{Submit: s, Document: doc, base: head.Revision, yaml: yaml})
+}
+
+// pick returns the record of a revision, 0 for the one in force.
+func pick(head revision.Head, n uint64) (revision.Submit, error) {
+	if head.Revision == 0 {
+		return revision.Submit{}, eris.New("no configuration has been submitted")
+	}
+	if n == 0 {
+		n = head.Revision
+	}
+	for _, s := range head.Submits {
+		if s.Revision == n {
+			return s, nil
+		}
+	}
+	return revision.Submit{}, eris.Errorf("revision %d is not among the last %d", n, len(head.Submits))
+}
+
+// gotten is a configuration with its record.
+type gotten struct {
+	revision.Submit
+	Document operator.Document `json:"document"`
+
+	base uint64 // Revision in force, so that submitting an older one means to go back to it.
+	yaml []byte
+}
+
+func (g gotten) table(w io.Writer) {
+	_, _ = fmt.Fprintf(w, "# revision: %d\n# base-revision: %d\n%s", g.Revision, g.base, g.yaml)
+}
