--- a/mustardctl/diff.go
+++ b/mustardctl/diff.go
@@ -43,7 +43,7 @@
 // changes lists what a file would change in a revision.
 type changes struct {
 	Revision uint64            `json:"revision"`
-	Changes  []operator.Change `json:"changes"`
+	Changes  []operator.Change `json:"changes,omitempty"`
 }
 
 func (c changes) table(w io.Writer) {
--- a/mustardctl/drain.go
+++ b/mustardctl/drain.go
@@ -41,6 +41,9 @@
 	id := rand.Text()
 	for {
 		head, old, err := e.current(ctx)
+		if transient(err) && e.pause(ctx, retryPause) == nil {
+			continue
+		}
 		if err != nil {
 			return err
 		}
--- a/mustardctl/dump.go
+++ b/mustardctl/dump.go
@@ -67,9 +67,9 @@
 	}
 }
 
-// heading separates a table from the one before; the form feed makes the writer align their columns separately.
+// heading separates a table from the one before; the form feed ends the line and the alignment.
 func heading(w io.Writer, name string) {
-	_, _ = io.WriteString(w, "\n"+strings.ToUpper(name)+"\n\f")
+	_, _ = io.WriteString(w, "\n"+strings.ToUpper(name)+"\f")
 }
 
 func compact(raw json.RawMessage) string {
--- a/mustardctl/event.go
+++ b/mustardctl/event.go
@@ -113,7 +113,7 @@
 
 // eventList is printed as a table.
 type eventList struct {
-	Events []event `json:"events"`
+	Events []event `json:"events,omitempty"`
 }
 
 func (l eventList) table(w io.Writer) {
--- a/mustardctl/history.go
+++ b/mustardctl/history.go
@@ -25,7 +25,7 @@
 
 // history lists submissions, the newest first.
 type history struct {
-	Submits []revision.Submit `json:"submits"`
+	Submits []revision.Submit `json:"submits,omitempty"`
 }
 
 func (h history) table(w io.Writer) {
--- a/mustardctl/status.go
+++ b/mustardctl/status.go
@@ -28,10 +28,10 @@
 type status struct {
 	Revision       uint64             `json:"revision"`
 	Digest         string             `json:"digest"`
-	Rollouts       []rolloutStatus    `json:"rollouts"`
-	DataCentres    []dataCentreStatus `json:"data-centres"`
-	BackendServers []serverStatus     `json:"backend-servers"`
-	Instances      []map[string]any   `json:"instances"` // As the instance of --admin lists them.
+	Rollouts       []rolloutStatus    `json:"rollouts,omitempty"`
+	DataCentres    []dataCentreStatus `json:"data-centres,omitempty"`
+	BackendServers []serverStatus     `json:"backend-servers,omitempty"`
+	Instances      []map[string]any   `json:"instances,omitempty"` // As the instance of --admin lists them.
 }
 
 type rolloutStatus struct {
--- a/mustardctl/submit.go
+++ b/mustardctl/submit.go
@@ -90,7 +90,7 @@
 	for {
 		done, sent, err := e.attempt(ctx, s)
 		unknown = unknown || sent && errors.Is(err, etcd.ErrUnanswered)
-		if err == nil || !(errors.Is(err, etcd.ErrUnanswered) || errors.Is(err, etcd.ErrUnavailable)) {
+		if !transient(err) {
 			return done, err
 		}
 		if e.pause(ctx, retryPause) == nil {
@@ -103,6 +103,11 @@
 	}
 }
 
+// transient reports whether a call failed because the store does not answer or refuses calls for now.
+func transient(err error) bool {
+	return errors.Is(err, etcd.ErrUnanswered) || errors.Is(err, etcd.ErrUnavailable)
+}
+
 // attempt reports in sent whether a write may have been made.
 func (e *env) attempt(ctx context.Context, s revision.Submission) (done revision.Submit, sent bool, err error) {
 	if err := e.checkRollouts(ctx, s); err != nil {
