Add the first full version of the decision core

Cause: the pool granted requests in order of arrival and knew neither fairness, tiers, learned limits nor splits. Change: the packages cost, fair, capacity, routing and retry, and a pool composed of them.

--- /dev/null
+++ b/mustardseam/capacity/server.go
@@ -0,0 +1,161 @@
+package capacity
+
+import "time"
+
+// Server is the occupancy and the present limit of one backend server.
+type Server struct {
+	limits   Limits
+	class    *Class
+	own      history
+	others   int         // Upper bound of running requests that this home does not track.
+	lingers  []time.Time // Ends, by this home's account, that a report has to confirm.
+	unknown  bool        // No grant before a report taken after since.
+	since    time.Time
+	reported bool
+	last     Reading
+	cold     bool
+	coldAt   time.Time
+	ramp     int // Requests at a time that evidence allows while warm.
+	watch    probation
+	shared   bool // Other instances dispatch too.
+}
+
+// NewServer returns a server that counts as cold and idle.
+func NewServer(l Limits, c *Class) *Server {
+	return &Server{limits: l, class: c, cold: true, ramp: l.Cold}
+}
+
+// Configure changes limits and class; a server of another class is cold.
+func (s *Server) Configure(now time.Time, l Limits, c *Class) {
+	if c != s.class {
+		s.chill(now)
+		s.Leave()
+	}
+	s.limits, s.class = l, c
+	s.ramp = min(max(s.ramp, l.Cold), max(l.Warm, l.Cold))
+}
+
+// Leave ends the server's probation, so that it no longer counts among the slow members of its class.
+func (s *Server) Leave() {
+	if s.watch.active && s.watch.slow {
+		s.class.slow--
+	}
+	s.watch = probation{}
+}
+
+// Baseline stops grants until a report that was taken after the given time shows the occupancy.
+func (s *Server) Baseline(now time.Time) {
+	s.unknown = true
+	s.since = now
+}
+
+// Share tells whether other instances dispatch to the server too, of whose requests only reports tell.
+func (s *Server) Share(shared bool) { s.shared = shared }
+
+// Limit returns how many requests the server may run at a time.
+func (s *Server) Limit() int {
+	if s.unknown {
+		return 0
+	}
+	if s.watch.active {
+		return min(1, s.limits.Cold)
+	}
+	if s.cold {
+		return s.limits.Cold
+	}
+	return min(s.class.limit(s.limits.Warm), s.ramp)
+}
+
+// Room returns how many more requests may be dispatched when the limit is divided among the given number of instances.
+func (s *Server) Room(instances int) int {
+	if instances > 1 {
+		return max(0, s.Limit()-s.Others())/instances - s.Own()
+	}
+	return s.Limit() - s.Occupancy()
+}
+
+// Own returns the number of requests that this home dispatched and has not seen end.
+func (s *Server) Own() int { return len(s.own.running) }
+
+// Others returns the number of other requests that may be running.
+func (s *Server) Others() int { return s.others + len(s.lingers) }
+
+// Occupancy returns the number of requests that may be running.
+func (s *Server) Occupancy() int { return s.Own() + s.Others() }
+
+// Dispatched counts a request that was granted at the given time.
+func (s *Server) Dispatched(now time.Time) { s.own.start(now) }
+
+// Orphan keeps a request of a dead instance counted until a report shows that it has ended.
+func (s *Server) Orphan(now, granted time.Time) {
+	if !s.own.end(granted, now) {
+		return
+	}
+	at := granted.Add(startSlack)
+	if at.Before(now) {
+		at = now
+	}
+	s.lingers = append(s.lingers, at)
+}
+
+// Finished takes in the end of a request.
+func (s *Server) Finished(now time.Time, m Sample) {
+	if !s.own.end(m.Granted, now) {
+		return
+	}
+	if m.Lingers && s.reported {
+		s.lingers = append(s.lingers, now)
+	}
+	if m.Cold {
+		s.chill(now)
+	}
+	slow := 0.0
+	if m.OK && !s.cold {
+		slow = s.class.observe(m)
+	}
+	if m.OK || m.Failed {
+		s.judge(now, m, slow)
+	}
+	if m.OK && !m.Cold {
+		s.warmer(m)
+	}
+}
+
+// judge watches for probation. At most a third of a class is put there for being slow, since slowness is relative.
+func (s *Server) judge(now time.Time, m Sample, slow float64) {
+	before := s.watch
+	mayBeSlow := s.class.Known() && 3*(s.class.slow+1) <= s.class.Servers
+	left := s.watch.observe(now, m, slow, mayBeSlow)
+	switch {
+	case left:
+		s.ramp = 1
+		if before.slow {
+			s.class.slow--
+		}
+	case !before.active && s.watch.active && s.watch.slow:
+		s.class.slow++
+	}
+}
+
+// warmer raises the limit by one for each answer that was both dispatched and completed while the server was warm.
+func (s *Server) warmer(m Sample) {
+	if !m.Granted.After(s.coldAt) {
+		return
+	}
+	if s.cold && !s.reported {
+		s.cold = false // A server without load reports shows by its answers that it is warm.
+	}
+	if !s.cold && !s.watch.active {
+		s.ramp = min(s.ramp+1, s.limits.Warm)
+	}
+}
+
+// Chill puts the server back to the cold limit until evidence shows that it is warm.
+func (s *Server) Chill(now time.Time) { s.chill(now) }
+
+// chill puts the server back to the cold limit; what runs stays counted.
+func (s *Server) chill(now time.Time) {
+	s.cold = true
+	s.coldAt = now
+	s.ramp = s.limits.Cold
+}
--- /dev/null
+++ b/mustardseam/pool/forecast.go
@@ -0,0 +1,110 @@
+package pool
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	// memory of the rates: long enough to average a few long requests, short enough to see a burst end.
+	rateMemory = 5 * time.Second
+	// minMeasured is the time for which a rate must have been measured before requests are refused by it.
+	minMeasured = 2 * time.Second
+	// minShare of the capacity is taken to be left for a tier whose higher tiers use everything.
+	minShare = 0.02
+)
+
+// forecast estimates waits from the tokens granted and asked for.
+type forecast struct {
+	served rate
+	asked  []tierRate // By rank, ascending.
+	mean   float64    // Mean tokens of a request.
+}
+
+// tierRate is the rate at which a tier asks for tokens.
+type tierRate struct {
+	rank int
+	rate
+}
+
+// rate is an exponentially decaying average of events per second.
+type rate struct {
+	since time.Time
+	at    time.Time
+	sum   float64
+}
+
+// add takes in an event of the given size.
+func (r *rate) add(now time.Time, v float64) {
+	if r.since.IsZero() {
+		r.since, r.at = now, now
+	}
+	r.sum = r.sum*decay(now.Sub(r.at)) + v
+	r.at = now
+}
+
+// per returns the average per second, corrected for the time before the first event.
+func (r *rate) per(now time.Time) float64 {
+	if r.since.IsZero() {
+		return 0
+	}
+	weight := 1 - decay(now.Sub(r.since)+100*time.Millisecond)
+	return r.sum * decay(now.Sub(r.at)) / (weight * rateMemory.Seconds())
+}
+
+func decay(d time.Duration) float64 {
+	return math.Exp(-max(0, d.Seconds()) / rateMemory.Seconds())
+}
+
+// ask takes in the tokens of a request that was admitted to the queue.
+func (f *forecast) ask(now time.Time, rank int, tokens float64) {
+	i, ok := slices.BinarySearchFunc(f.asked, rank, func(t tierRate, rank int) int { return t.rank - rank })
+	if !ok {
+		f.asked = slices.Insert(f.asked, i, tierRate{rank: rank})
+	}
+	f.asked[i].add(now, tokens)
+	if f.mean == 0 {
+		f.mean = tokens
+	}
+	f.mean += 0.02 * (tokens - f.mean)
+}
+
+// left returns the part of the capacity, in tokens per second, that higher tiers leave to the rank.
+func (f *forecast) left(now time.Time, rank int, capacity float64) float64 {
+	left := capacity
+	for i := range f.asked {
+		if f.asked[i].rank >= rank {
+			break
+		}
+		left -= f.asked[i].per(now)
+	}
+	return max(left, minShare*capacity)
+}
+
+// capacity returns the tokens per second that the pool serves when it is full: the larger of what it was granted
+// lately and of what its limits allow at the present duration of requests.
+func (p *Pool) capacity(now time.Time) float64 {
+	bound := float64(p.limit) / float64(p.share) * p.forecast.mean / max(1e-3, p.duration.Seconds())
+	return max(p.forecast.served.per(now), bound)
+}
+
+// wait estimates how long a new request of the team would wait; it is false when too little is known.
+func (p *Pool) wait(now time.Time, rank int, team string) (time.Duration, bool) {
+	since := p.forecast.served.since
+	if since.IsZero() || now.Sub(since) < minMeasured {
+		return 0, false
+	}
+	capacity := p.capacity(now)
+	if capacity <= 0 {
+		return 0, false
+	}
+	s := p.queue.Ahead(rank, team) / p.forecast.left(now, rank, capacity)
+	return time.Duration(min(s, 1e6) * float64(time.Second)), true
+}
+
+// retryAfter rounds a wait up to whole seconds within bounds that a caller can use.
+func retryAfter(d time.Duration) time.Duration {
+	d = min(max(d, time.Second), time.Minute)
+	return d.Truncate(time.Second)
+}
--- a/mustardseam/pool/outcome.go
+++ b/mustardseam/pool/outcome.go
@@ -19,11 +19,12 @@
 type Outcome struct {
 	Ask     string        `json:"ask"`
 	Result  Result        `json:"result"`
-	Prompt  int           `json:"prompt"`  // Tokens prefilled or read from the cache.
-	Cached  int           `json:"cached"`  // Tokens of the prompt that came from the prefix cache.
-	Output  int           `json:"output"`  // Tokens generated.
-	First   time.Duration `json:"first"`   // From dispatch to the first token.
-	Between time.Duration `json:"between"` // Mean time between tokens.
-	Cold    bool          `json:"cold"`    // The backend server answered that it is cold.
-	Status  int           `json:"status"`  // HTTP status of the backend server; 0 when there was none.
+	Prompt  int           `json:"prompt"`           // Tokens prefilled or read from the cache.
+	Cached  int           `json:"cached"`           // Tokens of the prompt that came from the prefix cache.
+	Output  int           `json:"output"`           // Tokens generated.
+	First   time.Duration `json:"first"`            // From dispatch to the first token.
+	Between time.Duration `json:"between"`          // Mean time between tokens.
+	Cold    bool          `json:"cold"`             // The backend server answered that it is cold.
+	Unused  bool          `json:"unused,omitempty"` // The permit was not used, so the outcome says nothing of the server.
+	Status  int           `json:"status"`           // HTTP status of the backend server; 0 when there was none.
 }
--- a/mustardseam/pool/pool.go
+++ b/mustardseam/pool/pool.go
@@ -3,158 +3,105 @@
 import (
 	"time"
 
-	"github.com/mustardseam/mustardseam/operator"
+	"github.com/mustardseam/mustardseam/mustardseam/capacity"
+	"github.com/mustardseam/mustardseam/mustardseam/cost"
+	"github.com/mustardseam/mustardseam/mustardseam/fair"
+	"github.com/mustardseam/mustardseam/mustardseam/retry"
+	"github.com/mustardseam/mustardseam/mustardseam/routing"
 )
 
 // Pool holds the queue of one pool in one region and the occupancy of its backend servers; it is not safe for
 // concurrent use.
 type Pool struct {
-	cfg     Config
-	epoch   uint64
-	share   int
-	order   []string
-	servers map[string]*server
-	routes  map[string]operator.Route
-	waiting map[int][]Ask
-	running map[string]string
+	cfg      Config
+	now      time.Time // Latest time that was passed in.
+	epoch    uint64
+	share    int // Instances among which each limit is divided.
+	queue    *fair.Queue
+	costs    cost.Estimator
+	budget   retry.Budget
+	picker   *routing.Picker
+	servers  map[string]*server
+	gone     map[string]*server // No longer configured, with running requests.
+	fleets   map[string]*fleet  // By version.
+	classes  map[classKey]*capacity.Class
+	routes   map[string]*route
+	requests map[string]*request // Waiting and running, by the id of the ask.
+	latest   byLatest            // Waiting requests with a deadline.
+	orphans  []*request          // Running, of dead instances, at servers without load reports.
+	refusals []Refusal           // For the next decisions.
+	blocked  map[blockKey]bool
+	closed   func(lane string) bool
+	round    uint64 // Number of the current Decide.
+	limit    int    // Sum of the limits of servers in service.
+	room     int    // Sum of their room.
+	duration time.Duration
+	forecast forecast
 }
 
-// server is what the home knows of a backend server.
-type server struct {
-	operator.BackendServer
-	out     bool
-	cold    bool
-	running int
+// classKey names the servers that are expected to be equally fast.
+type classKey struct {
+	version  string
+	hardware string
 }
 
 // New returns a pool without requests for the given configuration.
 func New(cfg Config) *Pool {
-	p := &Pool{share: 1, servers: map[string]*server{}, waiting: map[int][]Ask{}, running: map[string]string{}}
+	p := &Pool{
+		share:    1,
+		queue:    fair.New(fair.Config{}),
+		picker:   routing.New(cfg.Seed),
+		servers:  map[string]*server{},
+		gone:     map[string]*server{},
+		fleets:   map[string]*fleet{},
+		classes:  map[classKey]*capacity.Class{},
+		routes:   map[string]*route{},
+		requests: map[string]*request{},
+		blocked:  map[blockKey]bool{},
+		duration: time.Second,
+	}
+	p.closed = p.closedLane
 	p.Configure(time.Time{}, cfg)
 	return p
 }
 
-// Configure puts a newer configuration in force; running requests stay counted.
-func (p *Pool) Configure(_ time.Time, cfg Config) {
-	p.cfg = cfg
-	out := map[string]bool{}
-	for _, dc := range cfg.DataCentres {
-		out[dc.Name] = dc.OutOfService
-	}
-	p.routes = map[string]operator.Route{}
-	for _, r := range cfg.Routes {
-		p.routes[r.Name] = r
-	}
-	old := p.servers
-	p.servers = map[string]*server{}
-	p.order = p.order[:0]
-	for _, b := range cfg.Servers {
-		s := old[b.Name]
-		if s == nil {
-			s = &server{cold: true}
-		}
-		s.BackendServer = b
-		s.out = b.Leaving || out[b.DataCentre]
-		p.servers[b.Name] = s
-		p.order = append(p.order, b.Name)
-	}
-}
-
 // SetEpoch sets the epoch that permits carry.
 func (p *Pool) SetEpoch(epoch uint64) { p.epoch = epoch }
 
-// SetShare lets the pool use only 1/n of each limit; it is above 1 in static share mode.
-func (p *Pool) SetShare(n int) { p.share = max(1, n) }
-
-// Ask puts a request into the queue; an ask with the id of a waiting or running one has no effect.
-func (p *Pool) Ask(_ time.Time, a Ask) {
-	if _, ok := p.running[a.ID]; ok {
-		return
-	}
-	for _, w := range p.waiting[a.Tier] {
-		if w.ID == a.ID {
-			return
-		}
-	}
-	p.waiting[a.Tier] = append(p.waiting[a.Tier], a)
-}
-
-// Withdraw takes a waiting request out of the queue and reports whether it was there.
-func (p *Pool) Withdraw(_ time.Time, id string) bool {
-	for tier, list := range p.waiting {
-		for i, a := range list {
-			if a.ID == id {
-				p.waiting[tier] = append(list[:i], list[i+1:]...)
-				return true
-			}
-		}
-	}
-	return false
-}
-
-// Done accounts for the end of a granted request.
-func (p *Pool) Done(_ time.Time, o Outcome) {
-	name, ok := p.running[o.Ask]
-	if !ok {
+// SetShare divides the limits among n instances; it is above 1 in static share mode, in which the pool's own requests
+// on a server number at most floor((limit - others) / n). A change of mode awaits new load reports, because the other
+// instances' requests are not known.
+func (p *Pool) SetShare(n int) {
+	n = max(1, n)
+	if n == p.share {
 		return
 	}
-	delete(p.running, o.Ask)
-	if s := p.servers[name]; s != nil {
-		s.running--
+	if n == 1 || p.share == 1 {
+		p.Baseline(p.now)
 	}
-}
-
-// Report takes in a load report.
-func (p *Pool) Report(_ time.Time, r Report) {
-	if s := p.servers[r.Server]; s != nil {
-		s.cold = r.Cold
+	p.share = n
+	for _, s := range p.servers {
+		s.cap.Share(n > 1)
+		p.refresh(s)
 	}
 }
 
-// Cache takes in cache events, which may be late and have gaps.
-func (p *Pool) Cache(_ time.Time, _ []CacheEvent) {}
-
-// Decide returns the permits and refusals that are due.
-func (p *Pool) Decide(now time.Time) Decisions {
-	var d Decisions
-	for tier := range len(p.cfg.Tiers) {
-		rest := p.waiting[tier][:0]
-		for _, a := range p.waiting[tier] {
-			if now.After(a.Deadline) {
-				d.Refusals = append(d.Refusals, Refusal{Ask: a.ID, Reason: TooLate})
-				continue
-			}
-			s := p.pick(a)
-			if s == nil {
-				rest = append(rest, a)
-				continue
-			}
-			s.running++
-			p.running[a.ID] = s.Name
-			d.Permits = append(d.Permits, Permit{
-				Ask: a.ID, Server: s.Name, Address: s.Address, Version: s.Version, Epoch: p.epoch,
-			})
+// Baseline makes the occupancy of each server start from the first load report taken after the given time; a server
+// without such a report gets nothing. Servers of a pool of services send no reports and start at the cold limit.
+func (p *Pool) Baseline(now time.Time) {
+	p.see(now)
+	for _, s := range p.servers {
+		if s.cap.Reported() || !p.services() {
+			s.cap.Baseline(now)
+		} else {
+			s.cap.Chill(now)
 		}
-		p.waiting[tier] = rest
+		p.refresh(s)
 	}
-	return d
 }
 
-// pick returns the backend server with the most room, or nil.
-func (p *Pool) pick(a Ask) *server {
-	var best *server
-	for _, name := range p.order {
-		s := p.servers[name]
-		limit := s.Limit
-		if s.cold {
-			limit = s.ColdLimit
-		}
-		if s.out || s.Version != p.routes[a.Route].Version || s.running >= limit/p.share {
-			continue
-		}
-		if best == nil || s.running < best.running {
-			best = s
-		}
+func (p *Pool) see(now time.Time) {
+	if now.After(p.now) {
+		p.now = now
 	}
-	return best
 }
