Read the records of rollouts and the states as the runtime writes them

Cause: mustardctl assumed its own form of rollout records, and the members in a state dump are an object of lists, of which status showed nothing. Change: records are rollout.Record under rollout.KeyPrefix, status shows self and members of either form and rollbacks that the instance knows before the store, nested objects of a dump become columns. Conclusion: status and events follow the runtime's formats.

--- a/mustardctl/dump.go
+++ b/mustardctl/dump.go
@@ -42,7 +42,7 @@
 	if s.text("instance") == instance {
 		return e.cfg.Admin, nil
 	}
-	for _, member := range entries(s["members"]) {
+	for _, member := range s.instances() {
 		address, ok := member["admin-address"].(string)
 		if ok && (member["id"] == instance || member["name"] == instance) {
 			return address, nil
@@ -51,22 +51,34 @@
 	return "", eris.Errorf("instance %s knows no admin address of %q; give its address as IP:port", e.cfg.Admin, instance)
 }
 
-// table prints scalar members first, then a table for each member with entries.
-func (s state) table(w io.Writer) {
-	names := slices.Sorted(maps.Keys(s))
+// table prints single values first, then a table for each member with entries.
+func (s state) table(w io.Writer) { writeMembers(w, "", s) }
+
+func writeMembers(w io.Writer, path string, members map[string]json.RawMessage) {
+	names := slices.Sorted(maps.Keys(members))
 	for _, name := range names {
-		if len(entries(s[name])) == 0 {
-			row(w, name, compact(s[name]))
+		if !nested(members[name]) {
+			row(w, path+name, compact(members[name]))
 		}
 	}
 	for _, name := range names {
-		if list := entries(s[name]); len(list) > 0 {
-			heading(w, name)
+		var object map[string]json.RawMessage
+		switch list := entries(members[name]); {
+		case len(list) > 0:
+			heading(w, path+name)
 			writeEntries(w, list)
+		case nested(members[name]) && json.Unmarshal(members[name], &object) == nil:
+			writeMembers(w, path+name+".", object)
 		}
 	}
 }
 
+// nested reports whether a member is an object with members or a list of objects.
+func nested(raw json.RawMessage) bool {
+	var object map[string]json.RawMessage
+	return len(entries(raw)) > 0 || json.Unmarshal(raw, &object) == nil && len(object) > 0
+}
+
 // heading separates a table from the one before; the form feed ends the line and the alignment.
 func heading(w io.Writer, name string) {
 	_, _ = io.WriteString(w, "\n"+strings.ToUpper(name)+"\f")
--- a/mustardctl/event.go
+++ b/mustardctl/event.go
@@ -26,7 +26,7 @@
 	Kind     string    `json:"kind"`
 	Subject  string    `json:"subject"`
 	Revision uint64    `json:"revision,omitempty"` // That took the data centre out or brought it back.
-	Detail   string    `json:"detail,omitempty"`   // Author, or the reason that the record names.
+	Detail   string    `json:"detail,omitempty"`   // Author, or the text in the record.
 }
 
 // events reads all events that the store still tells of, the oldest first: those in the records of rollouts, and the
@@ -39,7 +39,7 @@
 	var list []event
 	for _, id := range slices.Sorted(maps.Keys(records)) {
 		for _, ev := range records[id].Events {
-			list = append(list, event{At: ev.At.UTC(), Kind: rolloutKind + ev.Kind, Subject: id, Detail: ev.Reason})
+			list = append(list, event{At: ev.Time.UTC(), Kind: rolloutKind + ev.Kind, Subject: id, Detail: ev.Text})
 		}
 	}
 	moves, err := e.dataCentreEvents(ctx, docs)
--- a/mustardctl/read_test.go
+++ b/mustardctl/read_test.go
@@ -14,9 +14,10 @@
 
 func testState(t *testing.T) state {
 	var s state
-	assert.NilError(t, json.Unmarshal([]byte(`{"instance":"i1","revision":1,"digest":"ab","new-member":[1,2],"members":[
-		{"id":"i1","admin-address":"127.0.0.1:1","revision":1},{"id":"i2","admin-address":"127.0.0.1:2","revision":0}],
-		"pools":{"sizing":{"home":"i1","waiting":3}},"rollouts":[]}`), &s))
+	assert.NilError(t, json.Unmarshal([]byte(`{"instance":"i1","revision":1,"digest":"ab","new-member":[1,2],"marks":[],
+		"members":{"self":{"id":"i1","incarnation":"a","revision":1},"listed":[{"id":"i9"}],"members":[
+		{"id":"i2","incarnation":"b","admin-address":"127.0.0.1:2","revision":0}]},
+		"pools":{"sizing":{"home":{"epoch":7,"home":"i1"},"waiting":3}},"rollouts":[]}`), &s))
 	return s
 }
 
@@ -25,7 +26,7 @@
 func TestStatus(t *testing.T) {
 	s := submitted(t)
 	s.states["127.0.0.1:1"] = testState(t)
-	s.store.put("rollouts/r1", []byte(`{"share":0.05,"other":1,"events":[{"kind":"late","at":"2026-05-01T07:00:00Z"}]}`))
+	s.store.put("rollouts/r1", []byte(`{"share":0.05,"other":1,"state":"late"}`))
 	s.run("", "drain", "data-centre", "amman-2")
 	code, out, errText := s.run("", "--admin", "127.0.0.1:1", "status")
 	assert.Equal(t, code, exitDone, errText)
@@ -33,14 +34,17 @@
 		"model  r1  v1    v2  0.05   late   2026-05-01T07:00:00Z",
 		"amman-2  amman   out-of-service  1",
 		"e2    sizing  amman-2      v2       4      data-centre-out",
-		"i2  0         127.0.0.1:2",
+		"i2  0         127.0.0.1:2    b",
 	} {
 		assert.Assert(t, is.Contains(out, line))
 	}
+	s.states["127.0.0.1:1"]["marks"] = []byte(`["r1"]`)
+	_, out, _ = s.run("", "--admin", "127.0.0.1:1", "status")
+	assert.Assert(t, is.Contains(out, "model  r1  v1    v2  0      taken-back"))
 	s.store.down = true
 	code, out, _ = s.run("", "--admin", "127.0.0.1:1", "status")
 	assert.Equal(t, code, exitFailed)
-	assert.Assert(t, is.Contains(out, "i2  0         127.0.0.1:2"))
+	assert.Assert(t, is.Contains(out, "i2  0         127.0.0.1:2    b"))
 }
 
 // TestDump guards against members that are not printed because this version of the tool does not know them.
@@ -49,7 +53,7 @@
 	s.states["127.0.0.1:1"], s.states["127.0.0.1:2"] = testState(t), state{"instance": []byte(`"i2"`)}
 	code, out, errText := s.run("", "dump", "127.0.0.1:1")
 	assert.Equal(t, code, exitDone, errText)
-	assert.Assert(t, is.Regexp(`(?s)new-member +\[1,2\].*MEMBERS\n.*POOLS\n.*sizing +i1 +3`, out))
+	assert.Assert(t, is.Regexp(`(?s)new-member +\[1,2\].*MEMBERS\.MEMBERS\n.*i2 +0 .*POOLS\n.*HOME\.EPOCH.*sizing +7 +i1 +3`, out))
 	code, out, errText = s.run("", "--admin", "127.0.0.1:1", "-o", "json", "dump", "i2")
 	assert.Equal(t, code, exitDone, errText)
 	assert.Equal(t, out, "{\n  \"instance\": \"i2\"\n}\n")
@@ -62,7 +66,7 @@
 	s := submitted(t)
 	s.run("", "drain", "data-centre", "amman-2")
 	s.run("", "restore", "data-centre", "amman-2")
-	s.store.put("rollouts/r1", []byte(`{"events":[{"kind":"taken-back","at":"2026-05-01T15:05:00+09:00","reason":"failures"}]}`))
+	s.store.put("rollouts/r1", []byte(`{"events":[{"kind":"taken-back","time":"2026-05-01T15:05:00+09:00","text":"failures"}]}`))
 	code, out, errText := s.run("", "events")
 	assert.Equal(t, code, exitDone, errText)
 	assert.Assert(t, is.Regexp(`06:00:00Z +data-centre-out +amman-2 +2 +amal\n\S+ +data-centre-back +amman-2 +3 +amal\n`+
--- a/mustardctl/rollouts.go
+++ b/mustardctl/rollouts.go
@@ -3,75 +3,38 @@
 import (
 	"context"
 	"encoding/json"
-	"slices"
 	"strings"
-	"time"
-)
-
-// rolloutPrefix is the store prefix of the records of rollouts.
-const rolloutPrefix = "rollouts/"
 
-// The events of a rollout's record.
-const (
-	eventDone      = "done"
-	eventTakenBack = "taken-back"
-	eventLate      = "late"
+	"github.com/mustardseam/mustardseam/mustardseam/rollout"
 )
 
-// rolloutRecord holds the members of a rollout's record that this tool reads; others are ignored.
-type rolloutRecord struct {
-	ID     string         `json:"id"`
-	Share  float64        `json:"share"` // Of requests, 0 to 1.
-	Events []rolloutEvent `json:"events"`
-}
-
-// rolloutEvent is an entry of a record's events.
-type rolloutEvent struct {
-	Kind   string    `json:"kind"`
-	At     time.Time `json:"at"`
-	Reason string    `json:"reason,omitempty"`
-}
-
 // rolloutRecords are records by the id of the rollout.
-type rolloutRecords map[string]rolloutRecord
+type rolloutRecords map[string]rollout.Record
 
 // rollouts reads all records; one that cannot be decoded is passed over, so that it does not block the others.
 func (e *env) rollouts(ctx context.Context) (rolloutRecords, error) {
-	list, err := e.store.List(ctx, rolloutPrefix)
+	list, err := e.store.List(ctx, rollout.KeyPrefix)
 	if err != nil {
 		return nil, err
 	}
 	records := rolloutRecords{}
 	for _, kv := range list {
-		var r rolloutRecord
-		if json.Unmarshal(kv.Value, &r) != nil {
-			continue
+		var r rollout.Record
+		if json.Unmarshal(kv.Value, &r) == nil {
+			records[strings.TrimPrefix(kv.Key, rollout.KeyPrefix)] = r
 		}
-		if r.ID == "" {
-			r.ID = kv.Key[strings.LastIndex(kv.Key, "/")+1:]
-		}
-		records[r.ID] = r
 	}
 	return records, nil
 }
 
-// ended returns the ids of the rollouts that are done or rolled back.
+// ended returns the ids of the rollouts that are done or rolled back. A rollout without a record counts as running,
+// because its home may be about to write it.
 func (r rolloutRecords) ended() map[string]bool {
 	ids := map[string]bool{}
 	for id, record := range r {
-		if s := record.state(); s == eventDone || s == eventTakenBack {
+		if record.State == rollout.Done || record.State == rollout.TakenBack {
 			ids[id] = true
 		}
 	}
 	return ids
 }
-
-// state returns the event that settles the rollout, or "running"; a rollback is final whatever else is recorded.
-func (r rolloutRecord) state() string {
-	for _, kind := range []string{eventTakenBack, eventDone, eventLate} {
-		if slices.ContainsFunc(r.Events, func(ev rolloutEvent) bool { return ev.Kind == kind }) {
-			return kind
-		}
-	}
-	return "running"
-}
--- a/mustardctl/rows.go
+++ b/mustardctl/rows.go
@@ -47,11 +47,30 @@
 	return list
 }
 
+// flat returns the entry with the members of its objects as members of their own, such as home.epoch.
+func flat(object map[string]any) map[string]any {
+	out := map[string]any{}
+	for name, v := range object {
+		inner, ok := v.(map[string]any)
+		if !ok {
+			out[name] = v
+		}
+		for innerName, value := range inner {
+			out[name+"."+innerName] = value
+		}
+	}
+	return out
+}
+
 // leading are the columns that stand first in a table of entries, in this order.
 var leading = []string{"id", "name", "instance", "pool", "route", "data-centre", "address", "state", "revision"}
 
 // writeEntries prints a table with a column for each member that any entry has.
 func writeEntries(w io.Writer, list []map[string]any) {
+	list = slices.Clone(list)
+	for i, object := range list {
+		list[i] = flat(object)
+	}
 	columns := columnsOf(list)
 	head := make([]any, len(columns))
 	for i, c := range columns {
--- a/mustardctl/state.go
+++ b/mustardctl/state.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -24,6 +25,25 @@
 	return scalar(v)
 }
 
+// instances returns the instance itself, if the state says so, and the members that it knows.
+func (s state) instances() []map[string]any {
+	if list := entries(s["members"]); len(list) > 0 {
+		return list
+	}
+	var table map[string]json.RawMessage
+	if json.Unmarshal(s["members"], &table) != nil {
+		return nil
+	}
+	var self map[string]any
+	list := entries(table["members"])
+	if json.Unmarshal(table["self"], &self) != nil || slices.ContainsFunc(list, func(m map[string]any) bool {
+		return m["incarnation"] == self["incarnation"]
+	}) {
+		return list
+	}
+	return append([]map[string]any{self}, list...)
+}
+
 // maxState bounds the state of an instance in bytes.
 const maxState = 64 << 20
 
--- a/mustardctl/status.go
+++ b/mustardctl/status.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
+	"slices"
 	"time"
 
+	"github.com/mustardseam/mustardseam/mustardseam/rollout"
 	"github.com/mustardseam/mustardseam/operator"
 )
 
@@ -35,13 +38,13 @@
 }
 
 type rolloutStatus struct {
-	Route    string    `json:"route"`
-	ID       string    `json:"id"`
-	From     string    `json:"from"`
-	To       string    `json:"to"`
-	Share    float64   `json:"share"`
-	State    string    `json:"state"`
-	Deadline time.Time `json:"deadline"`
+	Route    string        `json:"route"`
+	ID       string        `json:"id"`
+	From     string        `json:"from"`
+	To       string        `json:"to"`
+	Share    float64       `json:"share"`
+	State    rollout.State `json:"state"`
+	Deadline time.Time     `json:"deadline"`
 }
 
 type dataCentreStatus struct {
@@ -78,12 +81,11 @@
 
 func rolloutOf(r operator.Route, records rolloutRecords) rolloutStatus {
 	record, ok := records[r.Rollout.ID]
-	state := record.state()
 	if !ok {
-		state = "unknown" // Not begun, or its record cannot be read.
+		record.State = "unknown" // Not begun, or its record cannot be read.
 	}
 	return rolloutStatus{
-		Route: r.Name, ID: r.Rollout.ID, From: r.Version, To: r.Rollout.To, Share: record.Share, State: state,
+		Route: r.Name, ID: r.Rollout.ID, From: r.Version, To: r.Rollout.To, Share: record.Share, State: record.State,
 		Deadline: r.Rollout.Deadline,
 	}
 }
@@ -132,10 +134,25 @@
 	if err != nil {
 		return err
 	}
-	s.Instances = entries(st["members"])
+	s.Instances = st.instances()
+	s.addMarks(st)
 	return nil
 }
 
+// addMarks shows a rollback that the instance knows before the store does.
+func (s *status) addMarks(st state) {
+	var marks []string
+	if json.Unmarshal(st["marks"], &marks) != nil {
+		return
+	}
+	for i, r := range s.Rollouts {
+		if slices.Contains(marks, r.ID) {
+			s.Rollouts[i].State = rollout.TakenBack
+			s.Rollouts[i].Share = 0
+		}
+	}
+}
+
 func (s status) table(w io.Writer) {
 	row(w, fmt.Sprintf("revision %d, digest %s", s.Revision, cellText(short(s.Digest))))
 	heading(w, "rollouts")
--- a/mustardctl/submit_test.go
+++ b/mustardctl/submit_test.go
@@ -122,7 +122,7 @@
 // TestEndedRollout guards against a rollout that blocks its route after it was rolled back.
 func TestEndedRollout(t *testing.T) {
 	s := submitted(t)
-	s.store.put("rollouts/r1", []byte(`{"id":"r1","events":[{"kind":"taken-back","at":"2026-05-01T06:05:00Z"}]}`))
+	s.store.put("rollouts/r1", []byte(`{"id":"r1","state":"taken-back"}`))
 	text := strings.Replace(yamlOf(t, testDocument()), "id: r1", "id: r2", 1)
 	code, _, errText := s.run(text, "submit", "--base", "1")
 	assert.Equal(t, code, exitDone, errText)
