Separate the single values of nested members in a dump

Cause: they followed the table before without a blank line. Change: a blank line. Conclusion: each block of a dump is set apart.

--- a/mustardctl/dump.go
+++ b/mustardctl/dump.go
@@ -56,6 +56,9 @@
 
 func writeMembers(w io.Writer, path string, members map[string]json.RawMessage) {
 	names := slices.Sorted(maps.Keys(members))
+	if path != "" {
+		_, _ = io.WriteString(w, "\n")
+	}
 	for _, name := range names {
 		if !nested(members[name]) {
 			row(w, path+name, compact(members[name]))
