Tell the pool when a permit was not used

Cause: an outcome of a permit that was never started counted as a failure of the backend server, so that all engines of the demo went on probation. Change: such outcomes carry the unused mark. Conclusion: the outcome must say whose fault a non-run is.

--- a/demo/main.go
+++ b/demo/main.go
@@ -21,6 +21,7 @@
 	Seed    uint64        `help:"Seed of the load." default:"1"`
 	Output  string        `short:"o" help:"Format: table or json." enum:"table,json" default:"table"`
 	Hold    bool          `help:"Stay up after the start, print addresses and a request to try."`
+	Calm    bool          `help:"Without disturbances."`
 	Verbose bool          `short:"v" help:"Print the log of the instances."`
 }
 
--- a/demo/run.go
+++ b/demo/run.go
@@ -72,8 +72,10 @@
 		seed := r.opts.Seed*1000 + uint64(n) + 900
 		wg.Go(func() { r.order(rand.New(rand.NewPCG(seed, 2)), n) })
 	}
-	wg.Go(r.observe)
-	wg.Go(r.disturb)
+	if !r.opts.Calm {
+		wg.Go(r.observe)
+		wg.Go(r.disturb)
+	}
 	wg.Wait()
 }
 
--- a/mustardseam/instance/ask.go
+++ b/mustardseam/instance/ask.go
@@ -175,11 +175,11 @@
 func (h *home) grant(now time.Time, p pool.Permit) {
 	a := h.asks[p.Ask]
 	if a == nil || a.decided {
-		h.pool.Done(now, pool.Outcome{Ask: p.Ask, Result: pool.NotRun})
+		h.pool.Done(now, pool.Outcome{Ask: p.Ask, Result: pool.NotRun, Unused: true})
 		return
 	}
 	if a.ask.Key != "" && (h.journal == nil || !h.journal.Start(now, p.Ask)) {
-		h.pool.Done(now, pool.Outcome{Ask: p.Ask, Result: pool.NotRun})
+		h.pool.Done(now, pool.Outcome{Ask: p.Ask, Result: pool.NotRun, Unused: true})
 		a.settle(h.claimAnswer(claim.Decision{Result: claim.Unavailable}))
 		return
 	}
@@ -224,7 +224,7 @@
 	delete(h.asks, id)
 	delete(h.started, id)
 	if !h.pool.Withdraw(now, id) {
-		h.pool.Done(now, pool.Outcome{Ask: id, Result: pool.NotRun})
+		h.pool.Done(now, pool.Outcome{Ask: id, Result: pool.NotRun, Unused: true})
 	}
 	if a != nil && a.ask.Key != "" && h.journal != nil && (!a.decided || a.answer.Status == peer.Granted) {
 		h.journal.NotRun(now, id)
--- a/mustardseam/instance/home.go
+++ b/mustardseam/instance/home.go
@@ -159,6 +159,7 @@
 	ref, _ := h.tenure.HomeRef()
 	event.HomeTaken.On(&h.inst.log).Str("pool", h.name).Uint64("epoch", ref.Epoch).Str("mode", h.tenure.Mode(now).String()).Send()
 	h.pool = pool.New(h.cfg)
+	h.pool.Baseline(h.tenure.Baseline())
 	h.started = map[string]running{}
 	h.journal = nil
 	h.loading = false
--- a/mustardseam/instance/obtain.go
+++ b/mustardseam/instance/obtain.go
@@ -45,7 +45,7 @@
 				return *answer.Permit, nil, nil
 			}
 			event.StalePermit.On(&i.log).Str("request", a.ID).Str("server", answer.Permit.Server).Send()
-			i.report(r.Route.Pool, pool.Outcome{Ask: a.ID, Result: pool.NotRun})
+			i.report(r.Route.Pool, pool.Outcome{Ask: a.ID, Result: pool.NotRun, Unused: true})
 			a.ID = i.nextID()
 		case peer.Done:
 			x, problem := i.replayed(answer)
