--- a/mustardseam/capacity/reading.go
+++ b/mustardseam/capacity/reading.go
@@ -10,3 +10,6 @@
 	Waiting  int
 	Cold     bool
 }
+
+// total returns the requests that run or wait inside the server.
+func (r Reading) total() int { return r.Running + r.Waiting }
--- a/mustardseam/capacity/server.go
+++ b/mustardseam/capacity/server.go
@@ -10,9 +10,10 @@
 	others   int         // Upper bound of running requests that this home does not track.
 	lingers  []time.Time // Ends, by this home's account, that a report has to confirm.
 	unknown  bool        // No grant before a report taken after since.
-	since    time.Time
+	since    time.Time   // Of the baseline.
 	reported bool
 	last     Reading
+	held     Reading // Too fresh to lower others; no sequence when there is none.
 	cold     bool
 	coldAt   time.Time
 	ramp     int // Requests at a time that evidence allows while warm.
@@ -113,12 +114,12 @@
 	if m.OK && !s.cold {
 		slow = s.class.observe(m)
 	}
-	if m.OK || m.Failed {
-		s.judge(now, m, slow)
-	}
 	if m.OK && !m.Cold {
 		s.warmer(m)
 	}
+	if m.OK || m.Failed {
+		s.judge(now, m, slow)
+	}
 }
 
 // judge watches for probation. At most a third of a class is put there for being slow, since slowness is relative.
--- a/mustardseam/fair/admit.go
+++ b/mustardseam/fair/admit.go
@@ -5,20 +5,21 @@
 const reserve = 1.0 / 8
 
 // Admit puts the item into the queue if there is room, or if items of lower tiers can be shed for it. It returns the
-// items that were shed, and whether the item was admitted.
+// items that were shed, and whether the item was admitted. An item is refused only when no lower tier waits; the item
+// that replaces the last ones of the lower tiers may therefore exceed the bound of the tokens.
 func (q *Queue) Admit(it *Item) (shed []*Item, ok bool) {
-	if !q.fits(it, 0, 0) {
-		waiting, tokens := q.below(it.Tier)
-		if !q.fits(it, waiting, tokens) {
-			return nil, false
-		}
-		for !q.fits(it, 0, 0) {
-			shed = append(shed, q.Shed(it.Tier))
-		}
-	}
-	if len(shed) == 0 && q.reserved(it) {
+	lowest, some := q.Lowest()
+	last := !some || it.Tier >= lowest
+	if last && (!q.fits(it) || q.reserved(it)) {
 		return nil, false
 	}
+	for !q.fits(it) {
+		victim := q.Shed(it.Tier)
+		if victim == nil {
+			break
+		}
+		shed = append(shed, victim)
+	}
 	q.Push(it)
 	return shed, true
 }
@@ -48,36 +49,26 @@
 	return 0, false
 }
 
-// fits reports whether the item has room after the given items and tokens have gone. A single item always has.
-func (q *Queue) fits(it *Item, waiting int, tokens float64) bool {
-	left := q.waiting - waiting
-	if q.cfg.MaxWaiting > 0 && left >= q.cfg.MaxWaiting {
-		return false
+// fits reports whether the item keeps to the bounds. A single item always does.
+func (q *Queue) fits(it *Item) bool {
+	if q.waiting == 0 {
+		return true
 	}
-	return left == 0 || q.cfg.MaxTokens <= 0 || q.tokens-tokens+it.Cost <= q.cfg.MaxTokens
-}
-
-// below counts the items and tokens of the tiers below the given rank.
-func (q *Queue) below(rank int) (waiting int, tokens float64) {
-	for _, t := range q.tiers {
-		if t.rank > rank {
-			waiting += t.root.waiting
-			tokens += t.root.tokens
-		}
+	if q.cfg.MaxWaiting > 0 && q.waiting >= q.cfg.MaxWaiting {
+		return false
 	}
-	return waiting, tokens
+	return q.cfg.MaxTokens <= 0 || q.tokens+it.Cost <= q.cfg.MaxTokens
 }
 
-// reserved reports whether only the reserve is left and the item has no claim to it: it is of the lowest tier present
-// and its team already has more than the mean of the waiting teams, by weight.
+// reserved reports whether only the reserve is left and the item, which is of the lowest tier present, has no claim
+// to it, because its team already has more than the mean of the waiting teams by weight.
 func (q *Queue) reserved(it *Item) bool {
 	free := float64(q.cfg.MaxWaiting-q.waiting) / float64(max(1, q.cfg.MaxWaiting))
 	if q.cfg.MaxWaiting <= 0 || free >= reserve {
 		return false
 	}
-	lowest, _ := q.Lowest()
 	t := q.find(it.Tier)
-	if it.Tier < lowest || t == nil {
+	if t == nil {
 		return false
 	}
 	f := t.root.children[it.Team]
--- /dev/null
+++ b/mustardseam/fair/queue_test.go
@@ -0,0 +1,259 @@
+package fair
+
+import (
+	"flag"
+	"fmt"
+	"math"
+	"os"
+	"slices"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+// TestMain fixes the seed of the state-machine tests, so that a verdict depends only on the tree.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	_ = flag.Set("rapid.seed", "20261204")
+	_ = flag.Set("rapid.nofailfile", "true")
+	_ = flag.Set("rapid.checks", "1000")
+	os.Exit(m.Run())
+}
+
+// backlog pops n items while every team always waits, and returns the tokens that each name of by got. The real cost
+// of an item is its estimate times skew.
+func backlog(q *Queue, n int, teams []string, groups int, cost func(team string) float64, skew float64,
+	by func(*Item) string,
+) map[string]float64 {
+	got := map[string]float64{}
+	push := func(team, group string) {
+		q.Push(&Item{Team: team, Group: group, Lane: "m", Cost: cost(team)})
+	}
+	for _, team := range teams {
+		for g := range groups {
+			push(team, fmt.Sprint(g))
+			push(team, fmt.Sprint(g))
+		}
+	}
+	for range n {
+		it := q.Pop(nil)
+		got[by(it)] += it.Cost * skew
+		push(it.Team, it.Group)
+		q.Correct(0, it.Team, it.Group, it.Cost*(skew-1))
+	}
+	return got
+}
+
+// TestShares guards against shares that depend on the length of requests, on wrong estimates or on the number of
+// groups, instead of the weights alone.
+func TestShares(t *testing.T) {
+	cost := func(team string) float64 {
+		if team == "long" {
+			return 10000
+		}
+		return 100
+	}
+	tests := []struct {
+		name   string
+		groups int
+		skew   float64
+	}{
+		{"exact estimates", 1, 1},
+		{"low estimates", 1, 4},
+		{"high estimates", 1, 0.25},
+		{"many groups", 5, 1},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			q := New(Config{})
+			q.Configure(Config{}, map[string]float64{"long": 1, "short": 3})
+			got := backlog(q, 100000, []string{"long", "short"}, test.groups, cost, test.skew,
+				func(it *Item) string { return it.Team })
+			ratio := got["short"] / got["long"]
+			assert.Assert(t, math.Abs(ratio-3) < 0.03, "shares %v", got)
+		})
+	}
+}
+
+// TestGroups guards against a group that takes its team's share from the other groups.
+func TestGroups(t *testing.T) {
+	got := backlog(New(Config{}), 3000, []string{"a"}, 3, func(string) float64 { return 10 }, 1,
+		func(it *Item) string { return it.Group })
+	assert.DeepEqual(t, got, map[string]float64{"0": 10000, "1": 10000, "2": 10000})
+}
+
+// TestNoCredit guards against a team that saves up service while it does not wait, and against a refund that does so.
+func TestNoCredit(t *testing.T) {
+	q := New(Config{})
+	backlog(q, 1000, []string{"busy"}, 1, func(string) float64 { return 10 }, 1, func(it *Item) string { return it.Team })
+	q.Correct(0, "idle", "", -1e6)
+	for range 10 {
+		q.Push(&Item{Team: "idle", Lane: "m", Cost: 10})
+	}
+	q.Correct(0, "idle", "", -1e6)
+	idle := 0
+	for range 8 {
+		it := q.Pop(nil)
+		if it.Team == "idle" {
+			idle++
+		}
+		q.Push(&Item{Team: "busy", Lane: "m", Cost: 10})
+	}
+	assert.Assert(t, idle >= 4 && idle <= 5, "%d of 8", idle)
+}
+
+// TestDebt guards against a team that escapes a correction by not waiting for a moment.
+func TestDebt(t *testing.T) {
+	q := New(Config{})
+	q.Push(&Item{Team: "a", Lane: "m", Cost: 10})
+	for range 100 {
+		q.Push(&Item{Team: "b", Lane: "m", Cost: 10})
+	}
+	assert.Equal(t, q.Pop(nil).Team, "a")
+	q.Correct(0, "a", "", 490)
+	q.Push(&Item{Team: "a", Lane: "m", Cost: 10})
+	for range 50 {
+		assert.Equal(t, q.Pop(nil).Team, "b")
+	}
+	assert.Equal(t, len(q.tiers[0].root.children), 2)
+	for range 51 {
+		assert.Assert(t, q.Pop(nil) != nil)
+	}
+	assert.Equal(t, len(q.tiers[0].root.children), 0, "state of teams that do not wait")
+}
+
+// TestLanes guards against a closed lane that holds up other lanes, or a lane of a team that starves.
+func TestLanes(t *testing.T) {
+	q := New(Config{})
+	for range 4 {
+		q.Push(&Item{Team: "a", Lane: "x", Cost: 1})
+		q.Push(&Item{Team: "a", Lane: "y", Cost: 1})
+	}
+	assert.Equal(t, q.Pop(func(lane string) bool { return lane == "x" }).Lane, "y")
+	lanes := map[string]int{}
+	for range 4 {
+		lanes[q.Pop(nil).Lane]++
+	}
+	assert.Assert(t, lanes["x"] >= 2 && lanes["y"] >= 1, "%v", lanes)
+}
+
+// TestReserve guards against a team that keeps others out of the queue by filling it.
+func TestReserve(t *testing.T) {
+	q := New(Config{MaxWaiting: 80})
+	admitted := map[string]int{}
+	for i := range 1000 {
+		team := "greedy"
+		if i%10 == 9 {
+			team = "light"
+		}
+		if _, ok := q.Admit(&Item{Team: team, Lane: "m", Cost: 1}); ok {
+			admitted[team]++
+		}
+	}
+	assert.Assert(t, admitted["light"] >= 10, "%v", admitted)
+	assert.Equal(t, q.Len(), 80)
+}
+
+// machine compares a queue with a plain list.
+type machine struct {
+	queue   *Queue
+	cfg     Config
+	waiting []*Item
+}
+
+// TestQueueMachine guards against inversions, where an item is served or kept while one of a higher tier waits or is
+// shed, and against items that are lost, kept twice or counted wrongly in any sequence of operations.
+func TestQueueMachine(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := &machine{cfg: Config{MaxWaiting: 12, MaxTokens: 600}}
+		m.queue = New(m.cfg)
+		m.queue.Configure(m.cfg, map[string]float64{"a": 2})
+		t.Repeat(map[string]func(*rapid.T){
+			"admit": m.admit, "pop": m.pop, "remove": m.remove, "correct": m.correct,
+			"": func(t *rapid.T) { m.check(t) },
+		})
+	})
+}
+
+func (m *machine) drop(it *Item) {
+	m.waiting = slices.DeleteFunc(m.waiting, func(other *Item) bool { return other == it })
+}
+
+// ranks returns the lowest and the highest tier that wait, -1 when none does.
+func (m *machine) ranks() (lowest, highest int) {
+	lowest, highest = -1, -1
+	for _, it := range m.waiting {
+		lowest = max(lowest, it.Tier)
+		if highest < 0 || it.Tier < highest {
+			highest = it.Tier
+		}
+	}
+	return lowest, highest
+}
+
+func (m *machine) item(t *rapid.T) *Item {
+	return &Item{
+		Team:  rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "team"),
+		Group: rapid.SampledFrom([]string{"", "g"}).Draw(t, "group"),
+		Lane:  rapid.SampledFrom([]string{"x", "y"}).Draw(t, "lane"),
+		Tier:  rapid.IntRange(0, 2).Draw(t, "tier"),
+		Cost:  float64(rapid.IntRange(1, 100).Draw(t, "cost")),
+	}
+}
+
+func (m *machine) admit(t *rapid.T) {
+	it := m.item(t)
+	lowest, _ := m.ranks()
+	shed, ok := m.queue.Admit(it)
+	assert.Assert(t, ok || it.Tier >= lowest, "refused while a lower tier waits")
+	for _, s := range shed {
+		lowest, _ = m.ranks()
+		assert.Assert(t, s.Tier > it.Tier && s.Tier == lowest, "shed before a lower tier")
+		m.drop(s)
+	}
+	if ok {
+		m.waiting = append(m.waiting, it)
+	}
+}
+
+func (m *machine) pop(t *rapid.T) {
+	_, highest := m.ranks()
+	it := m.queue.Pop(nil)
+	if it == nil {
+		assert.Equal(t, len(m.waiting), 0)
+		return
+	}
+	assert.Equal(t, it.Tier, highest)
+	if rapid.IntRange(0, 3).Draw(t, "return") == 0 {
+		m.queue.Return(it)
+		return
+	}
+	m.drop(it)
+}
+
+func (m *machine) remove(t *rapid.T) {
+	if len(m.waiting) > 0 {
+		it := rapid.SampledFrom(m.waiting).Draw(t, "item")
+		m.queue.Remove(it)
+		m.drop(it)
+	}
+}
+
+func (m *machine) correct(t *rapid.T) {
+	it := m.item(t)
+	m.queue.Correct(it.Tier, it.Team, it.Group, it.Cost-50)
+}
+
+func (m *machine) check(t *rapid.T) {
+	sum, top := 0.0, 0.0
+	for _, it := range m.waiting {
+		assert.Assert(t, it.Waits())
+		sum += it.Cost
+		top = max(top, it.Cost)
+	}
+	assert.Equal(t, m.queue.Len(), len(m.waiting))
+	assert.Assert(t, math.Abs(m.queue.Tokens()-sum) < 1e-6)
+	assert.Assert(t, m.queue.Len() <= m.cfg.MaxWaiting)
+	assert.Assert(t, m.queue.Tokens() <= m.cfg.MaxTokens+top)
+}
--- a/mustardseam/pool/observe.go
+++ b/mustardseam/pool/observe.go
@@ -14,7 +14,7 @@
 		return
 	}
 	cold := s.cap.Cold()
-	s.cap.Report(capacity.Reading{
+	s.cap.Report(now, capacity.Reading{
 		Taken:    now.Add(-max(0, r.Age)),
 		Sequence: r.Sequence,
 		Running:  r.Running,
--- a/mustardseam/routing/index.go
+++ b/mustardseam/routing/index.go
@@ -3,30 +3,30 @@
 import "slices"
 
 const (
-	// maxBlocks bounds the memory of the prefix index to a few megabytes.
-	maxBlocks = 1 << 15
+	// sets times ways bounds the memory of the prefix index to 2 MB.
+	sets = 1 << 14
+	ways = 4
 	// holders is the number of servers that are remembered per block, the latest ones.
 	holders = 4
 )
 
-// index knows which servers probably hold which blocks of prompts; the blocks used longest ago are forgotten.
+// index knows which servers probably hold which blocks of prompts. It is a set-associative cache: a block has its
+// place in one set, and replaces the block of the set that was used longest ago. That takes one or two cache lines a
+// block, where a map with a list of uses takes several.
 type index struct {
-	at     map[uint64]int32 // Place in blocks.
-	blocks []block
-	first  int32 // Used last.
-	last   int32 // Used longest ago.
+	sets [][ways]block
+	uses uint32
 }
 
 // block is one block of a prompt; its hash covers all blocks before it too.
 type block struct {
-	hash   uint64
-	nodes  [holders]uint32 // Ids; 0 is none.
-	before int32
-	after  int32
+	hash  uint64
+	nodes [holders]uint32 // Ids; 0 is none.
+	used  uint32          // 0 when the place is free.
 }
 
 func newIndex() *index {
-	return &index{at: map[uint64]int32{}, first: -1, last: -1}
+	return &index{sets: make([][ways]block, sets)}
 }
 
 // positions calls f for the places of a prefix of n blocks that are indexed, from the longest prefix to the shortest,
@@ -51,29 +51,52 @@
 	}
 }
 
+// find returns the block, or nil when it is not known.
+func (x *index) find(hash uint64) *block {
+	set := &x.sets[hash%sets]
+	for i := range set {
+		if set[i].hash == hash && set[i].used > 0 {
+			return &set[i]
+		}
+	}
+	return nil
+}
+
 // put remembers that the server holds the block.
 func (x *index) put(hash uint64, id uint32) {
-	i, ok := x.at[hash]
-	if !ok {
-		i = x.insert(hash)
+	b := x.find(hash)
+	if b == nil {
+		b = x.replace(hash)
 	}
-	b := &x.blocks[i]
-	if p := slices.Index(b.nodes[:], id); p >= 0 {
-		copy(b.nodes[1:p+1], b.nodes[:p])
-	} else {
-		copy(b.nodes[1:], b.nodes[:])
+	x.uses = max(1, x.uses+1)
+	b.used = x.uses
+	p := slices.Index(b.nodes[:], id)
+	if p < 0 {
+		p = holders - 1
 	}
+	copy(b.nodes[1:p+1], b.nodes[:p])
 	b.nodes[0] = id
-	x.touch(i)
+}
+
+// replace returns the place of a new block.
+func (x *index) replace(hash uint64) *block {
+	set := &x.sets[hash%sets]
+	oldest := &set[0]
+	for i := range set {
+		if set[i].used < oldest.used {
+			oldest = &set[i]
+		}
+	}
+	*oldest = block{hash: hash}
+	return oldest
 }
 
 // drop forgets that the server holds the block.
 func (x *index) drop(hash uint64, id uint32) {
-	i, ok := x.at[hash]
-	if !ok {
+	b := x.find(hash)
+	if b == nil {
 		return
 	}
-	b := &x.blocks[i]
 	p := slices.Index(b.nodes[:], id)
 	if p < 0 {
 		return
@@ -81,61 +104,3 @@
 	copy(b.nodes[p:], b.nodes[p+1:])
 	b.nodes[holders-1] = 0
 }
-
-// get returns the ids of the servers that hold the block.
-func (x *index) get(hash uint64) ([holders]uint32, bool) {
-	i, ok := x.at[hash]
-	if !ok {
-		return [holders]uint32{}, false
-	}
-	return x.blocks[i].nodes, true
-}
-
-func (x *index) insert(hash uint64) int32 {
-	var i int32
-	if len(x.blocks) < maxBlocks {
-		i = int32(len(x.blocks))
-		x.blocks = append(x.blocks, block{})
-	} else {
-		i = x.last
-		x.unlink(i)
-		delete(x.at, x.blocks[i].hash)
-	}
-	x.blocks[i] = block{hash: hash, before: -1, after: -1}
-	x.at[hash] = i
-	x.link(i)
-	return i
-}
-
-func (x *index) touch(i int32) {
-	if x.first != i {
-		x.unlink(i)
-		x.link(i)
-	}
-}
-
-// link puts the block in front of the others.
-func (x *index) link(i int32) {
-	b := &x.blocks[i]
-	b.before, b.after = -1, x.first
-	if x.first >= 0 {
-		x.blocks[x.first].before = i
-	} else {
-		x.last = i
-	}
-	x.first = i
-}
-
-func (x *index) unlink(i int32) {
-	b := &x.blocks[i]
-	if b.before >= 0 {
-		x.blocks[b.before].after = b.after
-	} else {
-		x.first = b.after
-	}
-	if b.after >= 0 {
-		x.blocks[b.after].before = b.before
-	} else {
-		x.last = b.before
-	}
-}
--- a/mustardseam/routing/picker.go
+++ b/mustardseam/routing/picker.go
@@ -135,8 +135,11 @@
 func (p *Picker) hold(r Request) {
 	p.held = p.held[:0]
 	positions(len(r.Prefix), func(i int) bool {
-		ids, _ := p.index.get(r.Prefix[i])
-		for _, id := range ids {
+		b := p.index.find(r.Prefix[i])
+		if b == nil {
+			return true
+		}
+		for _, id := range b.nodes {
 			n := p.nodes[id]
 			if id == 0 || n == nil || n.place < 0 || n.Version != r.Version {
 				continue
@@ -199,7 +202,7 @@
 
 // Stored takes in that the server has stored the block; blocks that no request has named are ignored.
 func (p *Picker) Stored(n *Node, hash uint64) {
-	if _, ok := p.index.get(hash); ok {
+	if p.index.find(hash) != nil {
 		p.index.put(hash, n.id)
 	}
 }
