Judge slowness with the queue ahead and refuse hopeless requests while they wait

Cause: in a trial of a burst of three times the capacity (12 servers, lengths differing a hundredfold, not committed) 4 of 12 healthy servers went to probation, because prompts handed over before lengthened the first token; a limit rose by one per answer only; and requests waited 19 s on average for a refusal that the forecast had known. Change: the expected time to first token includes the prompts handed over before; limits rise by a quarter; the forecast uses the measured rate of a pool that has been full for 10 s and looks at the whole queue every 250 ms.

--- a/mustardseam/capacity/class.go
+++ b/mustardseam/capacity/class.go
@@ -59,8 +59,8 @@
 		step(&c.between, s.Between.Seconds(), c.answers)
 	}
 	if s.First > 0 {
-		// Queueing inside the server varies the first token more than the later ones, hence the half.
-		expected := c.base + float64(s.Uncached)/c.prefill
+		// Other prompts inside the server vary the first token more than the later ones, hence the half.
+		expected := c.base + s.prefill()/c.prefill
 		slow = max(slow, s.First.Seconds()/expected/2)
 		c.learnFirst(s)
 	}
@@ -72,7 +72,7 @@
 // more than slow ones, because queueing only ever makes an answer look slower.
 func (c *Class) learnFirst(s Sample) {
 	if s.Uncached >= minUncached {
-		rate := float64(s.Uncached) / max(1e-4, s.First.Seconds()-c.base/2)
+		rate := s.prefill() / max(1e-4, s.First.Seconds()-c.base/2)
 		gain := 0.02
 		if rate > c.prefill {
 			gain = 0.2
@@ -82,7 +82,7 @@
 		}
 		c.prefill += gain * (min(rate, 4*c.prefill) - c.prefill)
 	}
-	rest := s.First.Seconds() - float64(s.Uncached)/c.prefill
+	rest := s.First.Seconds() - s.prefill()/c.prefill
 	step(&c.base, max(1e-4, rest), c.answers)
 }
 
--- a/mustardseam/capacity/sample.go
+++ b/mustardseam/capacity/sample.go
@@ -10,7 +10,11 @@
 	Cold     bool      // The backend server said that it is cold.
 	Lingers  bool      // The backend server may still be running it.
 	Uncached int       // Prompt tokens that were computed.
+	Ahead    int       // Prompt tokens that the server probably had to compute before those.
 	Output   int       // Tokens generated.
 	First    time.Duration
 	Between  time.Duration
 }
+
+// prefill returns the prompt tokens that were computed until the first token of the answer.
+func (s Sample) prefill() float64 { return float64(s.Uncached + s.Ahead) }
--- a/mustardseam/capacity/server.go
+++ b/mustardseam/capacity/server.go
@@ -67,6 +67,9 @@
 	return min(s.class.limit(s.limits.Warm), s.ramp)
 }
 
+// Full returns how many requests the server may run at a time once it is warm and in good state.
+func (s *Server) Full() int { return s.class.limit(s.limits.Warm) }
+
 // Room returns how many more requests may be dispatched when the limit is divided among the given number of instances.
 func (s *Server) Room(instances int) int {
 	if instances > 1 {
@@ -138,7 +141,9 @@
 	}
 }
 
-// warmer raises the limit by one for each answer that was both dispatched and completed while the server was warm.
+// warmer raises the limit by one, and by a quarter when that is more, for each answer that was both dispatched and
+// completed while the server was warm. Steps of one alone would take a server through several durations of a long
+// request before it is full.
 func (s *Server) warmer(m Sample) {
 	if !m.Granted.After(s.coldAt) {
 		return
@@ -147,7 +152,7 @@
 		s.cold = false // A server without load reports shows by its answers that it is warm.
 	}
 	if !s.cold && !s.watch.active {
-		s.ramp = min(s.ramp+1, s.limits.Warm)
+		s.ramp = min(s.ramp+max(1, s.ramp/4), s.limits.Warm)
 	}
 }
 
--- a/mustardseam/fair/inspect.go
+++ b/mustardseam/fair/inspect.go
@@ -6,7 +6,8 @@
 	Team   string // Empty for a whole tier.
 	Items  int
 	Tokens float64
-	Oldest *Item // Of a team.
+	Oldest *Item // Of a team, by arrival.
+	Newest *Item
 }
 
 // Len returns the number of waiting items.
@@ -31,7 +32,7 @@
 	var list []Waiting
 	for _, t := range q.tiers {
 		for _, f := range t.crowd {
-			list = append(list, Waiting{t.rank, f.name, f.waiting, f.tokens, f.oldest})
+			list = append(list, Waiting{t.rank, f.name, f.waiting, f.tokens, f.oldest, f.newest})
 		}
 	}
 	return list
--- a/mustardseam/fair/item.go
+++ b/mustardseam/fair/item.go
@@ -19,3 +19,6 @@
 
 // Waits reports whether the item is in a queue.
 func (it *Item) Waits() bool { return it.leaf != nil }
+
+// Older returns the item of the same team and tier that arrived before this one, or nil.
+func (it *Item) Older() *Item { return it.older }
--- a/mustardseam/pool/decide.go
+++ b/mustardseam/pool/decide.go
@@ -40,11 +40,23 @@
 		d.Permits = append(d.Permits, p.permit(r))
 	}
 	p.refuseLate(now)
+	p.sweep(now)
+	p.noteBusy(now)
 	d.Refusals = p.refusals
 	p.refusals = nil
 	return d
 }
 
+// noteBusy keeps the time since when the queue has not been empty.
+func (p *Pool) noteBusy(now time.Time) {
+	switch {
+	case p.queue.Len() == 0:
+		p.busy = time.Time{}
+	case p.busy.IsZero():
+		p.busy = now
+	}
+}
+
 // refuseLate refuses the requests that cannot finish in time any more. They were not granted, so there is no room.
 func (p *Pool) refuseLate(now time.Time) {
 	for len(p.latest) > 0 && !now.Before(p.latest[0].latest) {
@@ -118,6 +130,7 @@
 func (p *Pool) grant(now time.Time, rt *route, r *request, s *server, cached int) {
 	p.unwatch(r)
 	r.server, r.version, r.granted, r.cached = s, s.Version, now, cached
+	r.ahead = int(s.node.Pending(now))
 	s.cap.Dispatched(now)
 	p.picker.Dispatched(now, s.node, r.Prompt, cached, r.Prefix)
 	p.refresh(s)
--- a/mustardseam/pool/digest.go
+++ b/mustardseam/pool/digest.go
@@ -36,11 +36,9 @@
 
 // tierWait estimates the time in which the waiting requests of the tier and of those above are served.
 func (p *Pool) tierWait(t fair.Waiting) time.Duration {
-	capacity := p.capacity(p.now)
-	if capacity <= 0 {
+	speed, known := p.speed(p.now, t.Rank)
+	if !known {
 		return 0
 	}
-	tokens := p.queue.Ahead(t.Rank, "") + t.Tokens
-	s := tokens / p.forecast.left(p.now, t.Rank, capacity)
-	return time.Duration(min(s, 1e6) * float64(time.Second))
+	return span((p.queue.Ahead(t.Rank, "") + t.Tokens) / speed)
 }
--- a/mustardseam/pool/done.go
+++ b/mustardseam/pool/done.go
@@ -57,6 +57,7 @@
 		Cold:     o.Cold,
 		Lingers:  o.Result == Cancelled || o.Result == Incomplete || o.Result == Unknown,
 		Uncached: max(0, o.Prompt-o.Cached),
+		Ahead:    r.ahead,
 		Output:   o.Output,
 		First:    o.First,
 		Between:  o.Between,
--- a/mustardseam/pool/forecast.go
+++ b/mustardseam/pool/forecast.go
@@ -7,8 +7,11 @@
 )
 
 const (
-	// memory of the rates: long enough to average a few long requests, short enough to see a burst end.
-	rateMemory = 5 * time.Second
+	// rateMemory is long enough to average requests whose lengths differ a hundredfold, and short enough to see a burst
+	// end.
+	rateMemory = 10 * time.Second
+	// warmShare is the part of the limits in force from which the measured rate is that of a warm pool.
+	warmShare = 0.8
 	// minMeasured is the time for which a rate must have been measured before requests are refused by it.
 	minMeasured = 2 * time.Second
 	// minShare of the capacity is taken to be left for a tier whose higher tiers use everything.
@@ -82,25 +85,41 @@
 	return max(left, minShare*capacity)
 }
 
-// capacity returns the tokens per second that the pool serves when it is full: the larger of what it was granted
-// lately and of what its limits allow at the present duration of requests.
+// capacity returns the tokens per second that the pool serves when it is full. It is what it granted lately if it has
+// been full for long enough and warm, and otherwise at least what the limits of warm servers allow at the present
+// duration of requests, so that nothing is refused for a cold start that soon ends.
 func (p *Pool) capacity(now time.Time) float64 {
-	bound := float64(p.limit) / float64(p.share) * p.forecast.mean / max(1e-3, p.duration.Seconds())
-	return max(p.forecast.served.per(now), bound)
+	served := p.forecast.served.per(now)
+	warm := float64(p.limit) >= warmShare*float64(p.full)
+	if warm && !p.busy.IsZero() && now.Sub(p.busy) >= rateMemory {
+		return served
+	}
+	bound := float64(p.full) / float64(p.share) * p.forecast.mean / max(1e-3, p.duration.Seconds())
+	return max(served, bound)
 }
 
-// wait estimates how long a new request of the team would wait; it is false when too little is known.
-func (p *Pool) wait(now time.Time, rank int, team string) (time.Duration, bool) {
+// speed returns the tokens per second that a tier gets; it is false when too little is known.
+func (p *Pool) speed(now time.Time, rank int) (float64, bool) {
 	since := p.forecast.served.since
 	if since.IsZero() || now.Sub(since) < minMeasured {
 		return 0, false
 	}
-	capacity := p.capacity(now)
-	if capacity <= 0 {
+	v := p.forecast.left(now, rank, p.capacity(now))
+	return v, v > 0
+}
+
+// wait estimates how long a new request of the team would wait; it is false when too little is known.
+func (p *Pool) wait(now time.Time, rank int, team string) (time.Duration, bool) {
+	speed, known := p.speed(now, rank)
+	if !known {
 		return 0, false
 	}
-	s := p.queue.Ahead(rank, team) / p.forecast.left(now, rank, capacity)
-	return time.Duration(min(s, 1e6) * float64(time.Second)), true
+	return span(p.queue.Ahead(rank, team) / speed), true
+}
+
+// span converts seconds within bounds.
+func span(s float64) time.Duration {
+	return time.Duration(min(max(0, s), 1e6) * float64(time.Second))
 }
 
 // retryAfter rounds a wait up to whole seconds within bounds that a caller can use.
--- a/mustardseam/pool/pool.go
+++ b/mustardseam/pool/pool.go
@@ -35,7 +35,10 @@
 	round    uint64 // Number of the current Decide.
 	limit    int    // Sum of the limits of servers in service.
 	room     int    // Sum of their room.
-	duration time.Duration
+	full     int    // Sum of their limits once they are warm.
+	swept    time.Time
+	busy     time.Time     // Since when requests have waited without a pause; zero when none waits.
+	duration time.Duration // Mean of answered requests.
 	forecast forecast
 }
 
--- a/mustardseam/pool/request.go
+++ b/mustardseam/pool/request.go
@@ -20,6 +20,7 @@
 	version string
 	granted time.Time
 	cached  int // Prompt tokens that were expected in the prefix cache.
+	ahead   int // Prompt tokens that the server still had to compute.
 }
 
 // late reports whether the deadline has passed.
--- a/mustardseam/pool/server.go
+++ b/mustardseam/pool/server.go
@@ -18,6 +18,7 @@
 	fleet *fleet
 	limit int  // Counted in the pool's sum.
 	room  int  // Counted in the pool's sum.
+	full  int  // Counted in the pool's sum.
 	probe bool // In its fleet's list of servers in probation.
 }
 
@@ -51,14 +52,16 @@
 
 // refresh brings the sums, the picker and the list of probes in line with the server's capacity.
 func (p *Pool) refresh(s *server) {
-	limit, room := 0, 0
+	limit, room, full := 0, 0, 0
 	if s.usable() {
+		full = s.cap.Full()
 		limit = s.cap.Limit()
 		room = max(0, s.cap.Room(p.share))
 	}
 	p.limit += limit - s.limit
 	p.room += room - s.room
-	s.limit, s.room = limit, room
+	p.full += full - s.full
+	s.limit, s.room, s.full = limit, room, full
 	p.refreshNode(s)
 	p.refreshProbe(s)
 }
--- a/mustardseam/routing/node.go
+++ b/mustardseam/routing/node.go
@@ -23,8 +23,8 @@
 	trust   float64   // Share of the predicted cache hits that came true.
 }
 
-// pending returns the prompt tokens that are probably still to be computed.
-func (n *Node) pending(now time.Time) float64 {
+// Pending returns the prompt tokens that are probably still to be computed.
+func (n *Node) Pending(now time.Time) float64 {
 	if n.backlog <= 0 {
 		return 0
 	}
@@ -33,7 +33,7 @@
 
 // first returns the expected seconds to the first token of a prompt of which hit tokens are probably cached.
 func (n *Node) first(now time.Time, prompt, hit float64) float64 {
-	compute := max(0, prompt-hit*n.trust) + n.pending(now)
+	compute := max(0, prompt-hit*n.trust) + n.Pending(now)
 	factor := n.Factor
 	if factor <= 0 {
 		factor = 1
--- a/mustardseam/routing/picker.go
+++ b/mustardseam/routing/picker.go
@@ -192,7 +192,7 @@
 
 // Dispatched takes in that a request was handed to the server.
 func (p *Picker) Dispatched(now time.Time, n *Node, prompt, cached int, prefix []uint64) {
-	n.backlog = n.pending(now) + float64(max(0, prompt-cached))
+	n.backlog = n.Pending(now) + float64(max(0, prompt-cached))
 	n.asOf = now
 	positions(len(prefix), func(i int) bool {
 		p.index.put(prefix[i], n.id)
