--- a/mustardseam/capacity/server.go
+++ b/mustardseam/capacity/server.go
@@ -10,9 +10,10 @@
 	others   int         // Upper bound of running requests that this home does not track.
 	lingers  []time.Time // Ends, by this home's account, that a report has to confirm.
 	unknown  bool        // No grant before a report taken after since.
-	since    time.Time
+	since    time.Time   // Of the baseline.
 	reported bool
 	last     Reading
+	held     Reading // Too fresh to lower others; no sequence when there is none.
 	cold     bool
 	coldAt   time.Time
 	ramp     int // Requests at a time that evidence allows while warm.
@@ -66,6 +67,9 @@
 	return min(s.class.limit(s.limits.Warm), s.ramp)
 }
 
+// Full returns how many requests the server may run at a time once it is warm and in good state.
+func (s *Server) Full() int { return s.class.limit(s.limits.Warm) }
+
 // Room returns how many more requests may be dispatched when the limit is divided among the given number of instances.
 func (s *Server) Room(instances int) int {
 	if instances > 1 {
@@ -113,12 +117,12 @@
 	if m.OK && !s.cold {
 		slow = s.class.observe(m)
 	}
-	if m.OK || m.Failed {
-		s.judge(now, m, slow)
-	}
 	if m.OK && !m.Cold {
 		s.warmer(m)
 	}
+	if m.OK || m.Failed {
+		s.judge(now, m, slow)
+	}
 }
 
 // judge watches for probation. At most a third of a class is put there for being slow, since slowness is relative.
@@ -137,7 +141,9 @@
 	}
 }
 
-// warmer raises the limit by one for each answer that was both dispatched and completed while the server was warm.
+// warmer raises the limit by one, and by a quarter when that is more, for each answer that was both dispatched and
+// completed while the server was warm. Steps of one alone would take a server through several durations of a long
+// request before it is full.
 func (s *Server) warmer(m Sample) {
 	if !m.Granted.After(s.coldAt) {
 		return
@@ -146,7 +152,7 @@
 		s.cold = false // A server without load reports shows by its answers that it is warm.
 	}
 	if !s.cold && !s.watch.active {
-		s.ramp = min(s.ramp+1, s.limits.Warm)
+		s.ramp = min(s.ramp+max(1, s.ramp/4), s.limits.Warm)
 	}
 }
 
