--- a/mustardseam/event/catalogue.go
+++ b/mustardseam/event/catalogue.go
@@ -44,6 +44,9 @@
 	Incomplete   = Event{5003, "answer-incomplete", zerolog.WarnLevel, "answer broke off and could not be resumed"}
 	Unreported   = Event{5004, "outcome-unreported", zerolog.WarnLevel, "outcome could not be reported to the home"}
 	ReportFailed = Event{5005, "load-report-failed", zerolog.DebugLevel, "load report could not be read"}
+	Ordered      = Event{5006, "version-ordered", zerolog.InfoLevel, "backend server was told to load its configured version"}
+	OrderDelayed = Event{5007, "version-order-delayed", zerolog.DebugLevel, "weight store has no rate left for the version"}
+	OrderFailed  = Event{5008, "version-order-failed", zerolog.WarnLevel, "backend server did not take the order"}
 )
 
 // The events of rollouts.
@@ -62,7 +65,7 @@
 		Applied, BadDocument, WatchEnded, FetchedByPeer,
 		StoreFailed, StoreBack, PlatformFailed,
 		HomeTaken, HomeLost, HomeReleased, StaticShare, StalePermit, JournalFailed,
-		NotRun, Resumed, Incomplete, Unreported, ReportFailed,
+		NotRun, Resumed, Incomplete, Unreported, ReportFailed, Ordered, OrderDelayed, OrderFailed,
 		RolledBack, RolloutStep, RolloutDone, RolloutLate, RolloutWrite,
 	}
 }
--- a/mustardseam/instance/ask.go
+++ b/mustardseam/instance/ask.go
@@ -6,6 +6,7 @@
 	"github.com/mustardseam/mustardseam/mustardseam/claim"
 	"github.com/mustardseam/mustardseam/mustardseam/peer"
 	"github.com/mustardseam/mustardseam/mustardseam/pool"
+	"github.com/mustardseam/mustardseam/mustardseam/rollout"
 	"github.com/mustardseam/mustardseam/mustardseam/tenure"
 )
 
@@ -183,13 +184,8 @@
 		a.settle(h.claimAnswer(claim.Decision{Result: claim.Unavailable}))
 		return
 	}
-	load := 0
-	for _, r := range h.started {
-		if r.permit.Server == p.Server {
-			load++
-		}
-	}
-	h.started[p.Ask] = running{a.ask, p, load}
+	load := min(rollout.Loads-1, int(h.pool.Load(p.Server)*rollout.Loads))
+	h.started[p.Ask] = running{a.ask, p, load, h.pool.Cold(p.Server)}
 	a.settle(peer.AskAnswer{Proto: peer.Current(), Status: peer.Granted, Permit: &p, Epoch: p.Epoch})
 }
 
--- a/mustardseam/instance/home.go
+++ b/mustardseam/instance/home.go
@@ -38,13 +38,19 @@
 	asks    map[string]*ask
 	started map[string]running
 	checked time.Time // Of the last check for failed entry instances.
+
+	moves     map[string]*move // Rollouts by route.
+	movedAt   time.Time        // Of the last look at the rollouts.
+	ordering  bool             // An order to an engine is on its way.
+	orderedAt time.Time        // Of the last look at the engines' versions.
 }
 
 // running is a granted request whose outcome is awaited.
 type running struct {
 	ask    pool.Ask
 	permit pool.Permit
-	load   int // Requests of this home on the server at dispatch.
+	load   int  // Bucket of the server's load at dispatch, for rollout.Sample.
+	cold   bool // The server was in cold start at dispatch.
 }
 
 // newHome starts the part of an instance in the named pool.
@@ -54,7 +60,7 @@
 		tenure: tenure.New(tenure.Config{
 			Self: tenure.Candidate{ID: i.cfg.Incarnation, Address: i.PeerAddress()}, Pool: p.Name,
 		}),
-		asks: map[string]*ask{}, started: map[string]running{},
+		asks: map[string]*ask{}, started: map[string]running{}, moves: map[string]*move{},
 	}
 	h.cfg = h.config(c)
 	h.pool = pool.New(h.cfg)
@@ -112,6 +118,8 @@
 		h.sweep(now)
 		h.decide(now)
 		h.driveJournal(now)
+		h.driveRollouts(now)
+		h.driveOrders(now)
 		h.mu.Unlock()
 		for _, a := range actions {
 			h.inst.wg.Go(func() { h.perform(a) })
@@ -161,6 +169,7 @@
 	h.pool = pool.New(h.cfg)
 	h.pool.Baseline(h.tenure.Baseline())
 	h.started = map[string]running{}
+	h.moves = map[string]*move{}
 	h.journal = nil
 	h.loading = false
 }
--- /dev/null
+++ b/mustardseam/instance/rollouts.go
@@ -0,0 +1,226 @@
+package instance
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/mustardseam/mustardseam/mustardseam/event"
+	"github.com/mustardseam/mustardseam/mustardseam/pool"
+	"github.com/mustardseam/mustardseam/mustardseam/rollout"
+	"github.com/mustardseam/mustardseam/mustardseam/tenure"
+	"github.com/mustardseam/mustardseam/operator"
+)
+
+const (
+	// rolloutInterval is the time between two looks at the schedule; rollbacks do not wait for it.
+	rolloutInterval = 100 * time.Millisecond
+	// rolloutRetry is the wait before the record is read or written again after a failure.
+	rolloutRetry = time.Second
+)
+
+// move is the rollout of a route as its home drives it.
+type move struct {
+	route   operator.Route
+	judge   *rollout.Judge
+	record  rollout.Record
+	mod     int64 // Revision of the record in the store.
+	known   bool  // The record was read or written.
+	busy    bool  // A call to the store is on its way.
+	retryAt time.Time
+	blocked bool // The version gets no more requests of the route.
+	reason  string
+}
+
+// driveRollouts keeps the splits of the pool in line with the records, and moves these on; it must be called with mu
+// held.
+func (h *home) driveRollouts(now time.Time) {
+	if h.serving == 0 || now.Sub(h.movedAt) < rolloutInterval {
+		return
+	}
+	h.movedAt = now
+	for _, r := range h.cfg.Routes {
+		if r.Rollout == nil {
+			h.endMove(r.Name)
+			continue
+		}
+		m := h.moves[r.Name]
+		if m == nil || m.route.Rollout.ID != r.Rollout.ID {
+			h.endMove(r.Name)
+			m = newMove(now, r)
+			h.moves[r.Name] = m
+		}
+		h.drive(now, m)
+	}
+}
+
+func newMove(now time.Time, r operator.Route) *move {
+	m := &move{route: r, record: rollout.NewRecord(now, r)}
+	m.judge = rollout.NewJudge(rollout.JudgeConfig{Route: r.Name, Old: r.Version, New: r.Rollout.To})
+	return m
+}
+
+// endMove forgets the rollout of a route that has none any more; it must be called with mu held.
+func (h *home) endMove(route string) {
+	m := h.moves[route]
+	if m == nil {
+		return
+	}
+	delete(h.moves, route)
+	h.pool.ClearSplit(route)
+	h.pool.UnblockVersion(m.record.To, route)
+}
+
+// drive applies the share of a rollout and moves its record on; it must be called with mu held.
+func (h *home) drive(now time.Time, m *move) {
+	if h.inst.marks.Has(m.record.ID) {
+		h.block(m, "taken back by a mark")
+	} else {
+		h.pool.SetSplit(m.route.Name, m.record.To, m.share(now))
+	}
+	// Only a home that the store confirms may advance a rollout; a rollback is written when the store answers again.
+	if m.busy || now.Before(m.retryAt) || h.tenure.Mode(now) != tenure.Home {
+		return
+	}
+	if !m.known {
+		m.busy = true
+		h.inst.wg.Go(func() { h.readMove(m) })
+		return
+	}
+	if next, changed := m.next(now); changed {
+		m.busy = true
+		h.inst.wg.Go(func() { h.writeMove(m, next) })
+	}
+}
+
+// share returns the share of requests that the new version may get now. Before the record is known it is that of the
+// first step, which no later step falls below.
+func (m *move) share(now time.Time) float64 {
+	if m.record.State == rollout.TakenBack {
+		return 0
+	}
+	if m.record.State == rollout.Done {
+		return 1
+	}
+	return m.record.Plan().Share(now, m.record.Step)
+}
+
+// next returns the record after the verdict of the judge.
+func (m *move) next(now time.Time) (rollout.Record, bool) {
+	if m.blocked {
+		return rollout.TakeBack(now, m.record, m.reason)
+	}
+	if next, changed := rollout.Advance(now, m.record, m.judge.Verdict(now)); changed {
+		return next, true
+	}
+	return rollout.MarkLate(now, m.record)
+}
+
+// block ends all requests of the route to the new version; it must be called with mu held.
+func (h *home) block(m *move, reason string) {
+	if m.blocked {
+		return
+	}
+	m.blocked = true
+	m.reason = reason
+	h.pool.BlockVersion(m.record.To, m.route.Name)
+	h.pool.SetSplit(m.route.Name, m.record.To, 0)
+	event.RolledBack.On(&h.inst.log).Str("route", m.route.Name).Str("rollout", m.record.ID).Str("reason", reason).Send()
+}
+
+// judge feeds the outcome of a request to the rollout of its route; it must be called with mu held.
+func (h *home) judge(now time.Time, run running, o pool.Outcome) {
+	m := h.moves[run.ask.Route]
+	if m == nil || m.blocked || !evidence(o) || run.cold {
+		return
+	}
+	v := m.judge.Observe(now, rollout.Sample{
+		Version: run.permit.Version, OK: o.Result == pool.OK, First: o.First, Between: o.Between, Load: run.load,
+	})
+	if v.Decision == rollout.Bad {
+		h.inst.marks.Add(m.record.ID)
+		h.block(m, v.Reason)
+	}
+}
+
+// evidence reports whether the outcome says something of the version that ran the request: a caller's mistake or a
+// permit that was not used does not.
+func evidence(o pool.Outcome) bool {
+	switch {
+	case o.Unused, o.Result == pool.Cancelled:
+		return false
+	case o.Status >= 400 && o.Status < 500:
+		return false
+	}
+	return true
+}
+
+// readMove reads the record of a rollout, which an earlier home may have written.
+func (h *home) readMove(m *move) {
+	ctx, cancel := context.WithTimeout(h.inst.ctx, storeTimeout)
+	defer cancel()
+	kv, ok, err := h.inst.store.Get(ctx, rollout.Key(m.record.ID))
+	var rec rollout.Record
+	if err == nil && ok {
+		err = eris.Wrap(json.Unmarshal(kv.Value, &rec), "decode rollout record")
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	m.busy = false
+	now := h.inst.cfg.Now()
+	if err != nil {
+		m.retryAt = now.Add(rolloutRetry)
+		return
+	}
+	if !ok {
+		m.busy = true
+		h.inst.wg.Go(func() { h.writeMove(m, m.record) })
+		return
+	}
+	h.adoptMove(now, m, rec, kv.ModRevision)
+}
+
+// writeMove writes the next state of a rollout; after a lost answer or a conflict the record is read again.
+func (h *home) writeMove(m *move, next rollout.Record) {
+	ctx, cancel := context.WithTimeout(h.inst.ctx, storeTimeout)
+	defer cancel()
+	value, err := json.Marshal(next)
+	if err != nil {
+		return
+	}
+	mod, ok, err := h.inst.store.Swap(ctx, rollout.Key(m.record.ID), value, m.mod)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	m.busy = false
+	now := h.inst.cfg.Now()
+	if err != nil || !ok {
+		event.RolloutWrite.On(&h.inst.log).Str("rollout", m.record.ID).Err(err).Send()
+		m.known = false
+		m.retryAt = now.Add(rolloutRetry)
+		return
+	}
+	h.adoptMove(now, m, next, mod)
+}
+
+// adoptMove takes in a record that stands in the store; it must be called with mu held.
+func (h *home) adoptMove(now time.Time, m *move, rec rollout.Record, mod int64) {
+	before := m.record
+	m.record, m.mod, m.known = rec, mod, true
+	if rec.Step != before.Step {
+		m.judge.SetStep(now, rec.Step)
+	}
+	log := &h.inst.log
+	switch {
+	case rec.State == rollout.TakenBack:
+		h.inst.marks.Add(rec.ID)
+		h.block(m, rec.Reason)
+	case rec.State == rollout.Done && before.State != rollout.Done:
+		event.RolloutDone.On(log).Str("rollout", rec.ID).Send()
+	case rec.State == rollout.Late && before.State != rollout.Late:
+		event.RolloutLate.On(log).Str("rollout", rec.ID).Send()
+	case rec.Step != before.Step:
+		event.RolloutStep.On(log).Str("rollout", rec.ID).Uint64("step", uint64(rec.Step)).Send()
+	}
+}
