--- a/demo/cluster/cluster.go
+++ b/demo/cluster/cluster.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -54,6 +55,7 @@
 	instances []*instance.Instance // Guarded by mu; nil where one was killed.
 	document  operator.Document    // Guarded by mu.
 	revision  uint64               // Guarded by mu.
+	cut       map[int]bool         // Instances that reach nobody and are reached by nobody; guarded by mu.
 }
 
 // New starts the stand-ins and the instances and submits the site's configuration.
@@ -64,7 +66,7 @@
 	if cfg.Request == 0 {
 		cfg.Request = 30 * time.Second
 	}
-	c := &Cluster{cfg: cfg, Store: store.New(), Platform: &platform.Platform{Lag: listLag, Loads: 4, Period: time.Second}}
+	c := &Cluster{cfg: cfg, cut: map[int]bool{}, Store: store.New(), Platform: &platform.Platform{Lag: listLag, Loads: 4, Period: time.Second}}
 	var err error
 	if c.storeAddr, err = c.serve(c.Store.Serve); err != nil {
 		return nil, err
@@ -157,6 +159,7 @@
 		Store:           etcd.Config{Addresses: []string{c.storeAddr}, Prefix: "mustardseam/"},
 		PlatformAddress: c.platAddr, PlatformPoll: 200 * time.Millisecond, PeerKey: []byte("demo-peer-key"),
 		Request: c.cfg.Request, Log: c.cfg.Log,
+		Dial: func(addr string) (net.Conn, error) { return c.dial(n, addr) },
 	})
 	if err != nil {
 		return err
@@ -168,6 +171,42 @@
 	return nil
 }
 
+// errCut ends connections across a cut.
+var errCut = errors.New("network is cut")
+
+// dial opens a connection of instance n to the store or to a peer.
+func (c *Cluster) dial(n int, addr string) (net.Conn, error) {
+	if c.isCut(n, addr) {
+		return nil, errCut
+	}
+	raw, err := net.DialTimeout("tcp", addr, time.Second)
+	if err != nil {
+		return nil, err
+	}
+	return &cutConn{Conn: raw, cut: func() bool { return c.isCut(n, addr) }}, nil
+}
+
+// Cut takes instance n off the network between instances and store, or puts it back.
+func (c *Cluster) Cut(n int, cut bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.cut[n] = cut
+}
+
+func (c *Cluster) isCut(n int, addr string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.cut[n] {
+		return true
+	}
+	for m, i := range c.instances {
+		if c.cut[m] && i != nil && i.PeerAddress() == addr {
+			return true
+		}
+	}
+	return false
+}
+
 // publish writes the platform's list; it must be called with mu held.
 func (c *Cluster) publish() {
 	var list []platform.Instance
--- a/mustardseam/etcd/client.go
+++ b/mustardseam/etcd/client.go
@@ -40,8 +40,10 @@
 	}
 	c := &Client{
 		cfg:    cfg,
-		dialer: tcp.New(tcp.Config{Idle: watchSilence}),
-		http:   &fasthttp.Client{MaxResponseBodySize: maxAnswer, MaxIdemponentCallAttempts: 1, RetryIfErr: never},
+		dialer: tcp.New(tcp.Config{Idle: watchSilence, Dial: cfg.Dial}),
+	}
+	c.http = &fasthttp.Client{
+		MaxResponseBodySize: maxAnswer, MaxIdemponentCallAttempts: 1, RetryIfErr: never, Dial: c.dialer.Dial,
 	}
 	c.stream = &fasthttp.Client{
 		StreamResponseBody: true, MaxIdemponentCallAttempts: 1, RetryIfErr: never, Dial: c.dialer.Dial,
--- a/mustardseam/etcd/config.go
+++ b/mustardseam/etcd/config.go
@@ -1,10 +1,15 @@
 package etcd
 
-import "time"
+import (
+	"net"
+	"time"
+)
 
 // Config says where the store is.
 type Config struct {
 	Addresses []string      // IP:port each; used in turn.
 	Timeout   time.Duration // Of one call; 1 s when zero.
 	Prefix    string        // Put before every key.
+
+	Dial func(addr string) (net.Conn, error) // Opens connections; nil for the usual way.
 }
--- a/mustardseam/instance/config.go
+++ b/mustardseam/instance/config.go
@@ -1,6 +1,7 @@
 package instance
 
 import (
+	"net"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -34,6 +35,8 @@
 	Request     time.Duration // Total time of a request.
 	ReplayBytes int           // Memory for answers of keyed requests.
 
+	Dial func(addr string) (net.Conn, error) // Opens connections to the store and to peers; nil for the usual way.
+
 	Log zerolog.Logger
 	Now func() time.Time // time.Now when nil.
 }
@@ -59,6 +62,7 @@
 	setInt(&c.Connections, 4096)
 	setInt(&c.Waiting, 1024)
 	setInt(&c.ReplayBytes, 8<<20)
+	c.Store.Dial = c.Dial
 	if c.Now == nil {
 		c.Now = time.Now
 	}
--- a/mustardseam/instance/instance.go
+++ b/mustardseam/instance/instance.go
@@ -81,7 +81,7 @@
 	}
 	i.metrics.Init()
 	i.homes.Store(&map[string]*home{})
-	i.peers = peer.NewClient(peer.ClientConfig{Key: cfg.PeerKey, Now: cfg.Now})
+	i.peers = peer.NewClient(peer.ClientConfig{Key: cfg.PeerKey, Now: cfg.Now, Dial: cfg.Dial})
 	if err := i.listen(); err != nil {
 		return nil, err
 	}
--- a/mustardseam/peer/client.go
+++ b/mustardseam/peer/client.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"errors"
+	"net"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -17,6 +18,7 @@
 	Key     []byte
 	Timeout time.Duration // Of a call that is not held by the peer; 1 s when zero.
 	Now     func() time.Time
+	Dial    func(addr string) (net.Conn, error) // Opens connections; nil for the usual way.
 }
 
 // Client calls other instances; its methods are safe for concurrent use.
@@ -31,7 +33,7 @@
 		cfg.Timeout = time.Second
 	}
 	return &Client{cfg: cfg, http: &fasthttp.Client{
-		NoDefaultUserAgentHeader: true, MaxConnsPerHost: 4096, MaxResponseBodySize: maxBody,
+		NoDefaultUserAgentHeader: true, Dial: cfg.Dial, MaxConnsPerHost: 4096, MaxResponseBodySize: maxBody,
 	}}
 }
 
--- a/mustardseam/tcp/dialer.go
+++ b/mustardseam/tcp/dialer.go
@@ -16,7 +16,8 @@
 
 // Config bounds the silence of a peer.
 type Config struct {
-	Idle time.Duration // Longest wait for the next byte.
+	Idle time.Duration                       // Longest wait for the next byte.
+	Dial func(addr string) (net.Conn, error) // Opens connections; nil for the usual way.
 }
 
 // Dialer opens connections and keeps track of them; its methods are safe for concurrent use.
@@ -29,12 +30,15 @@
 
 // New returns a dialer without connections.
 func New(cfg Config) *Dialer {
+	if cfg.Dial == nil {
+		cfg.Dial = func(addr string) (net.Conn, error) { return net.DialTimeout("tcp", addr, connectTimeout) }
+	}
 	return &Dialer{cfg: cfg, conns: map[*conn]struct{}{}}
 }
 
 // Dial connects to an address of the form IP:port.
 func (d *Dialer) Dial(addr string) (net.Conn, error) {
-	raw, err := net.DialTimeout("tcp", addr, connectTimeout)
+	raw, err := d.cfg.Dial(addr)
 	if err != nil {
 		return nil, eris.Wrapf(ErrNotConnected, "connect to %s: %v", addr, err)
 	}
