--- a/mustardseam/capacity/server.go
+++ b/mustardseam/capacity/server.go
@@ -19,6 +19,7 @@
 	ramp     int // Requests at a time that evidence allows while warm.
 	watch    probation
 	shared   bool // Other instances dispatch too.
+	silent   bool // No load reports are expected.
 }
 
 // NewServer returns a server that counts as cold and idle.
@@ -44,8 +45,13 @@
 	s.watch = probation{}
 }
 
-// Baseline stops grants until a report that was taken after the given time shows the occupancy.
+// Baseline stops grants until a report that was taken after the given time shows the occupancy. A server without
+// reports starts at the cold limit.
 func (s *Server) Baseline(now time.Time) {
+	if s.Mute() {
+		s.chill(now)
+		return
+	}
 	s.unknown = true
 	s.since = now
 }
@@ -53,6 +59,9 @@
 // Share tells whether other instances dispatch to the server too, of whose requests only reports tell.
 func (s *Server) Share(shared bool) { s.shared = shared }
 
+// Silent tells that the server sends no load reports, as plain services; its answers then show that it is warm.
+func (s *Server) Silent(silent bool) { s.silent = silent }
+
 // Limit returns how many requests the server may run at a time.
 func (s *Server) Limit() int {
 	if s.unknown {
@@ -107,7 +116,7 @@
 	if !s.own.end(m.Granted, now) {
 		return
 	}
-	if m.Lingers && s.reported {
+	if m.Lingers && !s.Mute() {
 		s.lingers = append(s.lingers, now)
 	}
 	if m.Cold {
@@ -148,17 +157,14 @@
 	if !m.Granted.After(s.coldAt) {
 		return
 	}
-	if s.cold && !s.reported {
-		s.cold = false // A server without load reports shows by its answers that it is warm.
+	if s.cold && s.Mute() {
+		s.cold = false
 	}
 	if !s.cold && !s.watch.active {
 		s.ramp = min(s.ramp+max(1, s.ramp/4), s.limits.Warm)
 	}
 }
 
-// Chill puts the server back to the cold limit until evidence shows that it is warm.
-func (s *Server) Chill(now time.Time) { s.chill(now) }
-
 // chill puts the server back to the cold limit; what runs stays counted.
 func (s *Server) chill(now time.Time) {
 	s.cold = true
--- a/mustardseam/capacity/state_test.go
+++ b/mustardseam/capacity/state_test.go
@@ -96,6 +96,8 @@
 			class := NewClass()
 			class.Servers = 3
 			other, b := newBench(Limits{Warm: 8, Cold: 2}, class), newBench(Limits{Warm: 8, Cold: 2}, class)
+			other.report(false, 0, 0)
+			b.report(false, 0, 0)
 			for range 40 {
 				other.answer(40*time.Millisecond, Sample{OK: true})
 				b.answer(40*time.Millisecond, Sample{OK: true})
--- a/mustardseam/pool/admit.go
+++ b/mustardseam/pool/admit.go
@@ -17,7 +17,7 @@
 // one has no effect.
 func (p *Pool) Ask(now time.Time, a Ask) {
 	p.see(now)
-	if p.requests[a.ID] != nil {
+	if p.requests[a.ID] != nil || p.refused[a.ID] {
 		return
 	}
 	rt := p.routes[a.Route]
@@ -134,6 +134,7 @@
 }
 
 func (p *Pool) refuse(id string, reason Reason, after time.Duration) {
+	p.refused[id] = true
 	p.refusals = append(p.refusals, Refusal{Ask: id, Reason: reason, RetryAfter: after})
 }
 
--- a/mustardseam/pool/configure.go
+++ b/mustardseam/pool/configure.go
@@ -91,6 +91,7 @@
 	default:
 		s.cap.Configure(now, limits, class)
 	}
+	s.cap.Silent(p.services())
 	moved := s.node == nil || s.Version != b.Version || s.DataCentre != b.DataCentre
 	if moved {
 		p.leaveFleet(s)
--- a/mustardseam/pool/decide.go
+++ b/mustardseam/pool/decide.go
@@ -44,6 +44,7 @@
 	p.noteBusy(now)
 	d.Refusals = p.refusals
 	p.refusals = nil
+	clear(p.refused)
 	return d
 }
 
--- a/mustardseam/pool/done.go
+++ b/mustardseam/pool/done.go
@@ -98,7 +98,7 @@
 		if r.server == nil || r.From != from {
 			continue
 		}
-		if p.services() && !r.server.cap.Reported() {
+		if r.server.cap.Mute() {
 			p.orphan(now, r)
 			continue
 		}
--- a/mustardseam/pool/forecast.go
+++ b/mustardseam/pool/forecast.go
@@ -12,6 +12,9 @@
 	rateMemory = 10 * time.Second
 	// warmShare is the part of the limits in force from which the measured rate is that of a warm pool.
 	warmShare = 0.8
+	// minCapacity bounds the measured rate from below, as a share of what the limits allow: while a few long requests
+	// hold all servers nothing is granted, and that must not refuse the whole queue.
+	minCapacity = 0.2
 	// minMeasured is the time for which a rate must have been measured before requests are refused by it.
 	minMeasured = 2 * time.Second
 	// minShare of the capacity is taken to be left for a tier whose higher tiers use everything.
@@ -91,10 +94,10 @@
 func (p *Pool) capacity(now time.Time) float64 {
 	served := p.forecast.served.per(now)
 	warm := float64(p.limit) >= warmShare*float64(p.full)
+	bound := float64(p.full) / float64(p.share) * p.forecast.mean / max(1e-3, p.duration.Seconds())
 	if warm && !p.busy.IsZero() && now.Sub(p.busy) >= rateMemory {
-		return served
+		return max(served, minCapacity*bound)
 	}
-	bound := float64(p.full) / float64(p.share) * p.forecast.mean / max(1e-3, p.duration.Seconds())
 	return max(served, bound)
 }
 
--- a/mustardseam/pool/pool.go
+++ b/mustardseam/pool/pool.go
@@ -30,6 +30,7 @@
 	latest   byLatest            // Waiting requests with a deadline.
 	orphans  []*request          // Running, of dead instances, at servers without load reports.
 	refusals []Refusal           // For the next decisions.
+	refused  map[string]bool     // The asks of these.
 	blocked  map[blockKey]bool
 	closed   func(lane string) bool
 	round    uint64 // Number of the current Decide.
@@ -60,6 +61,7 @@
 		classes:  map[classKey]*capacity.Class{},
 		routes:   map[string]*route{},
 		requests: map[string]*request{},
+		refused:  map[string]bool{},
 		blocked:  map[blockKey]bool{},
 		duration: time.Second,
 	}
@@ -94,11 +96,7 @@
 func (p *Pool) Baseline(now time.Time) {
 	p.see(now)
 	for _, s := range p.servers {
-		if s.cap.Reported() || !p.services() {
-			s.cap.Baseline(now)
-		} else {
-			s.cap.Chill(now)
-		}
+		s.cap.Baseline(now)
 		p.refresh(s)
 	}
 }
--- a/mustardseam/pool/pool_test.go
+++ b/mustardseam/pool/pool_test.go
@@ -17,6 +17,7 @@
 	flag.Parse()
 	_ = flag.Set("rapid.seed", "20261204")
 	_ = flag.Set("rapid.nofailfile", "true")
+	_ = flag.Set("rapid.checks", "500")
 	os.Exit(m.Run())
 }
 
@@ -46,17 +47,6 @@
 	return Ask{ID: id, From: "i1", DataCentre: "d0", Team: "a", Tier: tier, Route: "m", Prompt: 100, Deadline: at(3600e3)}
 }
 
-// warm raises a server to its full limit by evidence.
-func warm(p *Pool, server string, n int) {
-	p.Report(at(0), Report{Server: server, Sequence: 1, Version: "v1"})
-	for i := range n {
-		p.Ask(at(i+1), ask(fmt.Sprint("warm", server, i), 0))
-		for _, permit := range p.Decide(at(i + 1)).Permits {
-			p.Done(at(i+1), Outcome{Ask: permit.Ask, Result: OK, Prompt: 100, Output: 10})
-		}
-	}
-}
-
 // TestColdStart guards against a cold server that gets more than its cold limit, and a warm one that is never filled.
 func TestColdStart(t *testing.T) {
 	p := New(testConfig(1, 8, 2, 100))
@@ -71,3 +61,119 @@
 	p.Done(at(300), Outcome{Ask: "2", Result: OK})
 	assert.Equal(t, len(p.Decide(at(300)).Permits), 3)
 }
+
+// grants asks for a request at the time and returns the number of permits.
+func grants(p *Pool, ms int) int {
+	p.Ask(at(ms), ask(fmt.Sprint("at", ms), 0))
+	return len(p.Decide(at(ms)).Permits)
+}
+
+// TestBaseline guards against a new home that trusts a report from before its takeover, or forgets what it shows.
+func TestBaseline(t *testing.T) {
+	p := New(testConfig(1, 4, 2, 100))
+	p.Baseline(at(1000))
+	assert.Equal(t, grants(p, 1000), 0)
+	p.Report(at(1100), Report{Server: "s0", Sequence: 1, Age: 200 * time.Millisecond, Version: "v1"})
+	assert.Equal(t, grants(p, 1200), 0, "the report was taken before the baseline")
+	p.Report(at(1300), Report{Server: "s0", Sequence: 2, Running: 1, Version: "v1"})
+	assert.Equal(t, grants(p, 1400), 1, "the cold limit is 2 and one request runs")
+	p.Report(at(9000), Report{Server: "s0", Sequence: 3, Running: 1, Version: "v1"})
+	p.Report(at(9500), Report{Server: "s0", Sequence: 4, Running: 1, Version: "v1"})
+	assert.Equal(t, grants(p, 9600), 1, "the request from before the takeover has ended")
+}
+
+// TestOrphan guards against requests of a dead instance that are forgotten while they run, or counted for ever.
+func TestOrphan(t *testing.T) {
+	for _, kind := range []operator.PoolKind{operator.Engines, operator.Services} {
+		cfg := testConfig(1, 1, 1, 100)
+		cfg.Pool.Kind = kind
+		p := New(cfg)
+		a := ask("dead", 0)
+		a.Deadline = at(20000)
+		p.Ask(at(0), a)
+		assert.Equal(t, len(p.Decide(at(0)).Permits), 1)
+		p.Orphan(at(1500), "i1")
+		p.Report(at(1600), Report{Server: "none", Sequence: 1})
+		assert.Equal(t, grants(p, 10000), 0)
+		if kind == operator.Engines {
+			p.Report(at(10100), Report{Server: "s0", Sequence: 1, Running: 1, Version: "v1"})
+			p.Report(at(11000), Report{Server: "s0", Sequence: 2, Running: 1, Version: "v1"})
+			assert.Equal(t, len(p.Decide(at(11000)).Permits), 0, "it still runs")
+			p.Report(at(12000), Report{Server: "s0", Sequence: 3, Version: "v1"})
+			p.Report(at(13000), Report{Server: "s0", Sequence: 4, Version: "v1"})
+		}
+		assert.Equal(t, len(p.Decide(at(24000)).Permits), 1, "%s", kind)
+	}
+}
+
+// TestEarlyRefusal guards against hopeless requests that wait for their deadline, and against refusals on a guess
+// while a server is idle.
+func TestEarlyRefusal(t *testing.T) {
+	p := New(testConfig(1, 4, 4, 1000))
+	for i := range 100 {
+		p.Ask(at(i*500), ask(fmt.Sprint(i), 1))
+		for _, permit := range p.Decide(at(i * 500)).Permits {
+			if i < 60 {
+				p.Done(at(i*500+400), Outcome{Ask: permit.Ask, Result: OK, Prompt: 100, Output: 50, Between: time.Second})
+			}
+		}
+	}
+	late := func(id string, tier int) Ask {
+		a := ask(id, tier)
+		a.Deadline = at(51000)
+		return a
+	}
+	p.Ask(at(50000), late("hopeless", 1))
+	p.Ask(at(50000), late("higher", 0))
+	d := p.Decide(at(50000))
+	assert.Equal(t, len(d.Refusals), 1)
+	assert.Equal(t, d.Refusals[0].Ask, "hopeless")
+	assert.Equal(t, d.Refusals[0].Reason, TooLate)
+	assert.Assert(t, d.Refusals[0].RetryAfter >= time.Second)
+	idle := New(testConfig(1, 4, 4, 1000))
+	idle.Ask(at(50999), late("idle", 1))
+	assert.Equal(t, len(idle.Decide(at(50999)).Permits), 1)
+}
+
+// TestRefusals guards against requests that wait although nothing can serve them.
+func TestRefusals(t *testing.T) {
+	tests := []struct {
+		name string
+		set  func(p *Pool, cfg Config, a *Ask)
+		want Reason
+	}{
+		{"unknown route", func(_ *Pool, _ Config, a *Ask) { a.Route = "x" }, UnknownRoute},
+		{"retry without budget", func(_ *Pool, _ Config, a *Ask) { a.Attempt = 1 }, NoRetries},
+		{"rolled back", func(p *Pool, _ Config, _ *Ask) { p.BlockVersion("v1", "") }, NoServer},
+		{"deadline has passed", func(_ *Pool, _ Config, a *Ask) { a.Deadline = at(-1) }, TooLate},
+		{"all leaving", func(p *Pool, cfg Config, _ *Ask) {
+			cfg.Servers = []operator.BackendServer{cfg.Servers[0].WithLeaving(true)}
+			p.Configure(at(0), cfg)
+		}, NoServer},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			cfg := testConfig(1, 4, 1, 100)
+			p, a := New(cfg), ask("x", 0)
+			test.set(p, cfg, &a)
+			p.Ask(at(0), a)
+			d := p.Decide(at(0))
+			assert.DeepEqual(t, d.Refusals, []Refusal{{Ask: "x", Reason: test.want}})
+		})
+	}
+}
+
+// TestDump guards against a waiting team whose reason cannot be seen.
+func TestDump(t *testing.T) {
+	p := New(testConfig(1, 1, 1, 100))
+	grants(p, 0)
+	grants(p, 1)
+	st := p.Dump()
+	assert.Equal(t, len(st.Teams), 1)
+	assert.Equal(t, st.Teams[0].Reason, "no room on route m: backend servers [1 cold]")
+	assert.Equal(t, st.Servers[0].Own, 1)
+	d := p.Digest()
+	assert.Equal(t, d.Lowest, 0)
+	assert.Equal(t, d.Room, 0)
+	assert.Assert(t, p.Next().After(at(1)))
+}
