Take waits with caution and find slow servers earlier

Change: a wait may exceed its estimate by half before the deadline is missed; 2.5 times slower than the class starts a probation.

--- a/mustardseam/capacity/probation.go
+++ b/mustardseam/capacity/probation.go
@@ -12,7 +12,7 @@
 	// failureShare of recent requests starts a probation.
 	failureShare = 0.5
 	// slowFactor times slower than the class starts a probation; the load of a batch alone makes less.
-	slowFactor = 3
+	slowFactor = 2.5
 	// minSamples are needed for a verdict on a share or a speed.
 	minSamples = 4
 	// gain is the weight of the newest sample in a server's averages.
--- a/mustardseam/pool/admit.go
+++ b/mustardseam/pool/admit.go
@@ -86,7 +86,7 @@
 		return false
 	}
 	wait, known := p.wait(now, r.Tier, r.Team)
-	if !known || !now.Add(wait).After(r.latest) {
+	if !known || !r.misses(now, wait) {
 		return false
 	}
 	p.refuse(r.ID, TooLate, retryAfter(wait))
--- a/mustardseam/pool/request.go
+++ b/mustardseam/pool/request.go
@@ -28,6 +28,15 @@
 	return !r.Deadline.IsZero() && !now.Before(r.Deadline)
 }
 
+// caution is the factor by which a wait may exceed its estimate. Without it a full queue is as long as the deadlines
+// allow, and requests start so late that many fail in the end.
+const caution = 1.5
+
+// misses reports whether the request cannot finish in time after the estimated wait.
+func (r *request) misses(now time.Time, wait time.Duration) bool {
+	return !r.latest.IsZero() && now.Add(time.Duration(caution*float64(wait))).After(r.latest)
+}
+
 // byLatest is a heap of waiting requests by their last useful start.
 type byLatest []*request
 
--- a/mustardseam/pool/sweep.go
+++ b/mustardseam/pool/sweep.go
@@ -25,7 +25,7 @@
 		for it := w.Newest; it != nil; {
 			r, older := p.requests[it.ID], it.Older()
 			wait := span((p.queue.Ahead(w.Rank, w.Team) - it.Cost) / speed)
-			if r.latest.IsZero() || !now.Add(wait).After(r.latest) {
+			if !r.misses(now, wait) {
 				break
 			}
 			p.queue.Remove(it)
