Probe servers that only get requests which must not run twice

Cause: a server in probation whose pool has only non-idempotent requests, as a reservation service, was never probed and so stayed out for ever; one report with a waiting request set the learned limit of a whole class; a version that was rolled back at a share of 1 left the route without a version. Change: such requests are probes when every server is in probation or the probe is overdue by 5 s; three reports in a row are needed to lower a learned limit; a roll-back ends the split; versions and servers without members are forgotten.

--- a/mustardseam/capacity/class.go
+++ b/mustardseam/capacity/class.go
@@ -107,15 +107,17 @@
 	return min(configured, int(c.concurrency))
 }
 
-// reported learns from a warm load report how many requests a member really runs at a time.
-func (c *Class) reported(r Reading) {
+// reported learns from a warm load report how many requests a member really runs at a time; crowded tells that
+// requests have been waiting inside the member for several reports.
+func (c *Class) reported(r Reading, crowded bool) {
 	running := float64(r.Running)
 	switch {
-	case r.Waiting > 0 && r.Running > 0 && c.concurrency == 0:
-		c.concurrency = running
-	case r.Waiting > 0 && r.Running > 0:
+	case crowded && r.Running > 0:
+		if c.concurrency == 0 {
+			c.concurrency = float64(r.total())
+		}
 		c.concurrency = max(1, c.concurrency+0.3*(running-c.concurrency))
-	case c.concurrency > 0 && running >= float64(int(c.concurrency)):
+	case r.Waiting == 0 && c.concurrency > 0 && running >= float64(int(c.concurrency)):
 		c.concurrency = max(running, c.concurrency+0.1)
 	}
 }
--- a/mustardseam/capacity/report.go
+++ b/mustardseam/capacity/report.go
@@ -2,6 +2,10 @@
 
 import "time"
 
+// crowdedReports in a row with waiting requests lower the learned limit; a single one may only show a request that
+// arrived between two steps of the engine.
+const crowdedReports = 3
+
 // Report takes in a load report that arrives now; one that was already taken in, or is older, says nothing new.
 func (s *Server) Report(now time.Time, r Reading) {
 	restarted := s.reported && r.Sequence < s.last.Sequence
@@ -11,8 +15,12 @@
 	s.reported = true
 	s.last = r
 	s.temperature(r, restarted)
+	s.crowded++
+	if r.Waiting == 0 {
+		s.crowded = 0
+	}
 	if !s.cold {
-		s.class.reported(r)
+		s.class.reported(r, s.crowded >= crowdedReports)
 	}
 	s.count(now, r)
 }
--- a/mustardseam/capacity/server.go
+++ b/mustardseam/capacity/server.go
@@ -12,6 +12,7 @@
 	unknown  bool        // No grant before a report taken after since.
 	since    time.Time   // Of the baseline.
 	reported bool
+	crowded  int // Reports in a row with requests waiting inside the server.
 	last     Reading
 	held     Reading // Too fresh to lower others; no sequence when there is none.
 	cold     bool
--- a/mustardseam/pool/configure.go
+++ b/mustardseam/pool/configure.go
@@ -75,6 +75,11 @@
 		p.dropServer(s)
 	}
 	p.configureClasses(members)
+	for v, f := range p.fleets {
+		if f.members == 0 {
+			delete(p.fleets, v)
+		}
+	}
 	for _, s := range p.servers {
 		p.refresh(s)
 	}
@@ -130,6 +135,7 @@
 		f = &fleet{}
 		p.fleets[s.Version] = f
 	}
+	f.members++
 	s.fleet = f
 	s.node = &routing.Node{Name: s.Name, Address: s.Address, DataCentre: s.DataCentre, Version: s.Version}
 	p.picker.Add(s.node)
@@ -143,6 +149,7 @@
 	s.node = nil
 	s.fleet.probation = remove(s.fleet.probation, s)
 	s.probe = false
+	s.fleet.members--
 	s.fleet.schedule()
 }
 
--- a/mustardseam/pool/decide.go
+++ b/mustardseam/pool/decide.go
@@ -10,7 +10,7 @@
 	// maxRepick bounds the servers that turn out to be full when they are picked, because what was learned of their
 	// class has changed since their last update.
 	maxRepick = 8
-	// overdue is the time after which a probe is made even with a request of the highest tier.
+	// overdue is the time after which a probe is made with any request.
 	overdue = 5 * time.Second
 )
 
@@ -110,14 +110,15 @@
 	return nil, 0
 }
 
-// probe returns a server in probation that is due for a probe with this request. Requests that must not run twice
-// and retries are no probes, and those of the highest tier only when nothing else has room or the probe is overdue.
+// probe returns a server in probation that is due for a probe with this request. Requests of the highest tier, retries
+// and those that must not run twice are probes only when every server is in probation or the probe is overdue.
 func (p *Pool) probe(now time.Time, r *request, version string) *server {
 	f := p.fleets[version]
-	if f == nil || !f.due(now) || r.NonIdempotent || r.Attempt > 0 {
+	if f == nil || !f.due(now) {
 		return nil
 	}
-	if r.Tier == 0 && p.picker.Room(version) > 0 && now.Sub(f.nextProbe) < overdue {
+	precious := r.Tier == 0 || r.Attempt > 0 || r.NonIdempotent
+	if precious && f.inService > len(f.probation) && now.Sub(f.nextProbe) < overdue {
 		return nil
 	}
 	for _, s := range f.probation {
--- a/mustardseam/pool/done.go
+++ b/mustardseam/pool/done.go
@@ -34,12 +34,19 @@
 	s := r.server
 	s.cap.Finished(now, sample(r, o))
 	p.learn(now, r, o)
-	if s.node != nil {
-		if o.Result == OK {
-			p.picker.Observed(s.node, r.cached, o.Cached, r.Prefix)
-		}
+	if s.node != nil && o.Result == OK {
+		p.picker.Observed(s.node, r.cached, o.Cached, r.Prefix)
+	}
+	p.settle(s)
+}
+
+// settle takes in that a request has ended at the server, and forgets a server that is no longer configured with its
+// last one.
+func (p *Pool) settle(s *server) {
+	switch {
+	case s.node != nil:
 		p.refresh(s)
-	} else if s.cap.Own() == 0 && p.gone[s.Name] == s {
+	case s.cap.Own() == 0 && p.gone[s.Name] == s:
 		delete(p.gone, s.Name)
 	}
 }
@@ -104,6 +111,7 @@
 		}
 		delete(p.requests, r.ID)
 		r.server.cap.Orphan(now, r.granted)
+		p.settle(r.server)
 	}
 }
 
--- a/mustardseam/pool/machine_test.go
+++ b/mustardseam/pool/machine_test.go
@@ -76,6 +76,7 @@
 	for _, a := range m.asks {
 		lowest = max(lowest, a.Tier)
 	}
+	assert.Equal(t, m.pool.Digest().Lowest, lowest)
 	for _, r := range d.Refusals {
 		tier := refused[r.Ask].Tier
 		assert.Assert(t, r.Reason != QueueFull || lowest <= tier, "tier %d shed while tier %d waits", tier, lowest)
--- a/mustardseam/pool/route.go
+++ b/mustardseam/pool/route.go
@@ -51,10 +51,11 @@
 }
 
 // versions returns the versions that may serve the next request of the route, the preferred one first; empty names
-// stand for none. Retries stay away from a version that is still being judged.
+// stand for none. Retries stay away from a version that is still being judged, and a version that was rolled back ends
+// the split.
 func (p *Pool) versions(rt *route, retried bool) [2]string {
 	settled, next := rt.Version, ""
-	if sp := rt.split; sp != nil {
+	if sp := rt.split; sp != nil && !p.excluded(rt, sp.to) {
 		if sp.share >= 1 {
 			settled, next = "", sp.to
 		} else if !retried && sp.allows() {
@@ -64,9 +65,6 @@
 	if p.excluded(rt, settled) {
 		settled = ""
 	}
-	if p.excluded(rt, next) {
-		next = ""
-	}
 	return [2]string{next, settled}
 }
 
--- a/mustardseam/pool/server.go
+++ b/mustardseam/pool/server.go
@@ -29,7 +29,8 @@
 
 // fleet holds the servers of one version.
 type fleet struct {
-	inService int
+	members   int // Configured servers.
+	inService int // Of these, those that are not out.
 	probation []*server
 	nextProbe time.Time
 }
--- a/mustardseam/routing/index.go
+++ b/mustardseam/routing/index.go
@@ -1,6 +1,9 @@
 package routing
 
-import "slices"
+import (
+	"math/bits"
+	"slices"
+)
 
 const (
 	// sets times ways bounds the memory of the prefix index to 2 MB.
@@ -33,21 +36,20 @@
 // until f returns false. Long prefixes are indexed more coarsely, which bounds the time of a decision; the places do
 // not depend on n, so that prompts of different lengths meet.
 func positions(n int, f func(i int) bool) {
-	for i := n; i > 0; {
-		step := 1
+	for i := n; i > 0; i-- {
 		switch {
 		case i > 512:
-			step = 256
+			i -= i % 256
 		case i > 64:
-			step = 32
+			i -= i % 32
 		case i > 8:
-			step = 8
+			i -= i % 8
+		default:
+			i = 1 << (bits.Len(uint(i)) - 1)
 		}
-		i -= i % step
 		if !f(i - 1) {
 			return
 		}
-		i--
 	}
 }
 
