Make the decisions of a seed repeatable and use the terms of the field

Cause: servers entered the picker, and unservable requests were refused, in the order of a map, so that two runs of one seed differed; RetryAfter was rounded down; several names were not the usual terms. Change: configured order and order of ids instead; RetryAfter is rounded up; names are changed.

--- a/mustardseam/capacity/class.go
+++ b/mustardseam/capacity/class.go
@@ -107,12 +107,12 @@
 	return min(configured, int(c.concurrency))
 }
 
-// reported learns from a warm load report how many requests a member really runs at a time; crowded tells that
+// reported learns from a warm load report how many requests a member really runs at a time; queued tells that
 // requests have been waiting inside the member for several reports.
-func (c *Class) reported(r Reading, crowded bool) {
+func (c *Class) reported(r Reading, queued bool) {
 	running := float64(r.Running)
 	switch {
-	case crowded && r.Running > 0:
+	case queued && r.Running > 0:
 		if c.concurrency == 0 {
 			c.concurrency = float64(r.total())
 		}
--- a/mustardseam/capacity/inspect.go
+++ b/mustardseam/capacity/inspect.go
@@ -33,5 +33,5 @@
 // Queued returns the requests that waited inside the server at the last report.
 func (s *Server) Queued() int { return s.last.Waiting }
 
-// Mute reports whether no load report can be waited for.
-func (s *Server) Mute() bool { return s.silent && !s.reported }
+// WithoutReports reports whether no load report can be waited for.
+func (s *Server) WithoutReports() bool { return s.noReports && !s.reported }
--- a/mustardseam/capacity/report.go
+++ b/mustardseam/capacity/report.go
@@ -2,9 +2,9 @@
 
 import "time"
 
-// crowdedReports in a row with waiting requests lower the learned limit; a single one may only show a request that
+// queuedReports in a row with waiting requests lower the learned limit; a single one may only show a request that
 // arrived between two steps of the engine.
-const crowdedReports = 3
+const queuedReports = 3
 
 // Report takes in a load report that arrives now; one that was already taken in, or is older, says nothing new.
 func (s *Server) Report(now time.Time, r Reading) {
@@ -14,23 +14,23 @@
 	}
 	s.reported = true
 	s.last = r
-	s.temperature(r, restarted)
-	s.crowded++
+	s.followCold(r, restarted)
+	s.queued++
 	if r.Waiting == 0 {
-		s.crowded = 0
+		s.queued = 0
 	}
 	if !s.cold {
-		s.class.reported(r, s.crowded >= crowdedReports)
+		s.class.reported(r, s.queued >= queuedReports)
 	}
 	s.count(now, r)
 }
 
-// temperature follows cold starts: a restart is one, whatever the report says.
-func (s *Server) temperature(r Reading, restarted bool) {
+// followCold follows cold starts: a restart is one, whatever the report says.
+func (s *Server) followCold(r Reading, restarted bool) {
 	switch {
 	case restarted, r.Cold:
 		if !s.cold || r.Taken.After(s.coldAt) {
-			s.chill(r.Taken)
+			s.setCold(r.Taken)
 		}
 	case s.cold && r.Taken.After(s.coldAt):
 		s.cold = false
@@ -82,7 +82,7 @@
 func (s *Server) raise(r Reading) {
 	_, possible := s.own.at(r.Taken, 0)
 	known := 0
-	for _, at := range s.lingers {
+	for _, at := range s.unconfirmed {
 		if at.Before(r.Taken) {
 			known++
 		}
@@ -108,13 +108,13 @@
 
 // fold removes the ended requests that the report covers and returns their number.
 func (s *Server) fold(r Reading) int {
-	kept := s.lingers[:0]
-	for _, at := range s.lingers {
+	kept := s.unconfirmed[:0]
+	for _, at := range s.unconfirmed {
 		if !at.Before(r.Taken) {
 			kept = append(kept, at)
 		}
 	}
-	n := len(s.lingers) - len(kept)
-	s.lingers = kept
+	n := len(s.unconfirmed) - len(kept)
+	s.unconfirmed = kept
 	return n
 }
--- a/mustardseam/capacity/server.go
+++ b/mustardseam/capacity/server.go
@@ -4,23 +4,23 @@
 
 // Server is the occupancy and the present limit of one backend server.
 type Server struct {
-	limits   Limits
-	class    *Class
-	own      history
-	others   int         // Upper bound of running requests that this home does not track.
-	lingers  []time.Time // Ends, by this home's account, that a report has to confirm.
-	unknown  bool        // No grant before a report taken after since.
-	since    time.Time   // Of the baseline.
-	reported bool
-	crowded  int // Reports in a row with requests waiting inside the server.
-	last     Reading
-	held     Reading // Too fresh to lower others; no sequence when there is none.
-	cold     bool
-	coldAt   time.Time
-	ramp     int // Requests at a time that evidence allows while warm.
-	watch    probation
-	shared   bool // Other instances dispatch too.
-	silent   bool // No load reports are expected.
+	limits      Limits
+	class       *Class
+	own         history
+	others      int         // Upper bound of running requests that this home does not track.
+	unconfirmed []time.Time // Ends, by this home's account, that a report has to confirm.
+	unknown     bool        // No grant before a report taken after since.
+	since       time.Time   // Of the baseline.
+	reported    bool
+	queued      int // Reports in a row with requests waiting inside the server.
+	last        Reading
+	held        Reading // Too fresh to lower others; no sequence when there is none.
+	cold        bool
+	coldAt      time.Time
+	ramp        int // Requests at a time that evidence allows while warm.
+	watch       probation
+	shared      bool // Other instances dispatch too.
+	noReports   bool // None are expected.
 }
 
 // NewServer returns a server that counts as cold and idle.
@@ -31,7 +31,7 @@
 // Configure changes limits and class; a server of another class is cold.
 func (s *Server) Configure(now time.Time, l Limits, c *Class) {
 	if c != s.class {
-		s.chill(now)
+		s.setCold(now)
 		s.Leave()
 	}
 	s.limits, s.class = l, c
@@ -49,8 +49,8 @@
 // Baseline stops grants until a report that was taken after the given time shows the occupancy. A server without
 // reports starts at the cold limit.
 func (s *Server) Baseline(now time.Time) {
-	if s.Mute() {
-		s.chill(now)
+	if s.WithoutReports() {
+		s.setCold(now)
 		return
 	}
 	s.unknown = true
@@ -60,8 +60,8 @@
 // Share tells whether other instances dispatch to the server too, of whose requests only reports tell.
 func (s *Server) Share(shared bool) { s.shared = shared }
 
-// Silent tells that the server sends no load reports, as plain services; its answers then show that it is warm.
-func (s *Server) Silent(silent bool) { s.silent = silent }
+// SetReports tells whether the server sends load reports. Plain services do not; their answers show that they are warm.
+func (s *Server) SetReports(reports bool) { s.noReports = !reports }
 
 // Limit returns how many requests the server may run at a time.
 func (s *Server) Limit() int {
@@ -92,7 +92,7 @@
 func (s *Server) Own() int { return len(s.own.running) }
 
 // Others returns the number of other requests that may be running.
-func (s *Server) Others() int { return s.others + len(s.lingers) }
+func (s *Server) Others() int { return s.others + len(s.unconfirmed) }
 
 // Occupancy returns the number of requests that may be running.
 func (s *Server) Occupancy() int { return s.Own() + s.Others() }
@@ -109,7 +109,7 @@
 	if at.Before(now) {
 		at = now
 	}
-	s.lingers = append(s.lingers, at)
+	s.unconfirmed = append(s.unconfirmed, at)
 }
 
 // Finished takes in the end of a request.
@@ -117,26 +117,26 @@
 	if !s.own.end(m.Granted, now) {
 		return
 	}
-	if m.Lingers && !s.Mute() {
-		s.lingers = append(s.lingers, now)
+	if m.MayRun && !s.WithoutReports() {
+		s.unconfirmed = append(s.unconfirmed, now)
 	}
 	if m.Cold {
-		s.chill(now)
+		s.setCold(now)
 	}
 	slow := 0.0
 	if m.OK && !s.cold {
 		slow = s.class.observe(m)
 	}
 	if m.OK && !m.Cold {
-		s.warmer(m)
+		s.raiseLimit(m)
 	}
 	if m.OK || m.Failed {
-		s.judge(now, m, slow)
+		s.inspect(now, m, slow)
 	}
 }
 
-// judge watches for probation. At most a third of a class is put there for being slow, since slowness is relative.
-func (s *Server) judge(now time.Time, m Sample, slow float64) {
+// inspect watches for probation. At most a third of a class is put there for being slow, since slowness is relative.
+func (s *Server) inspect(now time.Time, m Sample, slow float64) {
 	before := s.watch
 	mayBeSlow := s.class.Known() && 3*(s.class.slow+1) <= s.class.Servers
 	left := s.watch.observe(now, m, slow, mayBeSlow)
@@ -151,14 +151,14 @@
 	}
 }
 
-// warmer raises the limit by one, and by a quarter when that is more, for each answer that was both dispatched and
+// raiseLimit raises the limit by one, and by a quarter when that is more, for each answer that was both dispatched and
 // completed while the server was warm. Steps of one alone would take a server through several durations of a long
 // request before it is full.
-func (s *Server) warmer(m Sample) {
+func (s *Server) raiseLimit(m Sample) {
 	if !m.Granted.After(s.coldAt) {
 		return
 	}
-	if s.cold && s.Mute() {
+	if s.cold && s.WithoutReports() {
 		s.cold = false
 	}
 	if !s.cold && !s.watch.active {
@@ -166,8 +166,8 @@
 	}
 }
 
-// chill puts the server back to the cold limit; what runs stays counted.
-func (s *Server) chill(now time.Time) {
+// setCold puts the server back to the cold limit; what runs stays counted.
+func (s *Server) setCold(now time.Time) {
 	s.cold = true
 	s.coldAt = now
 	s.ramp = s.limits.Cold
--- a/mustardseam/capacity/server_test.go
+++ b/mustardseam/capacity/server_test.go
@@ -20,11 +20,11 @@
 
 // call is a request as the engine of a state-machine test knows it; zero times lie in the future.
 type call struct {
-	granted time.Time
-	started time.Time
-	ended   time.Time // At the engine.
-	told    time.Time // When the outcome arrives at the home.
-	lingers bool      // The outcome arrives before the end.
+	granted     time.Time
+	started     time.Time
+	ended       time.Time // At the engine.
+	told        time.Time // When the outcome arrives at the home.
+	unconfirmed bool      // The outcome arrives before the end.
 }
 
 // machine drives a server against an engine whose real occupancy is known.
@@ -50,7 +50,7 @@
 		}
 		t.Repeat(map[string]func(*rapid.T){
 			"wait": m.wait, "grant": m.grant, "end": m.end, "cancel": m.cancel, "orphan": m.orphan,
-			"read": m.read, "heat": m.heat, "end-foreign": m.endForeign,
+			"read": m.read, "toggle-cold": m.toggle, "end-foreign": m.endForeign,
 		})
 	})
 }
@@ -60,7 +60,7 @@
 	m.own = slices.DeleteFunc(m.own, func(c *call) bool {
 		told := !c.told.IsZero() && !c.told.After(m.now)
 		if told {
-			m.server.Finished(c.told, Sample{Granted: c.granted, OK: !c.lingers, Lingers: c.lingers})
+			m.server.Finished(c.told, Sample{Granted: c.granted, OK: !c.unconfirmed, MayRun: c.unconfirmed})
 		}
 		return told
 	})
@@ -113,8 +113,8 @@
 
 func (m *machine) cancel(t *rapid.T) {
 	if c := m.finish(t); c != nil {
-		c.told, c.lingers = m.now, true
-		c.ended = m.now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(t, "lingers")) * time.Millisecond)
+		c.told, c.unconfirmed = m.now, true
+		c.ended = m.now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(t, "unconfirmed")) * time.Millisecond)
 	}
 }
 
@@ -137,8 +137,8 @@
 	}
 }
 
-// heat turns the engine cold or warm without warning; a request that already runs goes on.
-func (m *machine) heat(*rapid.T) { m.cold = !m.cold }
+// toggle turns the engine cold or warm without warning; a request that already runs goes on.
+func (m *machine) toggle(*rapid.T) { m.cold = !m.cold }
 
 func (m *machine) read(t *rapid.T) {
 	m.sequence++
--- a/mustardseam/capacity/state_test.go
+++ b/mustardseam/capacity/state_test.go
@@ -89,7 +89,7 @@
 		{"failing", func(b *bench) { b.answer(0, Sample{Failed: true}) }, true},
 		{"slow", func(b *bench) { b.answer(200*time.Millisecond, Sample{OK: true}) }, true},
 		{"slower by load", func(b *bench) { b.answer(80*time.Millisecond, Sample{OK: true}) }, false},
-		{"cancelled by callers", func(b *bench) { b.answer(0, Sample{Lingers: true}) }, false},
+		{"cancelled by callers", func(b *bench) { b.answer(0, Sample{MayRun: true}) }, false},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
--- a/mustardseam/fair/admit.go
+++ b/mustardseam/fair/admit.go
@@ -29,10 +29,10 @@
 func (q *Queue) Shed(rank int) *Item {
 	for i := len(q.tiers) - 1; i >= 0 && q.tiers[i].rank > rank; i-- {
 		t := q.tiers[i]
-		if len(t.crowd) == 0 {
+		if len(t.largest) == 0 {
 			continue
 		}
-		it := t.crowd[0].newest
+		it := t.largest[0].newest
 		q.Remove(it)
 		return it
 	}
--- a/mustardseam/fair/flow.go
+++ b/mustardseam/fair/flow.go
@@ -15,9 +15,9 @@
 	at       []*entry // One per lane with waiting items.
 	waiting  int
 	tokens   float64
-	indebted byTagIdle // Children that do not wait but have had more than their share.
-	index    int       // Place in the parent's indebted heap; -1 when not there.
-	crowd    int       // Place of a team in its tier's crowd.
+	idle     byIdleTag // Children that do not wait but have had more than their share.
+	index    int       // Place in the parent's idle heap; -1 when not there.
+	largest  int       // Place of a team in its tier's largest.
 	oldest   *Item     // Items of a team, in order of arrival.
 	newest   *Item
 }
@@ -36,7 +36,7 @@
 func (f *flow) move(tag float64) {
 	f.tag = max(tag, f.floor)
 	if f.index >= 0 {
-		heap.Fix(&f.parent.indebted, f.index)
+		heap.Fix(&f.parent.idle, f.index)
 	}
 	for _, e := range f.at {
 		heap.Fix(&e.parent.heap, e.index)
@@ -73,26 +73,26 @@
 	it.older, it.newer = nil, nil
 }
 
-// byTagIdle orders flows without waiting items by their start tags.
-type byTagIdle []*flow
+// byIdleTag orders flows without waiting items by their start tags.
+type byIdleTag []*flow
 
-func (h byTagIdle) Len() int           { return len(h) }
-func (h byTagIdle) Less(i, j int) bool { return h[i].tag < h[j].tag }
+func (h byIdleTag) Len() int           { return len(h) }
+func (h byIdleTag) Less(i, j int) bool { return h[i].tag < h[j].tag }
 
-func (h byTagIdle) Swap(i, j int) {
+func (h byIdleTag) Swap(i, j int) {
 	h[i], h[j] = h[j], h[i]
 	h[i].index, h[j].index = i, j
 }
 
 // Push implements heap.Interface.
-func (h *byTagIdle) Push(x any) {
+func (h *byIdleTag) Push(x any) {
 	f := x.(*flow)
 	f.index = len(*h)
 	*h = append(*h, f)
 }
 
 // Pop implements heap.Interface.
-func (h *byTagIdle) Pop() any {
+func (h *byIdleTag) Pop() any {
 	last := len(*h) - 1
 	f := (*h)[last]
 	(*h)[last] = nil
@@ -115,13 +115,13 @@
 
 func (h byWaiting) Swap(i, j int) {
 	h[i], h[j] = h[j], h[i]
-	h[i].crowd, h[j].crowd = i, j
+	h[i].largest, h[j].largest = i, j
 }
 
 // Push implements heap.Interface.
 func (h *byWaiting) Push(x any) {
 	f := x.(*flow)
-	f.crowd = len(*h)
+	f.largest = len(*h)
 	*h = append(*h, f)
 }
 
--- a/mustardseam/fair/inspect.go
+++ b/mustardseam/fair/inspect.go
@@ -31,7 +31,7 @@
 func (q *Queue) Teams() []Waiting {
 	var list []Waiting
 	for _, t := range q.tiers {
-		for _, f := range t.crowd {
+		for _, f := range t.largest {
 			list = append(list, Waiting{t.rank, f.name, f.waiting, f.tokens, f.oldest, f.newest})
 		}
 	}
--- a/mustardseam/fair/queue.go
+++ b/mustardseam/fair/queue.go
@@ -141,7 +141,7 @@
 
 func (q *Queue) freeFlow(f *flow) {
 	if len(q.flows) < maxFree {
-		*f = flow{children: f.children, at: f.at[:0], indebted: f.indebted[:0]}
+		*f = flow{children: f.children, at: f.at[:0], idle: f.idle[:0]}
 		q.flows = append(q.flows, f)
 	}
 }
--- a/mustardseam/fair/tier.go
+++ b/mustardseam/fair/tier.go
@@ -4,11 +4,11 @@
 
 // tier holds the waiting items of one rank.
 type tier struct {
-	queue  *Queue
-	rank   int
-	root   *flow
-	crowd  byWaiting // Teams with waiting items.
-	weight float64   // Sum of the weights of the teams with waiting items.
+	queue   *Queue
+	rank    int
+	root    *flow
+	largest byWaiting // Teams with waiting items.
+	weight  float64   // Sum of the weights of the teams with waiting items.
 }
 
 // insert puts the item behind the others of its group and lane, or in front of them.
@@ -29,10 +29,10 @@
 		f.tokens += it.Cost
 	}
 	if team.waiting == 1 {
-		heap.Push(&t.crowd, team)
+		heap.Push(&t.largest, team)
 		t.weight += team.weight
 	} else {
-		heap.Fix(&t.crowd, team.crowd)
+		heap.Fix(&t.largest, team.largest)
 	}
 }
 
@@ -54,7 +54,7 @@
 		return
 	}
 	if f.index >= 0 {
-		heap.Remove(&f.parent.indebted, f.index)
+		heap.Remove(&f.parent.idle, f.index)
 	}
 	t.queue.since++
 	f.since = t.queue.since
@@ -93,13 +93,13 @@
 		e = parent
 	}
 	if team.waiting == 0 {
-		heap.Remove(&t.crowd, team.crowd)
+		heap.Remove(&t.largest, team.largest)
 		t.weight -= team.weight
-		if len(t.crowd) == 0 {
+		if len(t.largest) == 0 {
 			t.weight = 0 // Drops the rounding errors of the sum.
 		}
 	} else {
-		heap.Fix(&t.crowd, team.crowd)
+		heap.Fix(&t.largest, team.largest)
 	}
 	t.settle(group)
 	t.settle(team)
@@ -132,11 +132,11 @@
 	if f.waiting == 0 {
 		t.clear(f)
 		if f.index < 0 {
-			heap.Push(&parent.indebted, f)
+			heap.Push(&parent.idle, f)
 		}
 	}
-	for len(parent.indebted) > 0 && parent.indebted[0].tag <= parent.virtual {
-		paid := heap.Pop(&parent.indebted).(*flow)
+	for len(parent.idle) > 0 && parent.idle[0].tag <= parent.virtual {
+		paid := heap.Pop(&parent.idle).(*flow)
 		delete(parent.children, paid.name)
 		t.queue.freeFlow(paid)
 	}
@@ -144,10 +144,10 @@
 
 // clear forgets the children of a flow without waiting items: nobody waits for what they owe.
 func (t *tier) clear(f *flow) {
-	for len(f.indebted) > 0 {
-		child := f.indebted[len(f.indebted)-1]
-		f.indebted[len(f.indebted)-1] = nil
-		f.indebted = f.indebted[:len(f.indebted)-1]
+	for len(f.idle) > 0 {
+		child := f.idle[len(f.idle)-1]
+		f.idle[len(f.idle)-1] = nil
+		f.idle = f.idle[:len(f.idle)-1]
 		f.virtual = max(f.virtual, child.tag)
 		delete(f.children, child.name)
 		t.clear(child)
--- a/mustardseam/pool/admit.go
+++ b/mustardseam/pool/admit.go
@@ -1,8 +1,11 @@
 package pool
 
 import (
+	"cmp"
 	"container/heap"
+	"maps"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/mustardseam/mustardseam/mustardseam/cost"
@@ -16,7 +19,7 @@
 // Ask puts a request into the queue or refuses it with the next decisions; an ask with the id of a waiting or running
 // one has no effect.
 func (p *Pool) Ask(now time.Time, a Ask) {
-	p.see(now)
+	p.advance(now)
 	if p.requests[a.ID] != nil || p.refused[a.ID] {
 		return
 	}
@@ -36,7 +39,7 @@
 		return
 	}
 	r := p.request(now, rt, a)
-	if p.hopeless(now, rt, r) {
+	if p.refuseEarly(now, rt, r) {
 		return
 	}
 	p.admit(now, r)
@@ -50,7 +53,7 @@
 		r.estimate = p.costs.Estimate(a.Route, a.Team, a.Prompt, a.MaxOutput)
 	}
 	if !a.Deadline.IsZero() {
-		r.latest = a.Deadline.Add(-p.least(rt, r.estimate))
+		r.latest = a.Deadline.Add(-p.minDuration(rt, r.estimate))
 	}
 	r.item = fair.Item{
 		ID: a.ID, Team: a.Team, Group: a.Group, Tier: r.Tier, Lane: a.Route, Cost: r.estimate.Sum(),
@@ -58,8 +61,8 @@
 	return r
 }
 
-// least returns the time that the request takes at least, by what is known of the route's version.
-func (p *Pool) least(rt *route, t cost.Tokens) time.Duration {
+// minDuration returns the time that the request takes at least, by what is known of the route's version.
+func (p *Pool) minDuration(rt *route, t cost.Tokens) time.Duration {
 	best := time.Duration(0)
 	for k, c := range p.classes {
 		if !c.Known() || k.version != rt.Version && (rt.split == nil || k.version != rt.split.to) {
@@ -72,9 +75,9 @@
 	return time.Duration(optimism * float64(best))
 }
 
-// hopeless refuses a request that cannot finish by its deadline. A request of a tier above another waiting one is not
+// refuseEarly refuses a request that cannot finish by its deadline. A request of a tier above another waiting one is not
 // refused because of the queue: the lower tier has to give way first.
-func (p *Pool) hopeless(now time.Time, rt *route, r *request) bool {
+func (p *Pool) refuseEarly(now time.Time, rt *route, r *request) bool {
 	if r.late(now) {
 		p.refuse(r.ID, TooLate, 0)
 		return true
@@ -97,13 +100,13 @@
 func (p *Pool) admit(now time.Time, r *request) {
 	shed, ok := p.queue.Admit(&r.item)
 	if !ok {
-		p.refuse(r.ID, QueueFull, p.drained(now, r))
+		p.refuse(r.ID, QueueFull, p.roomAfter(now, r))
 		return
 	}
 	for _, it := range shed {
 		victim := p.requests[it.ID]
 		p.forget(victim)
-		p.refuse(victim.ID, QueueFull, p.drained(now, victim))
+		p.refuse(victim.ID, QueueFull, p.roomAfter(now, victim))
 	}
 	p.requests[r.ID] = r
 	if !r.latest.IsZero() {
@@ -112,8 +115,8 @@
 	p.forecast.ask(now, r.Tier, r.item.Cost)
 }
 
-// drained estimates when a refused request may find room: 0 when unknown.
-func (p *Pool) drained(now time.Time, r *request) time.Duration {
+// roomAfter estimates when a refused request may find room: 0 when unknown.
+func (p *Pool) roomAfter(now time.Time, r *request) time.Duration {
 	wait, known := p.wait(now, r.Tier, r.Team)
 	if !known {
 		return 0
@@ -143,7 +146,7 @@
 	if p.queue.Len() == 0 {
 		return
 	}
-	for _, r := range p.requests {
+	for _, r := range p.sorted() {
 		if r.server != nil {
 			continue
 		}
@@ -161,9 +164,14 @@
 	}
 }
 
+// sorted returns all requests in an order that does not depend on the order of a map.
+func (p *Pool) sorted() []*request {
+	return slices.SortedFunc(maps.Values(p.requests), func(a, b *request) int { return cmp.Compare(a.ID, b.ID) })
+}
+
 // Withdraw takes a waiting request out of the queue and reports whether it was there.
 func (p *Pool) Withdraw(now time.Time, id string) bool {
-	p.see(now)
+	p.advance(now)
 	r := p.requests[id]
 	if r == nil || r.server != nil {
 		return false
--- a/mustardseam/pool/configure.go
+++ b/mustardseam/pool/configure.go
@@ -15,7 +15,7 @@
 
 // Configure puts a newer configuration in force; running requests stay counted.
 func (p *Pool) Configure(now time.Time, cfg Config) {
-	p.see(now)
+	p.advance(now)
 	p.cfg = cfg
 	p.configureQueue()
 	p.configureRoutes()
@@ -46,41 +46,37 @@
 }
 
 func (p *Pool) configureServers(now time.Time) {
-	out := map[string]bool{}
-	for _, dc := range p.cfg.DataCentres {
-		out[dc.Name] = dc.OutOfService
-	}
+	out := p.outOfService()
 	for _, f := range p.fleets {
 		f.inService = 0
 	}
-	old := p.servers
+	old, order := p.servers, p.order
 	p.servers = make(map[string]*server, len(p.cfg.Servers))
+	p.order = make([]*server, 0, len(p.cfg.Servers))
 	members := map[*capacity.Class]int{}
 	for _, b := range p.cfg.Servers {
 		s := old[b.Name]
 		if s == nil {
-			s = p.gone[b.Name]
-			delete(p.gone, b.Name)
+			s = p.removed[b.Name]
+			delete(p.removed, b.Name)
 		}
 		delete(old, b.Name)
 		s = p.configureServer(now, s, b)
 		s.out = b.Leaving || out[b.DataCentre]
 		p.servers[b.Name] = s
+		p.order = append(p.order, s)
 		members[s.cap.Class()]++
 		if !s.out {
 			s.fleet.inService++
 		}
 	}
-	for _, s := range old {
-		p.dropServer(s)
-	}
-	p.configureClasses(members)
-	for v, f := range p.fleets {
-		if f.members == 0 {
-			delete(p.fleets, v)
+	for _, s := range order {
+		if old[s.Name] != nil {
+			p.dropServer(s)
 		}
 	}
-	for _, s := range p.servers {
+	p.forgetUnused(members)
+	for _, s := range p.order {
 		p.refresh(s)
 	}
 }
@@ -96,7 +92,7 @@
 	default:
 		s.cap.Configure(now, limits, class)
 	}
-	s.cap.Silent(p.services())
+	s.cap.SetReports(!p.services())
 	moved := s.node == nil || s.Version != b.Version || s.DataCentre != b.DataCentre
 	if moved {
 		p.leaveFleet(s)
@@ -119,8 +115,22 @@
 	return c
 }
 
-// configureClasses forgets the classes without members.
-func (p *Pool) configureClasses(members map[*capacity.Class]int) {
+// outOfService returns the names of the data centres that get no new work.
+func (p *Pool) outOfService() map[string]bool {
+	out := map[string]bool{}
+	for _, dc := range p.cfg.DataCentres {
+		out[dc.Name] = dc.OutOfService
+	}
+	return out
+}
+
+// forgetUnused forgets the classes and fleets without servers.
+func (p *Pool) forgetUnused(members map[*capacity.Class]int) {
+	for v, f := range p.fleets {
+		if f.members == 0 {
+			delete(p.fleets, v)
+		}
+	}
 	for k, c := range p.classes {
 		c.Servers = members[c]
 		if c.Servers == 0 {
@@ -160,7 +170,7 @@
 	p.leaveFleet(s)
 	s.cap.Leave()
 	if s.cap.Own() > 0 {
-		p.gone[s.Name] = s
+		p.removed[s.Name] = s
 	}
 }
 
--- a/mustardseam/pool/decide.go
+++ b/mustardseam/pool/decide.go
@@ -16,7 +16,7 @@
 
 // Decide returns the permits and refusals that are due.
 func (p *Pool) Decide(now time.Time) Decisions {
-	p.see(now)
+	p.advance(now)
 	p.round++
 	p.endOrphans(now)
 	var d Decisions
@@ -64,7 +64,7 @@
 		r := p.latest[0]
 		p.queue.Remove(&r.item)
 		p.forget(r)
-		p.refuse(r.ID, TooLate, p.drained(now, r))
+		p.refuse(r.ID, TooLate, p.roomAfter(now, r))
 	}
 }
 
@@ -117,8 +117,8 @@
 	if f == nil || !f.due(now) {
 		return nil
 	}
-	precious := r.Tier == 0 || r.Attempt > 0 || r.NonIdempotent
-	if precious && f.inService > len(f.probation) && now.Sub(f.nextProbe) < overdue {
+	costly := r.Tier == 0 || r.Attempt > 0 || r.NonIdempotent
+	if costly && f.inService > len(f.probation) && now.Sub(f.nextProbe) < overdue {
 		return nil
 	}
 	for _, s := range f.probation {
--- a/mustardseam/pool/done.go
+++ b/mustardseam/pool/done.go
@@ -21,7 +21,7 @@
 
 // Done accounts for the end of a granted request.
 func (p *Pool) Done(now time.Time, o Outcome) {
-	p.see(now)
+	p.advance(now)
 	r := p.requests[o.Ask]
 	if r == nil || r.server == nil {
 		return
@@ -46,8 +46,8 @@
 	switch {
 	case s.node != nil:
 		p.refresh(s)
-	case s.cap.Own() == 0 && p.gone[s.Name] == s:
-		delete(p.gone, s.Name)
+	case s.cap.Own() == 0 && p.removed[s.Name] == s:
+		delete(p.removed, s.Name)
 	}
 }
 
@@ -62,7 +62,7 @@
 		OK:       o.Result == OK,
 		Failed:   failed,
 		Cold:     o.Cold,
-		Lingers:  o.Result == Cancelled || o.Result == Incomplete || o.Result == Unknown,
+		MayRun:   o.Result == Cancelled || o.Result == Incomplete || o.Result == Unknown,
 		Uncached: max(0, o.Prompt-o.Cached),
 		Ahead:    r.ahead,
 		Output:   o.Output,
@@ -100,12 +100,12 @@
 // Orphan keeps the running requests of a dead entry instance counted until a later load report shows that they have
 // ended, or past their deadline at servers without load reports.
 func (p *Pool) Orphan(now time.Time, from string) {
-	p.see(now)
-	for _, r := range p.requests {
+	p.advance(now)
+	for _, r := range p.sorted() {
 		if r.server == nil || r.From != from {
 			continue
 		}
-		if r.server.cap.Mute() {
+		if r.server.cap.WithoutReports() {
 			p.orphan(now, r)
 			continue
 		}
--- a/mustardseam/pool/dump.go
+++ b/mustardseam/pool/dump.go
@@ -61,7 +61,7 @@
 			w.Rank, w.Team, w.Items, w.Tokens, p.now.Sub(r.arrived), p.reason(r),
 		})
 	}
-	for _, s := range p.servers {
+	for _, s := range p.order {
 		st.Servers = append(st.Servers, ServerState{
 			s.Name, s.Version, s.limit, s.cap.Own(), s.cap.Others(), s.room, s.cap.Factor(), s.state(),
 		})
@@ -119,7 +119,7 @@
 	}
 	versions := p.versions(rt, r.Attempt > 0)
 	states := map[string]int{}
-	for _, s := range p.servers {
+	for _, s := range p.order {
 		if s.Version == versions[0] || s.Version == versions[1] {
 			states[s.state()]++
 		}
--- a/mustardseam/pool/forecast.go
+++ b/mustardseam/pool/forecast.go
@@ -128,5 +128,5 @@
 // retryAfter rounds a wait up to whole seconds within bounds that a caller can use.
 func retryAfter(d time.Duration) time.Duration {
 	d = min(max(d, time.Second), time.Minute)
-	return d.Truncate(time.Second)
+	return (d + time.Second - 1).Truncate(time.Second)
 }
--- a/mustardseam/pool/observe.go
+++ b/mustardseam/pool/observe.go
@@ -8,7 +8,7 @@
 
 // Report takes in a load report.
 func (p *Pool) Report(now time.Time, r Report) {
-	p.see(now)
+	p.advance(now)
 	s := p.servers[r.Server]
 	if s == nil {
 		return
@@ -30,7 +30,7 @@
 
 // Cache takes in cache events, which may be late and have gaps.
 func (p *Pool) Cache(now time.Time, events []CacheEvent) {
-	p.see(now)
+	p.advance(now)
 	for _, e := range events {
 		s := p.servers[e.Server]
 		switch {
--- a/mustardseam/pool/pool.go
+++ b/mustardseam/pool/pool.go
@@ -22,7 +22,8 @@
 	budget   retry.Budget
 	picker   *routing.Picker
 	servers  map[string]*server
-	gone     map[string]*server // No longer configured, with running requests.
+	order    []*server          // Those of servers as configured, for results that do not depend on the order of a map.
+	removed  map[string]*server // No longer configured, with running requests.
 	fleets   map[string]*fleet  // By version.
 	classes  map[classKey]*capacity.Class
 	routes   map[string]*route
@@ -56,7 +57,7 @@
 		queue:    fair.New(fair.Config{}),
 		picker:   routing.New(cfg.Seed),
 		servers:  map[string]*server{},
-		gone:     map[string]*server{},
+		removed:  map[string]*server{},
 		fleets:   map[string]*fleet{},
 		classes:  map[classKey]*capacity.Class{},
 		routes:   map[string]*route{},
@@ -85,7 +86,7 @@
 		p.Baseline(p.now)
 	}
 	p.share = n
-	for _, s := range p.servers {
+	for _, s := range p.order {
 		s.cap.Share(n > 1)
 		p.refresh(s)
 	}
@@ -94,14 +95,14 @@
 // Baseline makes the occupancy of each server start from the first load report taken after the given time; a server
 // without such a report gets nothing. Servers of a pool of services send no reports and start at the cold limit.
 func (p *Pool) Baseline(now time.Time) {
-	p.see(now)
-	for _, s := range p.servers {
+	p.advance(now)
+	for _, s := range p.order {
 		s.cap.Baseline(now)
 		p.refresh(s)
 	}
 }
 
-func (p *Pool) see(now time.Time) {
+func (p *Pool) advance(now time.Time) {
 	if now.After(p.now) {
 		p.now = now
 	}
--- a/mustardseam/pool/split.go
+++ b/mustardseam/pool/split.go
@@ -6,12 +6,12 @@
 
 // split counts the grants of a route while its traffic moves to another version.
 type split struct {
-	to      string
-	share   float64
-	total   int     // Grants since the share was set.
-	moved   int     // Of these, to the version `to`.
-	begun   bool    // The version `to` has had a grant.
-	forgone float64 // Grants beyond burst that the version did not use.
+	to     string
+	share  float64
+	total  int     // Grants since the share was set.
+	moved  int     // Of these, to the version `to`.
+	begun  bool    // The version `to` has had a grant.
+	unused float64 // Grants beyond burst that the version did not use.
 }
 
 // with returns the split with the given target and share; the counts start anew when they change.
@@ -32,7 +32,7 @@
 	if !s.begun {
 		return true
 	}
-	return float64(s.moved+1)+s.forgone <= s.share*float64(s.total+1)
+	return float64(s.moved+1)+s.unused <= s.share*float64(s.total+1)
 }
 
 // count takes in a grant.
@@ -42,7 +42,7 @@
 		s.moved++
 		s.begun = true
 	}
-	if unused := s.share*float64(s.total) - float64(s.moved) - s.forgone; unused > burst {
-		s.forgone += unused - burst
+	if left := s.share*float64(s.total) - float64(s.moved) - s.unused; left > burst {
+		s.unused += left - burst
 	}
 }
--- a/mustardseam/routing/bid.go
+++ b/mustardseam/routing/choice.go
@@ -5,8 +5,8 @@
 	"time"
 )
 
-// bid compares the servers that are offered for one request.
-type bid struct {
+// choice compares the servers that are offered for one request.
+type choice struct {
 	now     time.Time
 	r       Request
 	size    float64 // Tokens per block of the prefix.
@@ -17,7 +17,7 @@
 }
 
 // offer keeps the server if it is better than the best so far.
-func (b *bid) offer(n *Node, blocks int) {
+func (b *choice) offer(n *Node, blocks int) {
 	avoided := len(b.r.Avoid) > 0 && slices.Contains(b.r.Avoid, n.Name)
 	if avoided && !b.avoided {
 		return
--- a/mustardseam/routing/picker.go
+++ b/mustardseam/routing/picker.go
@@ -114,11 +114,11 @@
 	if f == nil || f.roomy == 0 {
 		return nil, 0
 	}
-	b := bid{now: now, r: r, avoided: true}
+	b := choice{now: now, r: r, avoided: true}
 	if n := len(r.Prefix); n > 0 {
 		b.size = float64(r.Prompt) / float64(n)
 	}
-	p.hold(r)
+	p.collect(r)
 	for _, h := range p.held {
 		b.offer(h.node, h.blocks)
 	}
@@ -131,8 +131,8 @@
 	return b.best, int(float64(b.hit) * b.size)
 }
 
-// hold collects the servers with room that hold the longest known parts of the prefix.
-func (p *Picker) hold(r Request) {
+// collect collects the servers with room that hold the longest known parts of the prefix.
+func (p *Picker) collect(r Request) {
 	p.held = p.held[:0]
 	positions(len(r.Prefix), func(i int) bool {
 		b := p.index.find(r.Prefix[i])
@@ -153,7 +153,7 @@
 }
 
 // sample offers random servers of the zone, or all when there are few.
-func (p *Picker) sample(z *zone, b *bid) {
+func (p *Picker) sample(z *zone, b *choice) {
 	k := far
 	if z.dataCentre == b.r.DataCentre {
 		k = near
@@ -182,7 +182,7 @@
 }
 
 // scan offers all servers with room; it serves the rare request that has servers to avoid and met only those.
-func (p *Picker) scan(f *fleet, b *bid) {
+func (p *Picker) scan(f *fleet, b *choice) {
 	for _, z := range f.zones {
 		for _, node := range z.roomy {
 			b.offer(node, p.blocks(node))
