--- a/mustardseam/pool/done.go
+++ b/mustardseam/pool/done.go
@@ -21,7 +21,7 @@
 
 // Done accounts for the end of a granted request.
 func (p *Pool) Done(now time.Time, o Outcome) {
-	p.see(now)
+	p.advance(now)
 	r := p.requests[o.Ask]
 	if r == nil || r.server == nil {
 		return
@@ -34,13 +34,20 @@
 	s := r.server
 	s.cap.Finished(now, sample(r, o))
 	p.learn(now, r, o)
-	if s.node != nil {
-		if o.Result == OK {
-			p.picker.Observed(s.node, r.cached, o.Cached, r.Prefix)
-		}
+	if s.node != nil && o.Result == OK {
+		p.picker.Observed(s.node, r.cached, o.Cached, r.Prefix)
+	}
+	p.settle(s)
+}
+
+// settle takes in that a request has ended at the server, and forgets a server that is no longer configured with its
+// last one.
+func (p *Pool) settle(s *server) {
+	switch {
+	case s.node != nil:
 		p.refresh(s)
-	} else if s.cap.Own() == 0 && p.gone[s.Name] == s {
-		delete(p.gone, s.Name)
+	case s.cap.Own() == 0 && p.removed[s.Name] == s:
+		delete(p.removed, s.Name)
 	}
 }
 
@@ -55,7 +62,7 @@
 		OK:       o.Result == OK,
 		Failed:   failed,
 		Cold:     o.Cold,
-		Lingers:  o.Result == Cancelled || o.Result == Incomplete || o.Result == Unknown,
+		MayRun:   o.Result == Cancelled || o.Result == Incomplete || o.Result == Unknown,
 		Uncached: max(0, o.Prompt-o.Cached),
 		Ahead:    r.ahead,
 		Output:   o.Output,
@@ -93,17 +100,18 @@
 // Orphan keeps the running requests of a dead entry instance counted until a later load report shows that they have
 // ended, or past their deadline at servers without load reports.
 func (p *Pool) Orphan(now time.Time, from string) {
-	p.see(now)
-	for _, r := range p.requests {
+	p.advance(now)
+	for _, r := range p.sorted() {
 		if r.server == nil || r.From != from {
 			continue
 		}
-		if p.services() && !r.server.cap.Reported() {
+		if r.server.cap.WithoutReports() {
 			p.orphan(now, r)
 			continue
 		}
 		delete(p.requests, r.ID)
 		r.server.cap.Orphan(now, r.granted)
+		p.settle(r.server)
 	}
 }
 
