--- a/mustardseam/claim/doc.go
+++ b/mustardseam/claim/doc.go
@@ -23,8 +23,10 @@
 //		// Delete the slot if its mod revision is s.Mod, then j.Deleted(s.Number).
 //	}
 //
-// A keyed ask goes through Claim before it is queued. Start is called when the permit is handed out, Finish or NotRun
-// with its outcome, and Abandon when an entry instance failed.
+// A keyed ask goes through Claim before it is queued, and again at each poll while it waits: a new home may find that an
+// earlier one has claimed the key. Start is called when the permit is handed out, then Finish, NotRun or Doubt with its
+// outcome, and Abandon when an entry instance failed. An outcome that a home did not acknowledge is sent to the next home.
+// Each takeover needs a new Journal; SetEpoch serves a home that only renews its record.
 //
 // The slots form a chain, which is what fences an old home off. Exactly one slot is open. A slot is closed by a write that
 // names the next one, and only then is the next one created. A new home rewrites the open slot before it grants, so the
