Complete the judge, the schedule, the record and the marks of rollouts

Cause: the home needs to know when a new version is good enough to advance and when it must be taken back. Change: a sequential test against the old version with one bound on false alarms over the whole rollout (a weighted sum of sequential probability ratio tests that start before each answer; Ville's inequality), per step a Wald test for the miss bound, both per load bucket; answers are judged with the old version's answers before and after them, so that a disturbance of both versions is no evidence. A record with pure transitions, a schedule of shares, grow-only marks, and the rule for conflicting submissions.

--- /dev/null
+++ b/mustardseam/rollout/conflict_test.go
@@ -0,0 +1,75 @@
+package rollout
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/mustardseam/mustardseam/operator"
+)
+
+// TestConflict guards against a submission that changes the versions of a route under a running rollout unnoticed, and
+// against one that is refused although it does not, or supersedes the rollout.
+func TestConflict(t *testing.T) {
+	other := operator.Route{Name: "other", Version: "v1"}
+	before := operator.New().WithRoute(other).WithRoute(moved)
+	next := *moved.Rollout
+	next.ID, next.To = "r2", "v3"
+	tests := []struct {
+		name    string
+		after   operator.Document
+		running []string
+		path    string
+	}{
+		{"unchanged", before, []string{"r1"}, ""},
+		{"other route", before.WithRoute(other.WithVersion("v2")), []string{"r1"}, ""},
+		{"timeout", before.WithRoute(operator.Route{Name: "m", Version: "v1", Timeout: 9, Rollout: moved.Rollout}), []string{"r1"}, ""},
+		{"version", before.WithRoute(moved.WithVersion("v3")), []string{"r1"}, "routes[1].version"},
+		{"version after the end", before.WithRoute(moved.WithVersion("v2").WithoutRollout()), nil, ""},
+		{"rollout removed", before.WithRoute(moved.WithoutRollout()), []string{"r1"}, "routes[1].rollout"},
+		{"route removed", operator.New().WithRoute(other), []string{"r1"}, "routes"},
+		{"another rollout", before.WithRoute(moved.WithRollout(next)), []string{"r1"}, "routes[1].rollout.supersedes"},
+		{"superseded", before.WithRoute(moved.WithRollout(next.WithSupersedes("r1"))), []string{"r1"}, ""},
+		{"superseding another", before.WithRoute(moved.WithRollout(next.WithSupersedes("r0"))), []string{"r1"}, "routes[1].rollout.supersedes"},
+		{"superseding itself", before.WithRoute(moved.WithRollout(moved.Rollout.WithSupersedes("r1").WithCanaryShare(0.5))), []string{"r1"}, "routes[1].rollout"},
+		{"schedule", before.WithRoute(moved.WithRollout(moved.Rollout.WithWindow(start, start.Add(time.Hour)))), []string{"r1"}, "routes[1].rollout"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) { checkPath(t, Conflict(before, test.after, test.running), test.path) })
+	}
+}
+
+// TestReused guards against a new rollout with the id of an older one, which its mark or record would end at once.
+func TestReused(t *testing.T) {
+	before := operator.New().WithRoute(moved)
+	copied := operator.Route{Name: "other", Version: "v1", Rollout: moved.Rollout}
+	old := *moved.Rollout
+	old.ID = "r0"
+	taken := func(id string) bool { return id == "r0" || id == "r1" }
+	tests := []struct {
+		name  string
+		after operator.Document
+		path  string
+	}{
+		{"unchanged", before, ""},
+		{"same id on two routes", before.WithRoute(copied), "routes[1].rollout.id"},
+		{"id of a record", before.WithRoute(moved.WithRollout(old)), "routes[0].rollout.id"},
+		{"id moved to another route", before.WithRoute(moved.WithoutRollout()).WithRoute(copied), "routes[1].rollout.id"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) { checkPath(t, Reused(before, test.after, taken), test.path) })
+	}
+}
+
+func checkPath(t *testing.T, err error, path string) {
+	t.Helper()
+	if path == "" {
+		assert.NilError(t, err)
+		return
+	}
+	var conflict *ConflictError
+	assert.Assert(t, errors.As(err, &conflict), "%v", err)
+	assert.Equal(t, conflict.Path, path)
+}
--- a/mustardseam/rollout/judge.go
+++ b/mustardseam/rollout/judge.go
@@ -1,6 +1,9 @@
 package rollout
 
-import "time"
+import (
+	"fmt"
+	"time"
+)
 
 // JudgeConfig names what a judge compares; zero bounds mean the defaults.
 type JudgeConfig struct {
@@ -11,19 +14,254 @@
 	Beta  float64 // Bound on the probability that a bad version passes a step; 0.01.
 }
 
+const (
+	defaultAlpha = 0.001
+	defaultBeta  = 0.01
+)
+
+const (
+	// noEvidence is the weight of evidence against the version at the start; a good verdict needs less, so that a fault
+	// that shows in part of the answers only, such as those under load, does not pass with the mean of all.
+	noEvidence = 1
+	// longestWait bounds the wait of a candidate's answer for its neighbours. It is half of the 2 s after which a bad
+	// version must get no request.
+	longestWait = time.Second
+	// maxWaiting bounds the answers that wait; the oldest is judged early.
+	maxWaiting = 1024
+)
+
+// Bounds on the rates of a good version.
+const (
+	failureMargin    = 0.02 // Of failures, above the control's.
+	slowShare        = 0.15 // Of slow answers: the tenth beyond the percentile and half as much again as margin.
+	maxNull          = 0.95 // Of anything, so that the test keeps some power.
+	failuresAlone    = 0.5  // Of failures, without a control to compare with: most answers must succeed.
+	slowdownAlone    = 2    // Times the control's last percentile, without a control to compare with.
+	enoughNeighbours = neighbours / 2
+)
+
 // Judge tests a new version of a route against the old one; it is not safe for concurrent use.
+//
+// An answer of the candidate counts as bad when it failed, or when it was slower than the 90th percentile of the
+// control's latest answers under the same load. It is judged once further answers of the control have arrived, or after a
+// second: a good version's answers are bad at most as often as the control's window and the control's answers just before
+// and after say, plus a margin. A disturbance of both versions shows in these answers and therefore does not speak
+// against the candidate. Without a control, which gets no requests at the last step, only failures of most answers speak
+// against it.
 type Judge struct {
-	cfg JudgeConfig
+	cfg      JudgeConfig
+	controls [Loads]control
+	all      control
+	waiting  []waiting
+	evidence evidence
+	accepted acceptance
+	verdict  Verdict
 }
 
 // NewJudge returns a judge without evidence, at step 0.
-func NewJudge(cfg JudgeConfig) *Judge { return &Judge{cfg: cfg} }
+func NewJudge(cfg JudgeConfig) *Judge {
+	if cfg.Alpha == 0 {
+		cfg.Alpha = defaultAlpha
+	}
+	if cfg.Beta == 0 {
+		cfg.Beta = defaultBeta
+	}
+	return &Judge{cfg: cfg, verdict: Verdict{Decision: Undecided}}
+}
 
 // SetStep starts the collection of evidence for another step; the evidence against the version is kept.
-func (j *Judge) SetStep(now time.Time, step int) {}
+func (j *Judge) SetStep(now time.Time, step int) {
+	j.settle(now)
+	if step != j.accepted.step {
+		j.accepted = acceptance{step: step}
+	}
+	j.conclude()
+}
 
 // Observe takes in an outcome and returns the verdict after it; outcomes of other versions are ignored.
-func (j *Judge) Observe(now time.Time, s Sample) Verdict { return j.Verdict(now) }
+func (j *Judge) Observe(now time.Time, s Sample) Verdict {
+	s.Load = min(max(s.Load, 0), Loads-1)
+	switch s.Version {
+	case j.cfg.Old:
+		j.control(now, s)
+	case j.cfg.New:
+		j.candidate(now, s)
+	}
+	return j.Verdict(now)
+}
+
+// Verdict judges the answers whose wait is over and returns the state of the test. It costs a comparison when there are
+// none.
+func (j *Judge) Verdict(now time.Time) Verdict {
+	if j.settle(now) {
+		j.conclude()
+	}
+	return j.verdict
+}
+
+// control takes in an answer of the old version. It is compared with its own bucket, however old the answers there are,
+// so that the first ones after a pause show that they are outdated.
+func (j *Judge) control(now time.Time, s Sample) {
+	c := &j.controls[s.Load]
+	bad, _ := compare(c, s)
+	c.add(now, s, bad)
+	j.all.add(now, s, bad)
+	j.accepted.base[s.Load]++
+}
+
+// candidate takes in an answer of the new version.
+func (j *Judge) candidate(now time.Time, s Sample) {
+	w := waiting{Sample: s, at: now, all: place(&j.all.sequence), window: j.window(now, s.Load)}
+	w.bad[failure] = !s.OK
+	if w.window != nil {
+		w.ref = place(&w.window.sequence)
+		w.bad, w.tested = compare(w.window, s)
+	}
+	j.waiting = append(j.waiting, w)
+}
+
+// window returns the usable window of the load bucket or of the next higher one, nil when there is none: answers under a
+// higher load than the control's may be slower.
+func (j *Judge) window(now time.Time, load int) *control {
+	for i := load; i < Loads; i++ {
+		if c := &j.controls[i]; c.usable(now) {
+			return c
+		}
+	}
+	return nil
+}
+
+// compare returns the aspects in which an answer is bad against a window, and those that could be tested.
+func compare(c *control, s Sample) (bad, tested flags) {
+	bad[failure], tested[failure] = !s.OK, true
+	for a := first; a < aspects && s.OK; a++ {
+		if d := timeOf(a)(s); d > 0 {
+			bad[a], tested[a] = c.slow(d, timeOf(a))
+			bad[a] = bad[a] && tested[a]
+		}
+	}
+	return bad, tested
+}
+
+// settle judges the answers whose wait is over and reports whether there were any.
+func (j *Judge) settle(now time.Time) bool {
+	rest := j.waiting[:0]
+	for i, w := range j.waiting {
+		if !j.ready(now, w) && len(j.waiting)-i <= maxWaiting {
+			rest = append(rest, w)
+			continue
+		}
+		j.judge(w)
+	}
+	settled := len(rest) < len(j.waiting)
+	j.waiting = rest
+	return settled
+}
 
-// Verdict returns the state of the test.
-func (j *Judge) Verdict(now time.Time) Verdict { return Verdict{Decision: Undecided} }
+// ready reports whether enough of the control's answers followed, in the window and in all, or the wait was long enough.
+func (j *Judge) ready(now time.Time, w waiting) bool {
+	followed := j.all.total - w.all.mark
+	if now.Sub(w.at) >= longestWait || followed >= kept/2 {
+		return true
+	}
+	return followed >= neighbours && (w.window == nil || w.window.total-w.ref.mark >= enoughNeighbours)
+}
+
+// judge counts one answer of the candidate for and against it.
+func (j *Judge) judge(w waiting) {
+	j.accepted.seen++
+	j.accepted.loads[w.Load]++
+	after := j.all.since(w.all.mark)
+	if after.n < enoughNeighbours {
+		j.count(failure, w, failuresAlone)
+		j.alone(w)
+		return
+	}
+	rates := j.all.failureRate()
+	if w.window != nil {
+		rates = max(rates, w.window.failureRate())
+	}
+	j.count(failure, w, max(rates+failureMargin, w.all.before.rate(failure), after.rate(failure)))
+	if w.window == nil {
+		j.alone(w)
+		return
+	}
+	j.latencies(w, after)
+}
+
+// latencies counts the times of an answer. The neighbours in its own window tell most; where these are few, those under
+// other loads count too.
+func (j *Judge) latencies(w waiting, after counts) {
+	near := w.window.since(w.ref.mark)
+	for a := first; a < aspects; a++ {
+		null := max(slowShare, w.ref.before.rate(a), near.rate(a))
+		if near.n < enoughNeighbours {
+			null = max(null, w.all.before.rate(a), after.rate(a))
+		}
+		if w.tested[a] {
+			j.count(a, w, null)
+		}
+	}
+}
+
+// alone counts the times of an answer that no window compares with. Slow ones do not speak against the version, because a
+// disturbance of both versions or a higher load would look the same; twice the control's time is allowed.
+func (j *Judge) alone(w waiting) {
+	for a := first; a < aspects && w.OK; a++ {
+		if d := timeOf(a)(w.Sample); d > 0 {
+			slow, ok := j.all.slow(d/slowdownAlone, timeOf(a))
+			j.accepted.add(a, slow && ok, slowShare)
+		}
+	}
+}
+
+// count adds one aspect of an answer to the evidence against and for the version.
+func (j *Judge) count(a aspect, w waiting, null float64) {
+	null = min(null, maxNull)
+	j.evidence.add(a, w.Load, w.bad[a], null)
+	j.accepted.add(a, w.bad[a], null)
+}
+
+// conclude derives the verdict from the evidence; a bad one is final.
+func (j *Judge) conclude() {
+	if j.verdict.Decision == Bad {
+		return
+	}
+	j.verdict = Verdict{Decision: Undecided, Step: j.accepted.step, Seen: j.accepted.seen}
+	switch against := j.evidence.total(); {
+	case against >= 1/j.cfg.Alpha:
+		j.verdict.Decision, j.verdict.Reason = Bad, j.reason()
+	case against < noEvidence && j.accepted.passed(j.cfg.Beta, j.need()):
+		j.verdict.Decision = Good
+	}
+}
+
+// need returns the aspects that a good version must pass: failures, and the latencies that the control has.
+func (j *Judge) need() flags {
+	need := flags{failure: true}
+	for a := first; a < aspects; a++ {
+		_, need[a] = j.all.slow(0, timeOf(a))
+	}
+	return need
+}
+
+// reason names the strongest evidence.
+func (j *Judge) reason() string {
+	a, scope := j.evidence.strongest()
+	c := j.evidence.cells[a][scope]
+	what := [aspects]string{"failed", "had a slow first token", "had slow tokens"}[a]
+	where := ""
+	if scope > 0 {
+		where = fmt.Sprintf(" in load bucket %d", scope-1)
+	}
+	return fmt.Sprintf("%d of %d answers of %s on route %s %s%s; at most %.0f %% expected from %s",
+		c.hits, c.seen, j.cfg.New, j.cfg.Route, what, where, 100*c.null, j.cfg.Old)
+}
+
+// timeOf returns the time that a latency aspect is about.
+func timeOf(a aspect) func(Sample) time.Duration {
+	if a == first {
+		return func(s Sample) time.Duration { return s.First }
+	}
+	return func(s Sample) time.Duration { return s.Between }
+}
--- a/mustardseam/rollout/plan.go
+++ b/mustardseam/rollout/plan.go
@@ -6,23 +6,56 @@
 	"github.com/mustardseam/mustardseam/operator"
 )
 
+// stages are the shares after the canary and the parts of the time between start and deadline at which they begin. The
+// canary gets the most time, because its small share takes longest to give the evidence that the test asks for. The
+// last step begins at nine tenths, which leaves time for its own evidence and for late advances.
+var stages = []struct{ share, begin float64 }{
+	{0.05, 0.4},
+	{0.25, 0.6},
+	{0.50, 0.75},
+	{1, 0.9},
+}
+
 // Plan is the schedule of shares of a rollout; it is an immutable value.
 type Plan struct {
-	start, deadline time.Time
-	shares          []float64
+	start  time.Time
+	shares []float64
+	begins []time.Time // When each step is due; the last entry is the deadline.
 }
 
 // NewPlan returns the schedule of a rollout: its canary share, then 5 %, 25 %, 50 % and 100 % as far as they are larger.
-func NewPlan(r operator.Rollout) Plan { return Plan{} }
+func NewPlan(r operator.Rollout) Plan {
+	p := Plan{start: r.Start, shares: []float64{r.CanaryShare}, begins: []time.Time{r.Start}}
+	window := float64(r.Deadline.Sub(r.Start))
+	for _, s := range stages {
+		if s.share > r.CanaryShare {
+			p.shares = append(p.shares, s.share)
+			p.begins = append(p.begins, r.Start.Add(time.Duration(s.begin*window)))
+		}
+	}
+	p.begins = append(p.begins, r.Deadline)
+	return p
+}
 
 // Steps returns the number of steps; the last one has the share 1.
 func (p Plan) Steps() int { return len(p.shares) }
 
 // Share returns the new version's share of requests, 0 to 1, at a step; it is 0 before the start.
-func (p Plan) Share(now time.Time, step int) float64 { return 0 }
+func (p Plan) Share(now time.Time, step int) float64 {
+	if now.Before(p.start) || step < 0 || step >= len(p.shares) {
+		return 0
+	}
+	return p.shares[step]
+}
 
-// Due reports whether the schedule allows to advance from the step.
-func (p Plan) Due(now time.Time, step int) bool { return false }
+// Due reports whether the schedule allows to advance from the step. The last step is over as soon as its evidence
+// suffices, because no further share waits for its time.
+func (p Plan) Due(now time.Time, step int) bool {
+	if step == len(p.shares)-1 {
+		return !now.Before(p.begins[step])
+	}
+	return !now.Before(p.DueAt(step))
+}
 
-// DueAt returns the time from which the schedule allows to advance from the step.
-func (p Plan) DueAt(step int) time.Time { return time.Time{} }
+// DueAt returns the time at which the step after the given one begins, for the last step the deadline.
+func (p Plan) DueAt(step int) time.Time { return p.begins[min(max(step, 0)+1, len(p.begins)-1)] }
--- a/mustardseam/rollout/record.go
+++ b/mustardseam/rollout/record.go
@@ -23,7 +23,8 @@
 	TakenBack State = "taken-back"
 )
 
-// Record is the durable state of a rollout, the JSON value of its store key.
+// Record is the durable state of a rollout, the JSON value of its store key. It is an immutable value: transitions
+// return another one. It holds its own copy of the schedule, so a later document cannot change a running rollout.
 type Record struct {
 	ID       string    `json:"id"`
 	Route    string    `json:"route"`
@@ -39,27 +40,28 @@
 	Events   []Event   `json:"events"`
 }
 
-// Event is an entry of a record's history.
-type Event struct {
-	Time time.Time `json:"time"`
-	Kind string    `json:"kind"`
-	Text string    `json:"text"`
-}
-
 // NewRecord returns the record of the route's rollout at its first step; the route must have a rollout.
-func NewRecord(now time.Time, r operator.Route) Record { return Record{} }
+func NewRecord(now time.Time, r operator.Route) Record {
+	o := r.Rollout
+	rec := Record{
+		ID: o.ID, Route: r.Name, From: r.Version, To: o.To, Canary: o.CanaryShare, Start: o.Start, Deadline: o.Deadline,
+		Share: o.CanaryShare, State: Running,
+	}
+	return rec.with(now, Started, r.Version+" to "+o.To)
+}
 
 // Open reports whether the rollout still runs.
 func (r Record) Open() bool { return r.State == Running || r.State == Late }
 
 // Plan returns the schedule of the rollout.
-func (r Record) Plan() Plan { return Plan{} }
-
-// Advance returns the record after a verdict and whether it changed: one step further, done, or taken back.
-func Advance(now time.Time, r Record, v Verdict) (Record, bool) { return r, false }
-
-// TakeBack returns the record of a rollout that is taken back and whether it changed.
-func TakeBack(now time.Time, r Record, reason string) (Record, bool) { return r, false }
+func (r Record) Plan() Plan {
+	return NewPlan(operator.Rollout{ID: r.ID, To: r.To, CanaryShare: r.Canary, Start: r.Start, Deadline: r.Deadline})
+}
 
-// MarkLate returns the record with the state late once its deadline has passed, and whether it changed.
-func MarkLate(now time.Time, r Record) (Record, bool) { return r, false }
+// with returns the record with one more event.
+func (r Record) with(now time.Time, kind Kind, text string) Record {
+	events := make([]Event, len(r.Events), len(r.Events)+1)
+	copy(events, r.Events)
+	r.Events = append(events, Event{Time: now, Kind: kind, Text: text})
+	return r
+}
--- /dev/null
+++ b/mustardseam/rollout/record_test.go
@@ -0,0 +1,149 @@
+package rollout
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/mustardseam/mustardseam/operator"
+)
+
+var moved = operator.Route{Name: "m", Version: "v1", Rollout: &operator.Rollout{
+	ID: "r1", To: "v2", CanaryShare: 0.01, Start: start, Deadline: start.Add(100 * time.Second),
+}}
+
+// reached reports whether the record has an event of the kind.
+func (r Record) reached(kind Kind) bool {
+	for _, e := range r.Events {
+		if e.Kind == kind {
+			return true
+		}
+	}
+	return false
+}
+
+// TestShares guards against a share that starts early, falls, or is not complete before the deadline.
+func TestShares(t *testing.T) {
+	tests := []struct {
+		canary float64
+		shares []float64
+	}{
+		{0.01, []float64{0.01, 0.05, 0.25, 0.5, 1}},
+		{0.05, []float64{0.05, 0.25, 0.5, 1}},
+		{0.1, []float64{0.1, 0.25, 0.5, 1}},
+		{0.5, []float64{0.5, 1}},
+	}
+	for _, test := range tests {
+		t.Run(fmt.Sprint(test.canary), func(t *testing.T) {
+			p := NewPlan(moved.Rollout.WithCanaryShare(test.canary))
+			assert.Equal(t, p.Steps(), len(test.shares))
+			for step, share := range test.shares {
+				assert.Equal(t, p.Share(start, step), share)
+				assert.Equal(t, p.Share(start.Add(-1), step), 0.0)
+			}
+			last := p.Steps() - 1
+			assert.Assert(t, p.DueAt(last-1).Before(moved.Rollout.Deadline))
+			assert.Assert(t, p.Due(p.DueAt(last-1), last) && !p.Due(start, 0))
+		})
+	}
+}
+
+// TestTransitions guards against an advance without evidence, for another step or ahead of the schedule, against a
+// rollout that ends at its deadline without evidence, and against a final state that is left.
+func TestTransitions(t *testing.T) {
+	good := func(step int) Verdict { return Verdict{Decision: Good, Step: step} }
+	due := start.Add(95 * time.Second)
+	tests := []struct {
+		name    string
+		step    int
+		state   State
+		at      time.Time
+		verdict Verdict
+		want    State
+		next    int
+	}{
+		{"good and due", 0, Running, due, good(0), Running, 1},
+		{"not due", 0, Running, start, good(0), Running, 0},
+		{"undecided", 0, Running, due, Verdict{Decision: Undecided}, Running, 0},
+		{"good for an earlier step", 1, Running, due, good(0), Running, 1},
+		{"last step", 4, Running, due, good(4), Done, 4},
+		{"late goes on", 1, Late, start.Add(time.Hour), good(1), Late, 2},
+		{"late holds", 1, Late, start.Add(time.Hour), Verdict{Decision: Undecided}, Late, 1},
+		{"late ends", 4, Late, start.Add(time.Hour), good(4), Done, 4},
+		{"bad", 1, Running, start, Verdict{Decision: Bad, Reason: "x"}, TakenBack, 1},
+		{"late and bad", 1, Late, due, Verdict{Decision: Bad, Reason: "x"}, TakenBack, 1},
+		{"done stays", 4, Done, due, Verdict{Decision: Bad}, Done, 4},
+		{"taken back stays", 1, TakenBack, due, good(1), TakenBack, 1},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			r := NewRecord(start, moved)
+			r.Step, r.State = test.step, test.state
+			next, changed := Advance(test.at, r, test.verdict)
+			assert.Equal(t, next.State, test.want)
+			assert.Equal(t, next.Step, test.next)
+			assert.Equal(t, changed, len(next.Events) > len(r.Events))
+		})
+	}
+}
+
+// TestConcurrentChanges guards against a mark that a concurrent advance overwrites: homes that race write one record by
+// compare-and-swap, some with stale copies, and whatever the order, a taken-back rollout stays taken back with share 0.
+func TestConcurrentChanges(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		stored, marked := NewRecord(start, moved), false
+		copies := []Record{stored, stored}
+		revision, seen := 0, []int{0, 0}
+		now := start
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 20).Draw(t, "seconds")) * time.Second)
+			i := rapid.IntRange(0, 1).Draw(t, "home")
+			next, changed := change(t, now, copies[i])
+			if changed && seen[i] == revision {
+				stored, revision = next, revision+1
+				marked = marked || next.State == TakenBack
+			}
+			copies[i], seen[i] = stored, revision
+			if marked && (stored.State != TakenBack || stored.Share != 0) {
+				t.Fatalf("taken back, but now %s at %v", stored.State, stored.Share)
+			}
+			if b, err := json.Marshal(stored); err != nil || len(b) > 4096 {
+				t.Fatalf("record of %d bytes, %v", len(b), err)
+			}
+		}
+	})
+}
+
+func change(t *rapid.T, now time.Time, r Record) (Record, bool) {
+	switch rapid.IntRange(0, 3).Draw(t, "change") {
+	case 0:
+		return TakeBack(now, r, "marked")
+	case 1:
+		return MarkLate(now, r)
+	}
+	return Advance(now, r, Verdict{Decision: Good, Step: r.Step})
+}
+
+// TestMarks guards against a mark that a merge unsets or that depends on the order of merges.
+func TestMarks(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		ids := rapid.SliceOf(rapid.SampledFrom([]string{"a", "b", "c", "d", ""}))
+		x, y := ids.Draw(t, "x"), ids.Draw(t, "y")
+		var one, other Marks
+		one.Merge(x)
+		before := one.List()
+		one.Merge(y)
+		other.Merge(y)
+		other.Merge(x)
+		assert.DeepEqual(t, one.List(), other.List())
+		assert.Assert(t, !one.Merge(append(x, y...)), "merging again is no news")
+		assert.Assert(t, !one.Has(""))
+		for _, id := range before {
+			assert.Assert(t, one.Has(id) && !one.Add(id))
+		}
+	})
+}
--- /dev/null
+++ b/mustardseam/rollout/traffic_test.go
@@ -0,0 +1,105 @@
+package rollout
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"github.com/mustardseam/mustardseam/operator"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+// traffic is a route under a rollout in virtual time, with lengths that differ a hundredfold, a load that swings and
+// disturbances that hit both versions alike.
+type traffic struct {
+	rand   *rand.Rand
+	rate   float64 // Requests a second.
+	window time.Duration
+	fault  func(at time.Duration, load int) (failures, slowdown float64)
+	bursts bool
+	now    time.Time
+	busy   time.Time // End of the disturbance.
+	judge  *Judge
+	rec    Record
+	split  [2]int // Requests in this step, by version, the new one second.
+	sent   int    // Requests of the new version.
+	canary int    // Those at the canary share.
+}
+
+func newTraffic(seed uint64, fault func(time.Duration, int) (float64, float64)) *traffic {
+	t := &traffic{
+		rand: rand.New(rand.NewPCG(seed, 2)), rate: 20, window: 20 * time.Minute, fault: fault, bursts: true, now: start,
+	}
+	t.rec = NewRecord(start, operator.Route{Name: "m", Version: "old", Rollout: &operator.Rollout{
+		ID: "r1", To: "new", CanaryShare: 0.01, Start: start, Deadline: start.Add(t.window),
+	}})
+	t.judge = NewJudge(JudgeConfig{Route: "m", Old: "old", New: "new"})
+	return t
+}
+
+// run sends requests until the rollout ends, or twice its window is over.
+func (t *traffic) run() {
+	next := t.now
+	for t.rec.Open() && t.now.Sub(start) < 2*t.window {
+		t.now = t.now.Add(time.Duration(t.rand.ExpFloat64() / t.rate * float64(time.Second)))
+		v := t.judge.Observe(t.now, t.answer())
+		if v.Decision != Bad && t.now.Before(next) {
+			continue
+		}
+		next = t.now.Add(500 * time.Millisecond)
+		changed := false
+		if t.rec, changed = Advance(t.now, t.rec, v); !changed {
+			t.rec, changed = MarkLate(t.now, t.rec)
+		}
+		if changed {
+			t.judge.SetStep(t.now, t.rec.Step)
+			t.split = [2]int{}
+		}
+	}
+}
+
+// answer returns the outcome of the next request; the versions get exactly their shares.
+func (t *traffic) answer() Sample {
+	at := t.now.Sub(start)
+	load := t.load(at)
+	s := Sample{Version: "old", Load: load}
+	failures, slowdown := t.disturbance()
+	if float64(t.split[1]) < t.rec.Share*float64(t.split[0]+t.split[1]+1) {
+		s.Version = "new"
+		t.sent++
+		t.split[1]++
+		if t.rec.Step == 0 {
+			t.canary++
+		}
+		f, d := t.fault(at, load)
+		failures, slowdown = 1-(1-failures)*(1-f), slowdown*d
+	} else {
+		t.split[0]++
+	}
+	s.OK = t.rand.Float64() >= failures
+	slow := slowdown * (1 + 0.3*float64(load))
+	s.First = time.Duration(200e6 * slow * math.Exp(t.rand.NormFloat64()))
+	s.Between = time.Duration(30e6 * slow * math.Exp(0.25*t.rand.NormFloat64()))
+	return s
+}
+
+// load swings between idle and full within two minutes.
+func (t *traffic) load(at time.Duration) int {
+	swing := 3.5 + 3.5*math.Sin(2*math.Pi*at.Seconds()/120) + t.rand.NormFloat64()
+	return int(min(max(swing, 0), Loads-1))
+}
+
+// disturbance returns the failure rate and the slowdown of both versions: every two minutes on average, 15 s in which
+// answers take three times as long and one in five fails.
+func (t *traffic) disturbance() (failures, slowdown float64) {
+	if t.bursts && t.now.After(t.busy) && t.rand.Float64() < 1/(120*t.rate) {
+		t.busy = t.now.Add(15 * time.Second)
+	}
+	if t.now.Before(t.busy) {
+		return 0.2, 3
+	}
+	return 0.01, 1
+}
+
+func healthy(time.Duration, int) (failures, slowdown float64) { return 0, 1 }
