Make the engine and service clients certain about requests that did not run

Cause: X-Not-Admitted counted with any status and any value, so a failure of an engine with that header was taken for not run. A call past its deadline was unknown although nothing had been sent. Paths were normalised on the way to services, repeated response headers were lost, headers listed by Connection and those of this system's name were passed on.

Conclusion: each case of certainty is in a table test of both clients.

--- a/mustardseam/engine/client.go
+++ b/mustardseam/engine/client.go
@@ -1,21 +1,26 @@
 package engine
 
 import (
-	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"net/url"
 	"time"
 
 	"github.com/rotisserie/eris"
 	"github.com/valyala/fasthttp"
 
-	"github.com/mustardseam/mustardseam/mustardseam/pool"
 	"github.com/mustardseam/mustardseam/mustardseam/tcp"
 )
 
-// maxConns bounds the connections to one engine; admission keeps far below it.
-const maxConns = 4096
+const (
+	// maxConns bounds the connections to one engine; admission keeps far below it.
+	maxConns = 4096
+	// maxPoll bounds the answer to a poll in bytes; the cache events of a second take far less.
+	maxPoll = 4 << 20
+	// maxReason bounds the body of a refusal in bytes.
+	maxReason = 64 << 10
+)
 
 // Client calls engines; its methods are safe for concurrent use.
 type Client struct {
@@ -32,10 +37,14 @@
 	}
 	c := &Client{cfg: cfg, dialer: tcp.New(tcp.Config{Idle: cfg.Idle})}
 	c.stream = &fasthttp.Client{
-		StreamResponseBody: true, MaxIdemponentCallAttempts: 1, RetryIfErr: never,
-		Dial: c.dialer.Dial, MaxConnsPerHost: maxConns, MaxIdleConnDuration: time.Second,
+		StreamResponseBody: true, MaxIdemponentCallAttempts: 1, RetryIfErr: never, NoDefaultUserAgentHeader: true,
+		DialTimeout: c.dialer.DialTimeout, MaxConnsPerHost: maxConns, MaxIdleConnDuration: time.Second,
+		DisablePathNormalizing: true,
+	}
+	c.poll = &fasthttp.Client{
+		MaxIdemponentCallAttempts: 1, RetryIfErr: never, NoDefaultUserAgentHeader: true,
+		DialTimeout: c.dialer.DialTimeout, MaxResponseBodySize: maxPoll, DisablePathNormalizing: true,
 	}
-	c.poll = &fasthttp.Client{MaxIdemponentCallAttempts: 1, Dial: c.dialer.Dial}
 	return c
 }
 
@@ -66,113 +75,54 @@
 
 func (c *Client) open(call Call, req *fasthttp.Request) (*Stream, error) {
 	resp := fasthttp.AcquireResponse()
-	err := c.stream.DoDeadline(req, resp, call.Deadline)
+	err := c.send(call, req, resp)
 	if err == nil && resp.StatusCode() == fasthttp.StatusOK {
 		return newStream(call.Address, c.cfg.LineBytes, req, resp), nil
 	}
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
-	switch {
-	case errors.Is(err, tcp.ErrNotConnected), errors.Is(err, fasthttp.ErrNoFreeConns):
-		return nil, eris.Wrapf(ErrNotRun, "start at engine %s: %v", call.Address, err)
-	case err != nil:
-		return nil, eris.Wrapf(err, "start at engine %s", call.Address)
-	case len(resp.Header.Peek("X-Not-Admitted")) > 0:
-		return nil, eris.Wrapf(ErrNotRun, "start at engine %s: not admitted", call.Address)
-	}
-	body, _ := resp.BodyUncompressed()
-	if s := resp.BodyStream(); s != nil {
-		_ = resp.CloseBodyStream()
-	}
-	return nil, eris.Wrapf(&StatusError{resp.StatusCode(), append([]byte{}, body...)}, "start at engine %s", call.Address)
-}
-
-// Cancel stops a stream at the engine.
-func (c *Client) Cancel(addr, id string) error {
-	_, err := c.do(fasthttp.MethodPost, addr, "/cancel/"+url.PathEscape(id), nil)
-	return eris.Wrapf(err, "cancel at engine %s", addr)
-}
-
-// load is a load report as the engine publishes it.
-type load struct {
-	Sequence uint64 `json:"sequence"`
-	AgeMS    int64  `json:"age-ms"`
-	Running  int    `json:"running"`
-	Waiting  int    `json:"waiting"`
-	Cold     bool   `json:"cold"`
-	Version  string `json:"version"`
-}
-
-// Load reads the load report of the named backend server.
-func (c *Client) Load(server, addr string) (pool.Report, error) {
-	body, err := c.do(fasthttp.MethodGet, addr, "/load", nil)
 	if err != nil {
-		return pool.Report{}, eris.Wrapf(err, "read load of engine %s", addr)
+		return nil, eris.Wrapf(err, "start at engine %s", call.Address)
 	}
-	var l load
-	if err := json.Unmarshal(body, &l); err != nil {
-		return pool.Report{}, eris.Wrapf(err, "decode load of engine %s", addr)
+	defer func() { _ = resp.CloseBodyStream() }()
+	if notAdmitted(resp) {
+		return nil, eris.Wrapf(ErrNotRun, "start at engine %s: not admitted", call.Address)
 	}
-	return pool.Report{
-		Server: server, Sequence: l.Sequence, Age: time.Duration(l.AgeMS) * time.Millisecond,
-		Running: l.Running, Waiting: l.Waiting, Cold: l.Cold, Version: l.Version,
-	}, nil
-}
-
-// cacheEvent is a cache event as the engine publishes it.
-type cacheEvent struct {
-	Number  uint64 `json:"number"`
-	Block   uint64 `json:"block"`
-	Evicted bool   `json:"evicted"`
+	return nil, eris.Wrapf(&StatusError{resp.StatusCode(), reason(resp)}, "start at engine %s", call.Address)
 }
 
-// CacheEvents reads the cache events after the given number and returns the number of the last one.
-func (c *Client) CacheEvents(server, addr string, after uint64) ([]pool.CacheEvent, uint64, error) {
-	body, err := c.do(fasthttp.MethodGet, addr, fmt.Sprintf("/cache-events?after=%d", after), nil)
-	if err != nil {
-		return nil, after, eris.Wrapf(err, "read cache events of engine %s", addr)
-	}
-	var list []cacheEvent
-	if err := json.Unmarshal(body, &list); err != nil {
-		return nil, after, eris.Wrapf(err, "decode cache events of engine %s", addr)
+// send reads the head of the response. The error is ErrNotRun only when no byte of the request can have left: any
+// failure of an open connection leaves open whether the engine has read the request.
+func (c *Client) send(call Call, req *fasthttp.Request, resp *fasthttp.Response) error {
+	if !time.Now().Before(call.Deadline) {
+		return eris.Wrap(ErrNotRun, "deadline has passed")
 	}
-	out := make([]pool.CacheEvent, len(list))
-	for i, ev := range list {
-		out[i] = pool.CacheEvent{Server: server, Block: ev.Block, Evicted: ev.Evicted}
-		after = ev.Number
+	err := c.stream.DoDeadline(req, resp, call.Deadline)
+	if errors.Is(err, tcp.ErrNotConnected) || errors.Is(err, fasthttp.ErrNoFreeConns) {
+		return eris.Wrap(ErrNotRun, err.Error())
 	}
-	return out, after, nil
+	return err
 }
 
-// Order tells an engine to load a version or an adapter or to change role.
-type Order struct {
-	Kind         string `json:"kind"` // "load-version", "load-adapter" or "change-role".
-	Name         string `json:"name"`
-	FencingToken uint64 `json:"fencing-token"`
+// notAdmitted reports whether the engine refused the request before it was admitted; the header counts only with the
+// status and the value that the protocol gives it.
+func notAdmitted(resp *fasthttp.Response) bool {
+	return resp.StatusCode() == fasthttp.StatusServiceUnavailable && string(resp.Header.Peek("X-Not-Admitted")) == "true"
 }
 
-// Order gives an order; engines that check fencing tokens refuse an old one with a StatusError of status 409.
-func (c *Client) Order(addr string, o Order) error {
-	body, err := json.Marshal(o)
-	if err != nil {
-		return err
+// reason reads the body of a refusal.
+func reason(resp *fasthttp.Response) []byte {
+	stream := resp.BodyStream()
+	if stream == nil {
+		return append([]byte{}, resp.Body()...)
 	}
-	_, err = c.do(fasthttp.MethodPost, addr, "/orders", body)
-	return eris.Wrapf(err, "order to engine %s", addr)
+	// A refusal whose body breaks off is still a refusal.
+	body, _ := io.ReadAll(io.LimitReader(stream, maxReason))
+	return body
 }
 
-func (c *Client) do(method, addr, path string, body []byte) ([]byte, error) {
-	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseRequest(req)
-	defer fasthttp.ReleaseResponse(resp)
-	req.SetRequestURI("http://" + addr + path)
-	req.Header.SetMethod(method)
-	req.SetBodyRaw(body)
-	if err := c.poll.DoTimeout(req, resp, c.cfg.Poll); err != nil {
-		return nil, err
-	}
-	if code := resp.StatusCode(); code/100 != 2 {
-		return nil, &StatusError{code, append([]byte{}, resp.Body()...)}
-	}
-	return append([]byte{}, resp.Body()...), nil
+// Cancel stops a stream at the engine.
+func (c *Client) Cancel(addr, id string) error {
+	_, err := c.do(fasthttp.MethodPost, addr, "/cancel/"+url.PathEscape(id), nil)
+	return eris.Wrapf(err, "cancel at engine %s", addr)
 }
--- /dev/null
+++ b/mustardseam/engine/client_test.go
@@ -0,0 +1,182 @@
+package engine
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"net"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/mustardseam/mustardseam/mustardseam/pool"
+)
+
+const sse = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+// TestStartCertainty guards against a failure that is reported as not run although the engine may have run the request,
+// which would run it twice, and against the loss of a certain refusal.
+func TestStartCertainty(t *testing.T) {
+	tests := []struct {
+		name   string
+		script func(c net.Conn, r *bufio.Reader) // Nil when nothing listens.
+		late   bool                              // The deadline has passed before the call.
+		notRun bool
+		status int
+	}{
+		{name: "connection refused", notRun: true},
+		{name: "deadline has passed", late: true, notRun: true, script: func(net.Conn, *bufio.Reader) {}},
+		{name: "not admitted", notRun: true, script: func(c net.Conn, r *bufio.Reader) {
+			answer(c, r, "HTTP/1.1 503 Busy\r\nX-Not-Admitted: true\r\nContent-Length: 0\r\n\r\n")
+		}},
+		{name: "503 without the header", status: 503, script: func(c net.Conn, r *bufio.Reader) {
+			answer(c, r, "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n")
+		}},
+		{name: "header says false", status: 503, script: func(c net.Conn, r *bufio.Reader) {
+			answer(c, r, "HTTP/1.1 503 Busy\r\nX-Not-Admitted: false\r\nContent-Length: 0\r\n\r\n")
+		}},
+		{name: "header with another status", status: 500, script: func(c net.Conn, r *bufio.Reader) {
+			answer(c, r, "HTTP/1.1 500 Broken\r\nX-Not-Admitted: true\r\nContent-Length: 0\r\n\r\n")
+		}},
+		{name: "client error", status: 400, script: func(c net.Conn, r *bufio.Reader) {
+			answer(c, r, "HTTP/1.1 400 Bad\r\nContent-Length: 3\r\n\r\nbad")
+		}},
+		{name: "closed when accepted", script: func(net.Conn, *bufio.Reader) {}},
+		{name: "reset at the first byte", script: func(c net.Conn, r *bufio.Reader) {
+			_, _ = r.Peek(1)
+			reset(c)
+		}},
+		{name: "closed after the request", script: func(c net.Conn, r *bufio.Reader) { answer(c, r, "") }},
+		{name: "reset after the request", script: func(c net.Conn, r *bufio.Reader) {
+			answer(c, r, "")
+			reset(c)
+		}},
+		{name: "reset within the head", script: func(c net.Conn, r *bufio.Reader) {
+			answer(c, r, "HTTP/1.1 503 Busy\r\nX-Not-Adm")
+			reset(c)
+		}},
+		{name: "no answer until the deadline", script: func(c net.Conn, r *bufio.Reader) {
+			answer(c, r, "")
+			_, _ = io.Copy(io.Discard, r)
+		}},
+		{name: "no HTTP", script: func(c net.Conn, r *bufio.Reader) { answer(c, r, "SSH-2.0\r\n\r\n") }},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			addr := unused(t)
+			if tt.script != nil {
+				addr = serve(t, tt.script)
+			}
+			deadline := time.Now().Add(300 * time.Millisecond)
+			if tt.late {
+				deadline = time.Now().Add(-time.Second)
+			}
+			_, err := client(t, Config{}).Start(Call{ID: "a", Address: addr, Path: "/v1/completions", Deadline: deadline})
+			assert.Assert(t, err != nil)
+			assert.Equal(t, errors.Is(err, ErrNotRun), tt.notRun, "%v", err)
+			var status *StatusError
+			if errors.As(err, &status) {
+				assert.Equal(t, status.Status, tt.status)
+			} else {
+				assert.Equal(t, tt.status, 0, "%v", err)
+			}
+		})
+	}
+}
+
+// TestStaleConnection guards against a silent repeat, and a claim of not run, when a kept connection ends under a request.
+func TestStaleConnection(t *testing.T) {
+	var requests atomic.Int32
+	addr := serve(t, func(c net.Conn, r *bufio.Reader) {
+		if answer(c, r, "HTTP/1.1 400 Bad\r\nContent-Length: 0\r\n\r\n") {
+			requests.Add(1)
+		}
+		if answer(c, r, "") {
+			requests.Add(1)
+		}
+	})
+	cl := client(t, Config{})
+	call := Call{ID: "a", Address: addr, Path: "/v1/completions", Deadline: time.Now().Add(time.Minute)}
+	for range 2 {
+		_, err := cl.Start(call)
+		assert.Assert(t, err != nil && !errors.Is(err, ErrNotRun), "%v", err)
+	}
+	assert.Equal(t, requests.Load(), int32(2))
+}
+
+// TestClosedStreamsDoNotMix guards against the rest of a cancelled stream in the answer to the next request.
+func TestClosedStreamsDoNotMix(t *testing.T) {
+	addr := serve(t, func(c net.Conn, r *bufio.Reader) {
+		for answer(c, r, sse) {
+			if writeChunk(c, event("old ")) != nil || writeChunk(c, event("rest ")+"data: [DONE]\n\n") != nil {
+				return
+			}
+			_, _ = io.WriteString(c, "0\r\n\r\n")
+		}
+	})
+	cl := client(t, Config{})
+	for range 5 {
+		s, err := cl.Start(Call{ID: "a", Address: addr, Path: "/", Deadline: time.Now().Add(time.Minute)})
+		assert.NilError(t, err)
+		ev, err := s.Next()
+		assert.NilError(t, err)
+		assert.Equal(t, ev.Content, "old ")
+		s.Close()
+		s.Close()
+	}
+}
+
+// TestResumeAndCancel guards against a resume from the wrong token and a cancel of the wrong stream.
+func TestResumeAndCancel(t *testing.T) {
+	lines := make(chan string, 2)
+	addr := serve(t, func(c net.Conn, r *bufio.Reader) {
+		for {
+			line, err := r.ReadString('\n')
+			if err != nil {
+				return
+			}
+			lines <- strings.TrimSpace(line)
+			for line != "\r\n" && err == nil {
+				line, err = r.ReadString('\n')
+			}
+			_, _ = io.WriteString(c, "HTTP/1.1 404 Gone\r\nContent-Length: 0\r\n\r\n")
+		}
+	})
+	cl := client(t, Config{})
+	_, err := cl.Resume(Call{ID: "a/b", Address: addr, Deadline: time.Now().Add(time.Minute)}, 7)
+	var status *StatusError
+	assert.Assert(t, errors.As(err, &status) && status.Status == 404, "%v", err)
+	assert.ErrorContains(t, cl.Cancel(addr, "a/b"), "404")
+	assert.Equal(t, <-lines, "GET /resume/a%2Fb?after=7 HTTP/1.1")
+	assert.Equal(t, <-lines, "POST /cancel/a%2Fb HTTP/1.1")
+}
+
+// TestPolls guards against a faulty report that would change what the home believes of an engine.
+func TestPolls(t *testing.T) {
+	tests := []struct {
+		name, body string
+		fails      bool
+	}{
+		{"whole", `{"sequence":3,"age-ms":200,"running":2,"waiting":1,"cold":true,"version":"v1","other":[1]}`, false},
+		{"negative", `{"sequence":3,"running":-2}`, true},
+		{"wrong type", `{"sequence":"three"}`, true},
+		{"no JSON", `busy`, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			addr := serve(t, func(c net.Conn, r *bufio.Reader) {
+				answer(c, r, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"+tt.body)
+			})
+			r, err := client(t, Config{}).Load("e1", addr)
+			assert.Equal(t, err != nil, tt.fails, "%v", err)
+			if !tt.fails {
+				assert.DeepEqual(t, r, pool.Report{
+					Server: "e1", Sequence: 3, Age: 200 * time.Millisecond, Running: 2, Waiting: 1, Cold: true, Version: "v1",
+				})
+			}
+		})
+	}
+}
--- /dev/null
+++ b/mustardseam/engine/poll.go
@@ -0,0 +1,99 @@
+package engine
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/valyala/fasthttp"
+
+	"github.com/mustardseam/mustardseam/mustardseam/pool"
+)
+
+// load is a load report as the engine publishes it.
+type load struct {
+	Sequence uint64 `json:"sequence"`
+	AgeMS    int64  `json:"age-ms"`
+	Running  int    `json:"running"`
+	Waiting  int    `json:"waiting"`
+	Cold     bool   `json:"cold"`
+	Version  string `json:"version"`
+}
+
+// Load reads the load report of the named backend server.
+func (c *Client) Load(server, addr string) (pool.Report, error) {
+	body, err := c.do(fasthttp.MethodGet, addr, "/load", nil)
+	if err != nil {
+		return pool.Report{}, eris.Wrapf(err, "read load of engine %s", addr)
+	}
+	var l load
+	if err := json.Unmarshal(body, &l); err != nil {
+		return pool.Report{}, eris.Wrapf(err, "decode load of engine %s", addr)
+	}
+	if l.Running < 0 || l.Waiting < 0 || l.AgeMS < 0 {
+		return pool.Report{}, eris.Errorf("decode load of engine %s: negative number", addr)
+	}
+	return pool.Report{
+		Server: server, Sequence: l.Sequence, Age: time.Duration(l.AgeMS) * time.Millisecond,
+		Running: l.Running, Waiting: l.Waiting, Cold: l.Cold, Version: l.Version,
+	}, nil
+}
+
+// cacheEvent is a cache event as the engine publishes it.
+type cacheEvent struct {
+	Number  uint64 `json:"number"`
+	Block   uint64 `json:"block"`
+	Evicted bool   `json:"evicted"`
+}
+
+// CacheEvents reads the cache events after the given number and returns the number of the last one.
+func (c *Client) CacheEvents(server, addr string, after uint64) ([]pool.CacheEvent, uint64, error) {
+	body, err := c.do(fasthttp.MethodGet, addr, fmt.Sprintf("/cache-events?after=%d", after), nil)
+	if err != nil {
+		return nil, after, eris.Wrapf(err, "read cache events of engine %s", addr)
+	}
+	var list []cacheEvent
+	if err := json.Unmarshal(body, &list); err != nil {
+		return nil, after, eris.Wrapf(err, "decode cache events of engine %s", addr)
+	}
+	out := make([]pool.CacheEvent, len(list))
+	for i, ev := range list {
+		out[i] = pool.CacheEvent{Server: server, Block: ev.Block, Evicted: ev.Evicted}
+		after = ev.Number
+	}
+	return out, after, nil
+}
+
+// Order tells an engine to load a version or an adapter or to change role.
+type Order struct {
+	Kind         string `json:"kind"` // "load-version", "load-adapter" or "change-role".
+	Name         string `json:"name"`
+	FencingToken uint64 `json:"fencing-token"`
+}
+
+// Order gives an order; engines that check fencing tokens refuse an old one with a StatusError of status 409.
+func (c *Client) Order(addr string, o Order) error {
+	body, err := json.Marshal(o)
+	if err != nil {
+		return err
+	}
+	_, err = c.do(fasthttp.MethodPost, addr, "/orders", body)
+	return eris.Wrapf(err, "order to engine %s", addr)
+}
+
+func (c *Client) do(method, addr, path string, body []byte) ([]byte, error) {
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.SetRequestURI("http://" + addr + path)
+	req.Header.SetMethod(method)
+	req.SetBodyRaw(body)
+	if err := c.poll.DoTimeout(req, resp, c.cfg.Poll); err != nil {
+		return nil, err
+	}
+	if code := resp.StatusCode(); code/100 != 2 {
+		return nil, &StatusError{code, append([]byte{}, resp.Body()...)}
+	}
+	return append([]byte{}, resp.Body()...), nil
+}
--- /dev/null
+++ b/mustardseam/engine/server_test.go
@@ -0,0 +1,83 @@
+package engine
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+	"gotest.tools/v3/assert"
+)
+
+func TestMain(m *testing.M) {
+	// The HTTP client ends this goroutine itself some seconds after its last connection.
+	goleak.VerifyTestMain(m, goleak.IgnoreTopFunction("github.com/valyala/fasthttp.(*Client).mCleaner"),
+		goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.(*HostClient).connsCleaner"),
+		goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.(*Client).mCleaner"),
+		goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.updateServerDate.func1"))
+}
+
+// serve answers connections on loopback with the script until the test ends.
+func serve(t testing.TB, script func(c net.Conn, r *bufio.Reader)) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			wg.Go(func() {
+				defer func() { _ = c.Close() }()
+				script(c, bufio.NewReader(c))
+			})
+		}
+	})
+	t.Cleanup(func() {
+		_ = ln.Close()
+		wg.Wait()
+	})
+	return ln.Addr().String()
+}
+
+// answer reads one request and writes the response; it reports whether both worked.
+func answer(c net.Conn, r *bufio.Reader, response string) bool {
+	req, err := http.ReadRequest(r)
+	if err != nil {
+		return false
+	}
+	_, _ = io.Copy(io.Discard, req.Body)
+	_, err = io.WriteString(c, response)
+	return err == nil
+}
+
+// reset closes the connection with a reset instead of an orderly end.
+func reset(c net.Conn) {
+	_ = c.(*net.TCPConn).SetLinger(0)
+	_ = c.Close()
+}
+
+// unused returns an address at which nothing listens.
+func unused(t *testing.T) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { _ = ln.Close() }()
+	return ln.Addr().String()
+}
+
+func client(t testing.TB, cfg Config) *Client {
+	t.Helper()
+	if cfg.Poll == 0 {
+		cfg.Poll = 5 * time.Second
+	}
+	c := New(cfg)
+	t.Cleanup(c.Close)
+	return c
+}
--- a/mustardseam/service/client.go
+++ b/mustardseam/service/client.go
@@ -2,6 +2,8 @@
 
 import (
 	"errors"
+	"strings"
+	"time"
 
 	"github.com/rotisserie/eris"
 	"github.com/valyala/fasthttp"
@@ -12,8 +14,14 @@
 // ErrNotRun says that the service certainly did not run the call.
 var ErrNotRun = errors.New("service did not run the call")
 
-// maxAnswer bounds the body of an answer in bytes, since it is held in memory for a replay.
-const maxAnswer = 8 << 20
+const (
+	// maxAnswer bounds the body of an answer in bytes, since it is held in memory for a replay.
+	maxAnswer = 8 << 20
+	// maxHeader bounds the header of an answer in bytes.
+	maxHeader = 16 << 10
+	// maxConns bounds the connections to one service; admission keeps far below it.
+	maxConns = 4096
+)
 
 // Client calls services; its methods are safe for concurrent use.
 type Client struct {
@@ -25,7 +33,10 @@
 func New() *Client {
 	c := &Client{dialer: tcp.New(tcp.Config{})}
 	c.http = &fasthttp.Client{
-		MaxIdemponentCallAttempts: 1, RetryIfErr: never, Dial: c.dialer.Dial, MaxResponseBodySize: maxAnswer,
+		MaxIdemponentCallAttempts: 1, RetryIfErr: never, DialTimeout: c.dialer.DialTimeout, MaxResponseBodySize: maxAnswer,
+		MaxConnsPerHost: maxConns, ReadBufferSize: maxHeader, NoDefaultUserAgentHeader: true,
+		// The path belongs to the service, which may tell %2F from a slash.
+		DisablePathNormalizing: true,
 	}
 	return c
 }
@@ -42,6 +53,7 @@
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
+	req.Header.SetNoDefaultContentType(true)
 	req.SetRequestURI("http://" + call.Address + call.Path)
 	req.Header.SetMethod(call.Method)
 	for k, v := range call.Header {
@@ -49,26 +61,45 @@
 	}
 	req.SetConnectionClose()
 	req.SetBodyRaw(call.Body)
-	err := c.http.DoDeadline(req, resp, call.Deadline)
-	switch {
-	case errors.Is(err, tcp.ErrNotConnected), errors.Is(err, fasthttp.ErrNoFreeConns):
-		return Answer{}, eris.Wrapf(ErrNotRun, "call service %s: %v", call.Address, err)
-	case err != nil:
+	if err := c.send(call, req, resp); err != nil {
 		return Answer{}, eris.Wrapf(err, "call service %s", call.Address)
-	case resp.StatusCode() == fasthttp.StatusServiceUnavailable && len(resp.Header.Peek("X-Not-Admitted")) > 0:
+	}
+	if notAdmitted(resp) {
 		return Answer{}, eris.Wrapf(ErrNotRun, "call service %s: not admitted", call.Address)
 	}
 	return answer(resp), nil
 }
 
-// answer copies the response, whose memory is reused.
+// send reads the response. The error is ErrNotRun only when no byte of the call can have left: any failure of an open
+// connection leaves open whether the service has read the call.
+func (c *Client) send(call Call, req *fasthttp.Request, resp *fasthttp.Response) error {
+	if !time.Now().Before(call.Deadline) {
+		return eris.Wrap(ErrNotRun, "deadline has passed")
+	}
+	err := c.http.DoDeadline(req, resp, call.Deadline)
+	if errors.Is(err, tcp.ErrNotConnected) || errors.Is(err, fasthttp.ErrNoFreeConns) {
+		return eris.Wrap(ErrNotRun, err.Error())
+	}
+	return err
+}
+
+// notAdmitted reports whether the service refused the call before it was admitted; the header counts only with the
+// status and the value that the protocol gives it.
+func notAdmitted(resp *fasthttp.Response) bool {
+	return resp.StatusCode() == fasthttp.StatusServiceUnavailable && string(resp.Header.Peek("X-Not-Admitted")) == "true"
+}
+
+// answer copies the response, whose memory is reused. Headers of this system's name are left out, so that a service
+// cannot claim to be the scheduler.
 func answer(resp *fasthttp.Response) Answer {
-	out := Answer{Status: resp.StatusCode(), Header: map[string]string{}, Body: append([]byte{}, resp.Body()...)}
-	for k, v := range resp.Header.All() {
-		switch string(k) {
-		case "Connection", "Content-Length", "Transfer-Encoding", "Server", "Date":
-		default:
-			out.Header[string(k)] = string(v)
+	out := Answer{
+		Status: resp.StatusCode(), Header: EndToEnd(resp.Header.All()), Body: append([]byte{}, resp.Body()...),
+	}
+	// The server of the callers sets the date of its own response.
+	delete(out.Header, "Date")
+	for name := range out.Header {
+		if strings.HasPrefix(strings.ToLower(name), "mustardseam-") {
+			delete(out.Header, name)
 		}
 	}
 	return out
--- /dev/null
+++ b/mustardseam/service/client_test.go
@@ -0,0 +1,143 @@
+package service
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+	"gotest.tools/v3/assert"
+)
+
+func TestMain(m *testing.M) {
+	// The HTTP client ends this goroutine itself some seconds after its last connection.
+	goleak.VerifyTestMain(m, goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.(*Client).mCleaner"))
+}
+
+// serve answers each connection on loopback with the script until the test ends and returns what the last request was.
+func serve(t *testing.T, script func(c *net.TCPConn, req *http.Request)) (string, func() *http.Request) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	var last *http.Request
+	wg.Go(func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			wg.Go(func() {
+				defer func() { _ = c.Close() }()
+				req, err := http.ReadRequest(bufio.NewReader(c))
+				if err != nil {
+					return
+				}
+				mu.Lock()
+				last = req
+				mu.Unlock()
+				script(c.(*net.TCPConn), req)
+			})
+		}
+	})
+	t.Cleanup(func() {
+		_ = ln.Close()
+		wg.Wait()
+	})
+	return ln.Addr().String(), func() *http.Request {
+		mu.Lock()
+		defer mu.Unlock()
+		return last
+	}
+}
+
+// reply returns a script that writes the response.
+func reply(response string) func(*net.TCPConn, *http.Request) {
+	return func(c *net.TCPConn, _ *http.Request) { _, _ = io.WriteString(c, response) }
+}
+
+// TestDoCertainty guards against an order that is called not run although it may have run, which would buy twice.
+func TestDoCertainty(t *testing.T) {
+	tests := []struct {
+		name   string
+		script func(*net.TCPConn, *http.Request) // Nil when nothing listens.
+		late   bool                              // The deadline has passed before the call.
+		notRun bool
+		status int // Of an answer; 0 for an error.
+	}{
+		{name: "connection refused", notRun: true},
+		{name: "deadline has passed", script: reply(""), late: true, notRun: true},
+		{name: "not admitted", script: reply("HTTP/1.1 503 Busy\r\nX-Not-Admitted: true\r\nContent-Length: 0\r\n\r\n"), notRun: true},
+		{name: "503 without the header", script: reply("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"), status: 503},
+		{name: "header says false", script: reply("HTTP/1.1 503 Busy\r\nX-Not-Admitted: false\r\nContent-Length: 0\r\n\r\n"), status: 503},
+		{name: "header with another status", script: reply("HTTP/1.1 500 No\r\nX-Not-Admitted: true\r\nContent-Length: 0\r\n\r\n"), status: 500},
+		{name: "answer", script: reply("HTTP/1.1 201 Made\r\nContent-Length: 2\r\n\r\nok"), status: 201},
+		{name: "closed before the first byte", script: reply("")},
+		{name: "reset before the first byte", script: func(c *net.TCPConn, _ *http.Request) { _ = c.SetLinger(0) }},
+		{name: "closed within the head", script: reply("HTTP/1.1 503 Busy\r\nX-Not-Admitted: true\r\n")},
+		{name: "closed within the body", script: reply("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok")},
+		{name: "body beyond the bound", script: reply("HTTP/1.1 200 OK\r\nContent-Length: 99999999\r\n\r\nok")},
+		{name: "no HTTP", script: reply("SSH-2.0\r\n\r\n")},
+		{name: "no answer until the deadline", script: func(c *net.TCPConn, _ *http.Request) { _, _ = io.Copy(io.Discard, c) }},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			addr := unused(t)
+			if tt.script != nil {
+				addr, _ = serve(t, tt.script)
+			}
+			deadline := time.Now().Add(300 * time.Millisecond)
+			if tt.late {
+				deadline = time.Now().Add(-time.Second)
+			}
+			c := New()
+			defer c.Close()
+			a, err := c.Do(Call{Address: addr, Method: "POST", Path: "/reserve", Deadline: deadline})
+			assert.Equal(t, errors.Is(err, ErrNotRun), tt.notRun, "%v", err)
+			assert.Equal(t, err == nil, tt.status != 0, "%v", err)
+			assert.Equal(t, a.Status, tt.status)
+		})
+	}
+}
+
+// unused returns an address at which nothing listens.
+func unused(t *testing.T) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { _ = ln.Close() }()
+	return ln.Addr().String()
+}
+
+// TestPassThrough guards against a changed path, body or header on the way to a service and back.
+func TestPassThrough(t *testing.T) {
+	addr, last := serve(t, reply("HTTP/1.1 409 Conflict\r\nServer: hides/1\r\nETag: \"7\"\r\nX-Hop: 1\r\nVia: a\r\nVia: b\r\n"+
+		"Connection: close, X-Hop\r\nKeep-Alive: timeout=1\r\nContent-Encoding: br\r\nMustardseam-Replayed: true\r\n"+
+		"Content-Type: image/png\r\nContent-Length: 2\r\n\r\n\x01\x02"))
+	c := New()
+	defer c.Close()
+	a, err := c.Do(Call{
+		Address: addr, Method: "PATCH", Path: "/hides//a%2Fb/../c?q=%20&q=1", Body: []byte("\x00body"),
+		Header:   map[string]string{"Idempotency-Key": "k", "Content-Encoding": "gzip", "X-Bad": "a\r\nX-Injected: 1"},
+		Deadline: time.Now().Add(time.Minute),
+	})
+	assert.NilError(t, err)
+	assert.Equal(t, a.Status, 409)
+	assert.DeepEqual(t, a.Body, []byte("\x01\x02"))
+	assert.DeepEqual(t, a.Header, map[string]string{
+		"Server": "hides/1", "Etag": `"7"`, "Via": "a, b", "Content-Encoding": "br", "Content-Type": "image/png",
+	})
+	r := last()
+	assert.Equal(t, r.Method, "PATCH")
+	assert.Equal(t, r.RequestURI, "/hides//a%2Fb/../c?q=%20&q=1")
+	assert.Equal(t, r.Header.Get("Content-Encoding"), "gzip")
+	assert.Equal(t, r.Header.Get("X-Injected"), "")
+	assert.Equal(t, r.Header.Get("User-Agent"), "")
+	assert.Equal(t, r.ContentLength, int64(5))
+}
--- a/mustardseam/tcp/dialer.go
+++ b/mustardseam/tcp/dialer.go
@@ -32,9 +32,15 @@
 	return &Dialer{cfg: cfg, conns: map[*conn]struct{}{}}
 }
 
-// Dial connects to an address of the form IP:port.
-func (d *Dialer) Dial(addr string) (net.Conn, error) {
-	raw, err := net.DialTimeout("tcp", addr, connectTimeout)
+// Dial connects to an address of the form IP:port within a second.
+func (d *Dialer) Dial(addr string) (net.Conn, error) { return d.DialTimeout(addr, 0) }
+
+// DialTimeout connects to an address of the form IP:port within the timeout, at most a second; 0 means a second.
+func (d *Dialer) DialTimeout(addr string, timeout time.Duration) (net.Conn, error) {
+	if timeout <= 0 {
+		timeout = connectTimeout
+	}
+	raw, err := net.DialTimeout("tcp", addr, min(timeout, connectTimeout))
 	if err != nil {
 		return nil, eris.Wrapf(ErrNotConnected, "connect to %s: %v", addr, err)
 	}
