--- a/demo/cluster/cluster.go
+++ b/demo/cluster/cluster.go
@@ -159,7 +159,7 @@
 		Store:           etcd.Config{Addresses: []string{c.storeAddr}, Prefix: "mustardseam/"},
 		PlatformAddress: c.platAddr, PlatformPoll: 200 * time.Millisecond, PeerKey: []byte("demo-peer-key"),
 		Request: c.cfg.Request, Log: c.cfg.Log,
-		Dial: func(addr string) (net.Conn, error) { return c.dial(n, addr) },
+		Dial: func(addr string, timeout time.Duration) (net.Conn, error) { return c.dial(n, addr, timeout) },
 	})
 	if err != nil {
 		return err
@@ -175,11 +175,11 @@
 var errCut = errors.New("network is cut")
 
 // dial opens a connection of instance n to the store or to a peer.
-func (c *Cluster) dial(n int, addr string) (net.Conn, error) {
+func (c *Cluster) dial(n int, addr string, timeout time.Duration) (net.Conn, error) {
 	if c.isCut(n, addr) {
 		return nil, errCut
 	}
-	raw, err := net.DialTimeout("tcp", addr, time.Second)
+	raw, err := net.DialTimeout("tcp", addr, timeout)
 	if err != nil {
 		return nil, err
 	}
--- a/mustardseam/etcd/config.go
+++ b/mustardseam/etcd/config.go
@@ -1,8 +1,9 @@
 package etcd
 
 import (
-	"net"
 	"time"
+
+	"github.com/mustardseam/mustardseam/mustardseam/tcp"
 )
 
 // Config says where the store is.
@@ -11,5 +12,5 @@
 	Timeout   time.Duration // Of one call; 1 s when zero.
 	Prefix    string        // Put before every key.
 
-	Dial func(addr string) (net.Conn, error) // Opens connections; nil for the usual way.
+	Dial tcp.Dial // Opens connections; nil for the usual way.
 }
--- a/mustardseam/peer/client.go
+++ b/mustardseam/peer/client.go
@@ -3,11 +3,12 @@
 import (
 	"encoding/json"
 	"errors"
-	"net"
 	"time"
 
 	"github.com/rotisserie/eris"
 	"github.com/valyala/fasthttp"
+
+	"github.com/mustardseam/mustardseam/mustardseam/tcp"
 )
 
 // ErrVersion says that the peer does not read this program's version of the protocol.
@@ -18,7 +19,7 @@
 	Key     []byte
 	Timeout time.Duration // Of a call that is not held by the peer; 1 s when zero.
 	Now     func() time.Time
-	Dial    func(addr string) (net.Conn, error) // Opens connections; nil for the usual way.
+	Dial    tcp.Dial // Opens connections; nil for the usual way.
 }
 
 // Client calls other instances; its methods are safe for concurrent use.
@@ -33,7 +34,7 @@
 		cfg.Timeout = time.Second
 	}
 	return &Client{cfg: cfg, http: &fasthttp.Client{
-		NoDefaultUserAgentHeader: true, Dial: cfg.Dial, MaxConnsPerHost: 4096, MaxResponseBodySize: maxBody,
+		NoDefaultUserAgentHeader: true, DialTimeout: fasthttp.DialFuncWithTimeout(cfg.Dial), MaxConnsPerHost: 4096, MaxResponseBodySize: maxBody,
 	}}
 }
 
