Let Next name only times that lie ahead

Cause: a probe that was due while only requests waited that may not be spent on it made Next return a past time, on which a home would call Decide without pause. Change: such a probe counts again when it is overdue. Conclusion: Next never lies in the past except for refusals that are due.

--- a/mustardseam/pool/decide.go
+++ b/mustardseam/pool/decide.go
@@ -163,7 +163,7 @@
 		earlier(p.latest[0].latest)
 	}
 	for _, f := range p.fleets {
-		earlier(f.nextProbe)
+		earlier(f.after(p.now))
 	}
 	return next
 }
--- a/mustardseam/pool/pool_test.go
+++ b/mustardseam/pool/pool_test.go
@@ -120,6 +120,10 @@
 		step(2000+ms, 1, Failed)
 	}
 	assert.Equal(t, step(2100, 0, OK), "", "both are in probation and probed later")
+	p.Ask(at(2100), ask("waits", 0))
+	p.Decide(at(2100))
+	assert.Assert(t, p.Next().After(at(2100)) && p.Next().Before(at(4000)), "a probe must be waited for, without spinning")
+	p.Withdraw(at(2100), "waits")
 	assert.Assert(t, step(4000, 0, OK) != "")
 }
 
--- a/mustardseam/pool/server.go
+++ b/mustardseam/pool/server.go
@@ -51,6 +51,18 @@
 	return !f.nextProbe.IsZero() && !now.Before(f.nextProbe)
 }
 
+// after returns when the fleet's probe changes what Decide can do after the given time: when it becomes due, or
+// overdue; zero when neither lies ahead.
+func (f *fleet) after(now time.Time) time.Time {
+	switch late := f.nextProbe.Add(overdue); {
+	case f.nextProbe.After(now):
+		return f.nextProbe
+	case !f.nextProbe.IsZero() && late.After(now):
+		return late
+	}
+	return time.Time{}
+}
+
 // refresh brings the sums, the picker and the list of probes in line with the server's capacity.
 func (p *Pool) refresh(s *server) {
 	limit, room, full := 0, 0, 0
