Explore longer runs in the state-machine tests

Cause: with 30 steps a run the occupancy test made about 500 grants in all, nearly all at the cold limit, and never let an instance die before its request had started. Change: 100 to 200 steps a run, 3,000 runs of the occupancy test, rarer changes of state, and orphans that start late.

--- a/mustardseam/capacity/server_test.go
+++ b/mustardseam/capacity/server_test.go
@@ -13,7 +13,9 @@
 // The seed is fixed, so that a verdict depends only on the tree.
 func init() {
 	_ = flag.Set("rapid.seed", "20261204")
-	_ = flag.Set("rapid.checks", "1000")
+	_ = flag.Set("rapid.nofailfile", "true")
+	_ = flag.Set("rapid.checks", "3000")
+	_ = flag.Set("rapid.steps", "200")
 }
 
 var start = time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC)
@@ -51,6 +53,7 @@
 		t.Repeat(map[string]func(*rapid.T){
 			"wait": m.wait, "grant": m.grant, "end": m.end, "cancel": m.cancel, "orphan": m.orphan,
 			"read": m.read, "toggle-cold": m.toggle, "end-foreign": m.endForeign,
+			"wait-again": m.wait, "grant-again": m.grant, "end-again": m.end, "read-again": m.read,
 		})
 	})
 }
@@ -118,14 +121,16 @@
 	}
 }
 
+// orphan lets the instance of a request die, which may still start it a little later if it is only paused.
 func (m *machine) orphan(t *rapid.T) {
-	c := m.finish(t)
-	if c == nil {
+	i := rapid.IntRange(0, 9).Draw(t, "own")
+	if i >= len(m.own) || !m.own[i].told.IsZero() {
 		return
 	}
+	c := m.own[i]
+	m.own = slices.Delete(m.own, i, i+1)
 	m.server.Orphan(m.now, c.granted)
-	c.ended = m.now.Add(time.Duration(rapid.IntRange(0, 5000).Draw(t, "lives")) * time.Millisecond)
-	m.own = slices.DeleteFunc(m.own, func(other *call) bool { return other == c })
+	c.ended = m.now.Add(time.Duration(rapid.IntRange(300, 5000).Draw(t, "lives")) * time.Millisecond)
 }
 
 func (m *machine) endForeign(*rapid.T) {
@@ -138,7 +143,11 @@
 }
 
 // toggle turns the engine cold or warm without warning; a request that already runs goes on.
-func (m *machine) toggle(*rapid.T) { m.cold = !m.cold }
+func (m *machine) toggle(t *rapid.T) {
+	if rapid.IntRange(0, 5).Draw(t, "rare") == 0 {
+		m.cold = !m.cold
+	}
+}
 
 func (m *machine) read(t *rapid.T) {
 	m.sequence++
--- a/mustardseam/fair/queue_test.go
+++ b/mustardseam/fair/queue_test.go
@@ -14,7 +14,9 @@
 // The seed is fixed, so that a verdict depends only on the tree.
 func init() {
 	_ = flag.Set("rapid.seed", "20261204")
+	_ = flag.Set("rapid.nofailfile", "true")
 	_ = flag.Set("rapid.checks", "1000")
+	_ = flag.Set("rapid.steps", "100")
 }
 
 // backlog pops n items while every group of every team always waits, and returns the tokens that each team and each
--- a/mustardseam/pool/admit.go
+++ b/mustardseam/pool/admit.go
@@ -75,8 +75,8 @@
 	return time.Duration(optimism * float64(best))
 }
 
-// refuseEarly refuses a request that cannot finish by its deadline. A request of a tier above another waiting one is not
-// refused because of the queue: the lower tier has to give way first.
+// refuseEarly refuses a request that cannot finish by its deadline. A request of a tier above another waiting one is
+// not refused because of the queue: the lower tier has to give way first.
 func (p *Pool) refuseEarly(now time.Time, rt *route, r *request) bool {
 	if r.late(now) {
 		p.refuse(r.ID, TooLate, 0)
--- a/mustardseam/pool/machine_test.go
+++ b/mustardseam/pool/machine_test.go
@@ -42,7 +42,7 @@
 		}
 		m.pool = New(m.cfg)
 		t.Repeat(map[string]func(*rapid.T){
-			"ask": m.ask, "ask-again": m.ask, "done": m.done, "report": m.report, "withdraw": m.withdraw,
+			"ask": m.ask, "ask-again": m.ask, "done": m.done, "done-again": m.done, "report": m.report, "withdraw": m.withdraw,
 			"service": m.service, "split": m.split, "block": m.block, "decide": m.decide,
 		})
 	})
@@ -148,7 +148,7 @@
 func (m *machine) service(t *rapid.T) {
 	m.cfg.Servers, m.cfg.DataCentres = slices.Clone(m.cfg.Servers), slices.Clone(m.cfg.DataCentres)
 	i := rapid.IntRange(0, 3).Draw(t, "server")
-	m.cfg.Servers[i] = m.cfg.Servers[i].WithLeaving(rapid.Bool().Draw(t, "leaving"))
+	m.cfg.Servers[i] = m.cfg.Servers[i].WithLeaving(rapid.IntRange(0, 3).Draw(t, "leaving") == 0)
 	m.cfg.DataCentres[i%2] = m.cfg.DataCentres[i%2].WithOutOfService(rapid.IntRange(0, 3).Draw(t, "out") == 0)
 	m.pool.Configure(m.now, m.cfg)
 	m.decide(t)
--- a/mustardseam/pool/pool_test.go
+++ b/mustardseam/pool/pool_test.go
@@ -14,7 +14,9 @@
 // The seed is fixed, so that a verdict depends only on the tree.
 func init() {
 	_ = flag.Set("rapid.seed", "20261204")
+	_ = flag.Set("rapid.nofailfile", "true")
 	_ = flag.Set("rapid.checks", "500")
+	_ = flag.Set("rapid.steps", "150")
 }
 
 var epoch = time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC)
--- a/mustardseam/retry/retry_test.go
+++ b/mustardseam/retry/retry_test.go
@@ -12,6 +12,7 @@
 // The seed is fixed, so that a verdict depends only on the tree.
 func init() {
 	_ = flag.Set("rapid.seed", "20261204")
+	_ = flag.Set("rapid.nofailfile", "true")
 }
 
 // TestBudgetRatio guards against a storm of retries: attempts per request must stay below 1.1 in every prefix of any
