Refuse replayed peer messages and read the version before the message

Cause: the signature of a message covered neither its method nor its query, and a recorded message was accepted again for a minute. Polls of one second had equal signatures, so replays could not be told from them. A message of another version whose members have other types was answered 400 instead of 426. A compressed body was unpacked without a bound before its signature was checked. Kept answers above 2 MB could not be fetched. Write time, the number of connections and the hold of an ask were unbounded.

Change: signatures carry a nonce and cover method and URI; seen signatures are kept for as long as they are valid, within a bound; the version is decoded first, and a sender that does not read version 1 gets 426 too; the client refuses answers of a version that it does not read and names the peer's range. tcp.Listener bounds connections and writes.

--- a/mustardseam/peer/auth.go
+++ b/mustardseam/peer/auth.go
@@ -2,9 +2,11 @@
 
 import (
 	"crypto/hmac"
+	"crypto/rand"
 	"crypto/sha256"
-	"encoding/hex"
-	"fmt"
+	"encoding/base64"
+	"hash"
+	"io"
 	"strconv"
 	"strings"
 	"time"
@@ -13,37 +15,63 @@
 const (
 	authHeader = "Authorization"
 	authScheme = "Mustardseam "
-	// maxSkew bounds the age of a signature, so that a recorded call cannot be replayed later.
-	maxSkew = 60 * time.Second
+	// maxSkew bounds the age of a signature and the difference of two clocks. A recorded call is refused as a replay
+	// within it and as too old after it.
+	maxSkew = 30 * time.Second
+	// nonceBytes and macBytes keep the header short, because it is a large part of an ask. RFC 2104 allows an HMAC to be
+	// cut to half of its length.
+	nonceBytes = 8
+	macBytes   = sha256.Size / 2
 )
 
-// sign returns the value of the authorization header of a call.
-func sign(key []byte, now time.Time, path string, body []byte) string {
+// encoding writes the nonce and the signature.
+var encoding = base64.RawURLEncoding
+
+// sign returns the value of the authorization header of a call. The nonce tells equal calls of one second apart, which
+// polls are, from replays.
+func sign(key []byte, now time.Time, method, uri string, body []byte) string {
 	at := strconv.FormatInt(now.Unix(), 10)
-	return authScheme + at + "." + mac(key, at, path, body)
+	var raw [nonceBytes]byte
+	_, _ = rand.Read(raw[:]) // Never fails: the package ends the program instead.
+	nonce := encoding.EncodeToString(raw[:])
+	return authScheme + at + "." + nonce + "." + encoding.EncodeToString(mac(key, at, nonce, method, uri, body))
 }
 
-// verify reports whether the header was made with one of the keys.
-func verify(keys [][]byte, now time.Time, header, path string, body []byte) bool {
-	at, sum, ok := strings.Cut(strings.TrimPrefix(header, authScheme), ".")
-	if !ok || !strings.HasPrefix(header, authScheme) {
-		return false
+// verify returns the signature of a call that was made with one of the keys and is not too old.
+func verify(keys [][]byte, now time.Time, header, method, uri string, body []byte) (signature [macBytes]byte, ok bool) {
+	rest, ok := strings.CutPrefix(header, authScheme)
+	part := strings.Split(rest, ".")
+	if !ok || len(part) != 3 {
+		return signature, false
 	}
-	sec, err := strconv.ParseInt(at, 10, 64)
+	sec, err := strconv.ParseInt(part[0], 10, 64)
 	if err != nil || now.Sub(time.Unix(sec, 0)).Abs() > maxSkew {
-		return false
+		return signature, false
+	}
+	sum, err := encoding.DecodeString(part[2])
+	if err != nil || len(sum) != macBytes {
+		return signature, false
 	}
 	for _, key := range keys {
-		if len(key) > 0 && hmac.Equal([]byte(sum), []byte(mac(key, at, path, body))) {
-			return true
+		// A key that is not set would let anyone sign.
+		if len(key) > 0 && hmac.Equal(sum, mac(key, part[0], part[1], method, uri, body)) {
+			return [macBytes]byte(sum), true
 		}
 	}
-	return false
+	return signature, false
 }
 
-func mac(key []byte, at, path string, body []byte) string {
+// mac covers all of a call that its handler acts on. None of the parts before the body can hold a line feed.
+func mac(key []byte, at, nonce, method, uri string, body []byte) []byte {
 	h := hmac.New(sha256.New, key)
-	_, _ = fmt.Fprintf(h, "%s\n%s\n", at, path)
+	for _, part := range []string{at, nonce, method, uri} {
+		line(h, part)
+	}
 	_, _ = h.Write(body)
-	return hex.EncodeToString(h.Sum(nil))
+	return h.Sum(nil)[:macBytes]
+}
+
+func line(h hash.Hash, s string) {
+	_, _ = io.WriteString(h, s)
+	_, _ = h.Write([]byte{'\n'})
 }
--- a/mustardseam/peer/client.go
+++ b/mustardseam/peer/client.go
@@ -3,15 +3,21 @@
 import (
 	"encoding/json"
 	"errors"
+	"net/url"
 	"time"
 
 	"github.com/rotisserie/eris"
 	"github.com/valyala/fasthttp"
+
+	"github.com/mustardseam/mustardseam/mustardseam/tcp"
 )
 
-// ErrVersion says that the peer does not read this program's version of the protocol.
+// ErrVersion says that the peer does not read this program's version of the protocol, or writes another one.
 var ErrVersion = errors.New("peer does not read this protocol version")
 
+// maxAnswer bounds an answer in bytes: a kept answer of a service has up to 8 MB, and base64 adds a third.
+const maxAnswer = 12 << 20
+
 // ClientConfig says how a client authenticates itself.
 type ClientConfig struct {
 	Key     []byte
@@ -31,10 +37,14 @@
 		cfg.Timeout = time.Second
 	}
 	return &Client{cfg: cfg, http: &fasthttp.Client{
-		NoDefaultUserAgentHeader: true, MaxConnsPerHost: 4096, MaxResponseBodySize: maxBody,
+		DialTimeout: tcp.New(tcp.Config{}).DialTimeout, MaxConnsPerHost: maxConns, MaxResponseBodySize: maxAnswer,
+		NoDefaultUserAgentHeader: true, MaxIdemponentCallAttempts: 1, RetryIfErr: never, DisablePathNormalizing: true,
 	}}
 }
 
+// never keeps the HTTP client from repeating a call, whose signature the peer would refuse as a replay.
+func never(*fasthttp.Request, int, error) (bool, bool) { return false, false }
+
 // Ask asks the home at addr; the home may hold the call for the time that the request allows.
 func (c *Client) Ask(addr string, r AskRequest) (AskAnswer, error) {
 	var a AskAnswer
@@ -65,12 +75,12 @@
 
 // Document fetches a packed configuration document from the instance at addr.
 func (c *Client) Document(addr, digest string) ([]byte, error) {
-	return c.send(addr, fasthttp.MethodGet, "/peer/v1/config/"+digest, nil, c.cfg.Timeout)
+	return c.send(addr, fasthttp.MethodGet, "/peer/v1/config/"+url.PathEscape(digest), nil, c.cfg.Timeout)
 }
 
 // Answer fetches the answer of a done request from the instance at addr.
 func (c *Client) Answer(addr, request string) ([]byte, error) {
-	return c.send(addr, fasthttp.MethodGet, "/peer/v1/answer/"+request, nil, c.cfg.Timeout)
+	return c.send(addr, fasthttp.MethodGet, "/peer/v1/answer/"+url.PathEscape(request), nil, c.cfg.Timeout)
 }
 
 func (c *Client) post(addr, path string, in, out any, timeout time.Duration) error {
@@ -82,6 +92,10 @@
 	if err != nil {
 		return err
 	}
+	var v versioned
+	if json.Unmarshal(b, &v) == nil && !v.Proto.Readable() {
+		return eris.Wrapf(ErrVersion, "call %s of peer %s: it writes version %d", path, addr, v.Proto.Writes)
+	}
 	return eris.Wrapf(json.Unmarshal(b, out), "decode %s of peer %s", path, addr)
 }
 
@@ -91,7 +105,7 @@
 	defer fasthttp.ReleaseResponse(resp)
 	req.SetRequestURI("http://" + addr + path)
 	req.Header.SetMethod(method)
-	req.Header.Set(authHeader, sign(c.cfg.Key, c.cfg.Now(), path, body))
+	req.Header.Set(authHeader, sign(c.cfg.Key, c.cfg.Now(), method, path, body))
 	req.SetBodyRaw(body)
 	if err := c.http.DoTimeout(req, resp, timeout); err != nil {
 		return nil, eris.Wrapf(err, "call %s of peer %s", path, addr)
@@ -100,7 +114,9 @@
 	case fasthttp.StatusOK:
 		return append([]byte{}, resp.Body()...), nil
 	case fasthttp.StatusUpgradeRequired:
-		return nil, eris.Wrapf(ErrVersion, "call %s of peer %s", path, addr)
+		var v versioned
+		_ = json.Unmarshal(resp.Body(), &v) // Without a range the status still says enough.
+		return nil, eris.Wrapf(ErrVersion, "call %s of peer %s: it reads versions %d to %d", path, addr, v.Proto.Reads[0], v.Proto.Reads[1])
 	default:
 		return nil, eris.Errorf("call %s of peer %s: status %d", path, addr, code)
 	}
--- /dev/null
+++ b/mustardseam/peer/client_test.go
@@ -0,0 +1,176 @@
+package peer
+
+import (
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/mustardseam/mustardseam/mustardseam/pool"
+)
+
+func testClient(key []byte) *Client {
+	return NewClient(ClientConfig{Key: key, Timeout: 5 * time.Second, Now: func() time.Time { return testNow }})
+}
+
+// TestCalls guards against a call that the other side does not understand, and against polls that are taken for replays.
+func TestCalls(t *testing.T) {
+	addr := start(t, &home{}, plain)
+	for _, key := range [][]byte{testKey, previous} {
+		c := testClient(key)
+		for range 2 {
+			a, err := c.Ask(addr, AskRequest{Proto: Current(), Ask: pool.Ask{ID: "a1"}})
+			assert.NilError(t, err)
+			assert.Equal(t, a.Permit.Ask, "a1")
+		}
+		_, err := c.Done(addr, DoneRequest{Proto: Current()})
+		assert.NilError(t, err)
+		h, err := c.Heartbeat(addr, Heartbeat{Proto: Current()})
+		assert.NilError(t, err)
+		assert.Equal(t, h.Revision, uint64(4))
+		consent, err := c.Consent(addr, ConsentRequest{Proto: Current()})
+		assert.NilError(t, err)
+		assert.Assert(t, consent.Given)
+		doc, err := c.Document(addr, "d1")
+		assert.NilError(t, err)
+		assert.Equal(t, string(doc), "doc")
+		_, err = c.Document(addr, "d2")
+		assert.ErrorContains(t, err, "404")
+	}
+	_, err := testClient([]byte("guess")).Heartbeat(addr, Heartbeat{Proto: Current()})
+	assert.ErrorContains(t, err, "401")
+}
+
+// TestPeerOfAnotherVersion guards against an answer that is taken for one of the own version.
+func TestPeerOfAnotherVersion(t *testing.T) {
+	tests := []struct {
+		name, body string
+		status     int
+		version    bool
+		text       string
+	}{
+		{"does not read version 1", `{"proto":{"reads":[2,3],"writes":3}}`, 426, true, "2 to 3"},
+		{"says so without a range", ``, 426, true, "reads versions"},
+		{"writes version 2", `{"proto":{"reads":[1,2],"writes":2},"status":"granted"}`, 200, true, "version 2"},
+		{"writes version 1 with unknown members", `{"proto":{"reads":[1,2],"writes":1},"status":"pending","new":1}`, 200, false, ""},
+		{"writes no JSON", `granted`, 200, false, "decode"},
+		{"fails", `busy`, 500, false, "500"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var calls atomic.Int32
+			s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				calls.Add(1)
+				w.WriteHeader(tt.status)
+				_, _ = io.WriteString(w, tt.body)
+			}))
+			defer s.Close()
+			a, err := testClient(testKey).Ask(s.Listener.Addr().String(), AskRequest{Proto: Current()})
+			assert.Equal(t, errors.Is(err, ErrVersion), tt.version, "%v", err)
+			if tt.text != "" {
+				assert.ErrorContains(t, err, tt.text)
+			} else {
+				assert.NilError(t, err)
+				assert.Equal(t, a.Status, Pending)
+			}
+			assert.Equal(t, calls.Load(), int32(1))
+		})
+	}
+}
+
+// counted counts the bytes of all connections of a listener.
+type counted struct {
+	net.Listener
+	in, out atomic.Int64
+}
+
+// Accept returns the next connection.
+func (l *counted) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	return &countedConn{c, l}, err
+}
+
+type countedConn struct {
+	net.Conn
+	l *counted
+}
+
+// Read counts what the peer sent.
+func (c *countedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.l.in.Add(int64(n))
+	return n, err
+}
+
+// Write counts what goes to the peer.
+func (c *countedConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.l.out.Add(int64(n))
+	return n, err
+}
+
+// BenchmarkCalls measures a round trip over loopback, without the TCP and IP headers in the bytes. The ask is that of a
+// prompt with 64 blocks or of a short one; the outcome is one of a message of its own.
+func BenchmarkCalls(b *testing.B) {
+	ask := AskRequest{Proto: Current(), Region: "amman", Pool: "models", LeftMS: 30_000, HoldMS: 300, Ask: pool.Ask{
+		ID: "qasr-entry-1-68a1f00c-9f3b2c11-4k2", From: "qasr-entry-1-68a1f00c-9f3b2c11", DataCentre: "amman-1",
+		Team: "bridal", Route: "sizing", Prompt: 400, MaxOutput: 200, Deadline: testNow,
+	}}
+	long := ask
+	for n := range uint64(64) {
+		long.Ask.Prefix = append(long.Ask.Prefix, n*0x9e3779b97f4a7c15)
+	}
+	done := DoneRequest{Proto: Current(), Pool: "models", From: ask.Ask.From, Address: "10.20.30.40:7401", Outcomes: []pool.Outcome{{
+		Ask: ask.Ask.ID, Result: pool.OK, Status: 200, First: 300 * time.Millisecond, Between: 20 * time.Millisecond, Prompt: 400, Output: 200,
+	}}}
+	beat := Heartbeat{Proto: Current(), Revision: 2500, Digest: "0123456789abcdef0123456789abcdef0123456789abcdef0123456789abcdef"}
+	beat.From.ID, beat.From.Incarnation, beat.From.Address = "qasr-entry-1", ask.Ask.From, "10.20.30.40:7401"
+	beat.Members = append(beat.Members, beat.From, beat.From, beat.From, beat.From, beat.From, beat.From, beat.From, beat.From)
+	benches := []struct {
+		name string
+		call func(*Client, string) error
+	}{
+		{"ask without blocks", func(c *Client, addr string) error {
+			_, err := c.Ask(addr, ask)
+			return err
+		}},
+		{"ask with 64 blocks", func(c *Client, addr string) error {
+			_, err := c.Ask(addr, long)
+			return err
+		}},
+		{"outcome", func(c *Client, addr string) error {
+			_, err := c.Done(addr, done)
+			return err
+		}},
+		{"heartbeat with 8 members", func(c *Client, addr string) error {
+			_, err := c.Heartbeat(addr, beat)
+			return err
+		}},
+	}
+	for _, bb := range benches {
+		b.Run(bb.name, func(b *testing.B) {
+			var l *counted
+			addr := start(b, &home{}, func(ln net.Listener) net.Listener {
+				l = &counted{Listener: ln}
+				return l
+			})
+			c := testClient(testKey)
+			b.ReportAllocs()
+			n := 0
+			for b.Loop() {
+				if err := bb.call(c, addr); err != nil {
+					b.Fatal(err)
+				}
+				n++
+			}
+			b.ReportMetric(float64(l.in.Load())/float64(n), "request-B/op")
+			b.ReportMetric(float64(l.out.Load())/float64(n), "answer-B/op")
+		})
+	}
+}
--- a/mustardseam/peer/proto.go
+++ b/mustardseam/peer/proto.go
@@ -17,3 +17,13 @@
 
 // Readable reports whether this program reads messages of the sender.
 func (p Proto) Readable() bool { return p.Writes >= MinVersion && p.Writes <= MaxVersion }
+
+// speaks reports whether this program reads messages of the sender and the sender reads its answers.
+func (p Proto) speaks() bool {
+	return p.Readable() && p.Reads[0] <= MaxVersion && MaxVersion <= p.Reads[1]
+}
+
+// versioned is the part of a message that is the same in all versions.
+type versioned struct {
+	Proto Proto `json:"proto"`
+}
--- a/mustardseam/peer/server.go
+++ b/mustardseam/peer/server.go
@@ -7,13 +7,19 @@
 	"time"
 
 	"github.com/gofiber/fiber/v3"
+
+	"github.com/mustardseam/mustardseam/mustardseam/tcp"
 )
 
 const (
-	maxBody     = 2 << 20
-	maxHeader   = 8 << 10
-	idleTimeout = 60 * time.Second
-	readTimeout = 10 * time.Second
+	maxBody      = 2 << 20
+	maxHeader    = 8 << 10
+	maxConns     = 4096
+	idleTimeout  = 60 * time.Second
+	readTimeout  = 10 * time.Second
+	writeTimeout = 10 * time.Second
+	// maxHold bounds how long a peer may ask to be held.
+	maxHold = 10 * time.Second
 )
 
 // ServerConfig says how a server authenticates its callers.
@@ -25,8 +31,9 @@
 
 // Server serves the protocol to other instances.
 type Server struct {
-	cfg ServerConfig
-	app *fiber.App
+	cfg  ServerConfig
+	app  *fiber.App
+	seen seen
 }
 
 // NewServer returns a server that does not listen yet.
@@ -34,13 +41,16 @@
 	s := &Server{cfg: cfg}
 	s.app = fiber.New(fiber.Config{
 		BodyLimit: maxBody, ReadBufferSize: maxHeader, IdleTimeout: idleTimeout, ReadTimeout: readTimeout,
-		DisableDefaultDate: true, DisableDefaultContentType: true,
+		WriteTimeout: writeTimeout, DisableDefaultDate: true, DisableDefaultContentType: true,
 	})
 	s.app.Use(s.authenticate)
-	s.app.Post("/peer/v1/ask", handle(cfg.Handler.Ask, func(r AskRequest) Proto { return r.Proto }))
-	s.app.Post("/peer/v1/done", handle(cfg.Handler.Done, func(r DoneRequest) Proto { return r.Proto }))
-	s.app.Post("/peer/v1/heartbeat", handle(cfg.Handler.Heartbeat, func(r Heartbeat) Proto { return r.Proto }))
-	s.app.Post("/peer/v1/consent", handle(cfg.Handler.Consent, func(r ConsentRequest) Proto { return r.Proto }))
+	s.app.Post("/peer/v1/ask", handle(func(r AskRequest) AskAnswer {
+		r.HoldMS = min(max(r.HoldMS, 0), maxHold.Milliseconds())
+		return cfg.Handler.Ask(r)
+	}))
+	s.app.Post("/peer/v1/done", handle(cfg.Handler.Done))
+	s.app.Post("/peer/v1/heartbeat", handle(cfg.Handler.Heartbeat))
+	s.app.Post("/peer/v1/consent", handle(cfg.Handler.Consent))
 	s.app.Get("/peer/v1/config/:digest", raw("digest", cfg.Handler.Document))
 	s.app.Get("/peer/v1/answer/:id", raw("id", cfg.Handler.Answer))
 	return s
@@ -48,6 +58,7 @@
 
 // Serve answers on the listener until Close.
 func (s *Server) Serve(ln net.Listener) error {
+	ln = tcp.Listen(ln, tcp.ListenConfig{Connections: maxConns, Write: writeTimeout})
 	err := s.app.Listener(ln, fiber.ListenConfig{DisableStartupMessage: true})
 	if errors.Is(err, net.ErrClosed) {
 		return nil
@@ -58,23 +69,31 @@
 // Close ends the server after running calls have ended or the timeout has passed.
 func (s *Server) Close(timeout time.Duration) error { return s.app.ShutdownWithTimeout(timeout) }
 
+// authenticate answers 401 to strangers and to replays, whatever they ask for.
 func (s *Server) authenticate(c fiber.Ctx) error {
-	if !verify(s.cfg.Keys, s.cfg.Now(), c.Get(authHeader), c.Path(), c.Body()) {
-		return c.SendStatus(fiber.StatusUnauthorized)
+	now := s.cfg.Now()
+	signature, ok := verify(s.cfg.Keys, now, c.Get(authHeader), c.Method(), c.OriginalURL(), c.BodyRaw())
+	if !ok || !s.seen.first(now, signature) {
+		return c.Status(fiber.StatusUnauthorized).SendString("the call is not signed with the key of these instances, or was seen before")
 	}
 	return c.Next()
 }
 
-// handle decodes a message, checks its version and answers with the result of do.
-func handle[R, A any](do func(R) A, proto func(R) Proto) fiber.Handler {
+// handle checks the version of a message, decodes it and answers with the result of do. The version is read first,
+// because the members of another version may have other types.
+func handle[R, A any](do func(R) A) fiber.Handler {
 	return func(c fiber.Ctx) error {
-		var r R
-		if err := json.Unmarshal(c.Body(), &r); err != nil {
+		var v versioned
+		if err := json.Unmarshal(c.BodyRaw(), &v); err != nil {
 			return c.Status(fiber.StatusBadRequest).SendString("invalid JSON: " + err.Error())
 		}
-		if !proto(r).Readable() {
+		if !v.Proto.speaks() {
 			return c.Status(fiber.StatusUpgradeRequired).JSON(Ack{Proto: Current()})
 		}
+		var r R
+		if err := json.Unmarshal(c.BodyRaw(), &r); err != nil {
+			return c.Status(fiber.StatusBadRequest).SendString("invalid message: " + err.Error())
+		}
 		return c.JSON(do(r))
 	}
 }
--- /dev/null
+++ b/mustardseam/peer/server_test.go
@@ -0,0 +1,204 @@
+package peer
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+	"gotest.tools/v3/assert"
+
+	"github.com/mustardseam/mustardseam/mustardseam/pool"
+)
+
+func TestMain(m *testing.M) {
+	// The HTTP libraries end these goroutines themselves some seconds after the last connection.
+	goleak.VerifyTestMain(m, goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.(*Client).mCleaner"),
+		goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.(*HostClient).connsCleaner"),
+		goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.(*workerPool).Start.func2"))
+}
+
+var (
+	testKey  = []byte("current key")
+	previous = []byte("previous key")
+	testNow  = time.Unix(1_700_000_000, 0)
+)
+
+// home grants every ask and remembers the last one.
+type home struct {
+	mu  sync.Mutex
+	ask AskRequest // Guarded by mu.
+}
+
+func (h *home) Ask(r AskRequest) AskAnswer {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.ask = r
+	return AskAnswer{Proto: Current(), Status: Granted, Epoch: 7, Permit: &pool.Permit{Ask: r.Ask.ID, Server: "sizing-v1-1"}}
+}
+func (h *home) Done(DoneRequest) Ack          { return Ack{Proto: Current()} }
+func (h *home) Heartbeat(Heartbeat) Heartbeat { return Heartbeat{Proto: Current(), Revision: 4} }
+
+func (h *home) Consent(ConsentRequest) ConsentAnswer {
+	return ConsentAnswer{Proto: Current(), Given: true}
+}
+func (h *home) Document(digest string) ([]byte, bool) { return []byte("doc"), digest == "d1" }
+func (h *home) Answer(request string) ([]byte, bool)  { return []byte("kept"), request == "a/1" }
+
+// start serves h on loopback until the test ends.
+func start(t testing.TB, h Handler, wrap func(net.Listener) net.Listener) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	s := NewServer(ServerConfig{Keys: [][]byte{testKey, previous, nil}, Handler: h, Now: func() time.Time { return testNow }})
+	var wg sync.WaitGroup
+	wg.Go(func() { _ = s.Serve(wrap(ln)) })
+	t.Cleanup(func() {
+		_ = s.Close(time.Second)
+		_ = ln.Close()
+		wg.Wait()
+	})
+	return ln.Addr().String()
+}
+
+func plain(ln net.Listener) net.Listener { return ln }
+
+// call sends a request with the authorization header and returns status and body.
+func call(t *testing.T, method, url, auth, body string) (int, string) {
+	t.Helper()
+	req, err := http.NewRequest(method, url, strings.NewReader(body))
+	assert.NilError(t, err)
+	if auth != "" {
+		req.Header.Set(authHeader, auth)
+	}
+	req.Close = true
+	resp, err := http.DefaultClient.Do(req)
+	assert.NilError(t, err)
+	defer func() { _ = resp.Body.Close() }()
+	b, err := io.ReadAll(resp.Body)
+	assert.NilError(t, err)
+	return resp.StatusCode, string(b)
+}
+
+// TestAuthentication guards against calls of strangers, against altered calls, and against recorded calls that are sent
+// again.
+func TestAuthentication(t *testing.T) {
+	const path, body = "/peer/v1/heartbeat", `{"proto":{"reads":[1,1],"writes":1}}`
+	good := sign(testKey, testNow, "POST", path, []byte(body))
+	tests := []struct {
+		name, auth         string
+		method, path, body string // As sent, when not as signed.
+		status             int
+	}{
+		{name: "current key", auth: good, status: 200},
+		{name: "the same call again", auth: good, status: 401},
+		{name: "previous key", auth: sign(previous, testNow, "POST", path, []byte(body)), status: 200},
+		{name: "clock within the skew", auth: sign(testKey, testNow.Add(-maxSkew), "POST", path, []byte(body)), status: 200},
+		{name: "too old", auth: sign(testKey, testNow.Add(-maxSkew-time.Second), "POST", path, []byte(body)), status: 401},
+		{name: "too early", auth: sign(testKey, testNow.Add(maxSkew+time.Second), "POST", path, []byte(body)), status: 401},
+		{name: "another key", auth: sign([]byte("guess"), testNow, "POST", path, []byte(body)), status: 401},
+		{name: "empty key", auth: sign(nil, testNow, "POST", path, []byte(body)), status: 401},
+		{name: "no signature", status: 401},
+		{name: "another scheme", auth: "Bearer " + strings.TrimPrefix(good, authScheme), status: 401},
+		{name: "parts missing", auth: authScheme + "1700000000.abc", status: 401},
+		{name: "no number", auth: authScheme + "x.abc.def", status: 401},
+		{name: "no base64", auth: authScheme + "1700000000.abc.$$$", status: 401},
+		{name: "short signature", auth: good[:len(good)-4], status: 401},
+		{name: "altered body", auth: sign(testKey, testNow, "POST", path, []byte(body)), body: body + " ", status: 401},
+		{name: "altered path", auth: sign(testKey, testNow, "POST", path, []byte(body)), path: "/peer/v1/done", status: 401},
+		{name: "altered query", auth: sign(testKey, testNow, "POST", path, []byte(body)), path: path + "?a=b", status: 401},
+		{name: "altered method", auth: sign(testKey, testNow, "PUT", path, []byte(body)), status: 401},
+		{name: "unknown path of a stranger", path: "/debug", status: 401},
+		{name: "unknown path of a peer", auth: sign(testKey, testNow, "POST", "/debug", []byte(body)), path: "/debug", status: 404},
+	}
+	addr := start(t, &home{}, plain)
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			send, to := body, path
+			if tt.body != "" {
+				send = tt.body
+			}
+			if tt.path != "" {
+				to = tt.path
+			}
+			status, _ := call(t, "POST", "http://"+addr+to, tt.auth, send)
+			assert.Equal(t, status, tt.status)
+		})
+	}
+}
+
+// TestSeen guards against a replay after a change of generations, and against memory without bound.
+func TestSeen(t *testing.T) {
+	var s seen
+	assert.Assert(t, s.first(testNow, [macBytes]byte{1}))
+	later := testNow.Add(2*maxSkew + time.Second)
+	assert.Assert(t, s.first(later, [macBytes]byte{2}))
+	assert.Assert(t, !s.first(later, [macBytes]byte{1}))
+	for n := range 3 * seenLimit {
+		s.first(later, [macBytes]byte{byte(n), byte(n >> 8), byte(n >> 16), 1})
+	}
+	assert.Assert(t, len(s.fresh)+len(s.old) <= 2*seenLimit)
+}
+
+// TestVersions guards against a rolling upgrade in which instances of two versions misread each other.
+func TestVersions(t *testing.T) {
+	const extra = `{"proto":{"reads":[1,3],"writes":1,"flags":["x"]},"region":"amman","pool":"models","hold-ms":9999999,` +
+		`"ask":{"id":"a1","prefix":[1,2],"colour":"blue"},"left-ms":1000,"new":{"deep":[1]}}`
+	tests := []struct {
+		name, body string
+		status     int
+		text       string // In the answer.
+	}{
+		{"version 1 with unknown members", extra, 200, `"status":"granted"`},
+		{"writes version 2 only", `{"proto":{"reads":[2,2],"writes":2}}`, 426, `"reads":[1,1]`},
+		{"version 2 with members of other types", `{"proto":{"reads":[1,2],"writes":2},"ask":[1]}`, 426, `"reads":[1,1]`},
+		{"reads version 2 only", `{"proto":{"reads":[2,2],"writes":1}}`, 426, `"reads":[1,1]`},
+		{"no version", `{"region":"amman"}`, 426, `"reads":[1,1]`},
+		{"wrong type", `{"proto":{"reads":[1,1],"writes":1},"ask":[1]}`, 400, "ask"},
+		{"no JSON", `proto`, 400, "invalid JSON"},
+		{"empty", ``, 400, "invalid JSON"},
+	}
+	h := &home{}
+	addr := start(t, h, plain)
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			const path = "/peer/v1/ask"
+			status, body := call(t, "POST", "http://"+addr+path, sign(testKey, testNow, "POST", path, []byte(tt.body)), tt.body)
+			assert.Equal(t, status, tt.status, "%s", body)
+			assert.Assert(t, strings.Contains(body, tt.text), "%s", body)
+		})
+	}
+	assert.Equal(t, h.ask.Ask.ID, "a1")
+	assert.Equal(t, h.ask.HoldMS, maxHold.Milliseconds(), "a peer cannot hold a call for longer")
+}
+
+// TestLimits guards against messages that would fill the memory, also before the sender is known.
+func TestLimits(t *testing.T) {
+	addr := start(t, &home{}, plain)
+	tests := []struct {
+		name, header, body string
+		status             int
+	}{
+		{"body", "", strings.Repeat("x", maxBody+1), 413},
+		{"header", strings.Repeat("x", maxHeader), "", 431},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c, err := net.Dial("tcp", addr)
+			assert.NilError(t, err)
+			defer func() { _ = c.Close() }()
+			go func() {
+				_, _ = io.WriteString(c, "POST /peer/v1/ask HTTP/1.1\r\nHost: a\r\nX-A: "+tt.header+"\r\nContent-Length: 2097153\r\n\r\n"+tt.body)
+			}()
+			var line [12]byte
+			_, err = io.ReadFull(c, line[:])
+			assert.NilError(t, err)
+			assert.Equal(t, string(line[:]), fmt.Sprintf("HTTP/1.1 %d", tt.status))
+		})
+	}
+}
--- /dev/null
+++ b/mustardseam/tcp/tcp_test.go
@@ -0,0 +1,124 @@
+package tcp
+
+import (
+	"errors"
+	"io"
+	"net"
+	"os"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+	"gotest.tools/v3/assert"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+func listen(t *testing.T, cfg ListenConfig) *Listener {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	l := Listen(ln, cfg)
+	t.Cleanup(func() { _ = l.Close() })
+	return l
+}
+
+// TestNotConnected guards against a failed dial that cannot be told from a failed request.
+func TestNotConnected(t *testing.T) {
+	l := listen(t, ListenConfig{})
+	addr := l.Addr().String()
+	d := New(Config{})
+	c, err := d.Dial(addr)
+	assert.NilError(t, err)
+	d.Close()
+	_, err = c.Read(make([]byte, 1))
+	assert.Assert(t, errors.Is(err, net.ErrClosed), "a closed dialer ends its connections: %v", err)
+	_, err = d.Dial(addr)
+	assert.Assert(t, errors.Is(err, ErrNotConnected), "%v", err)
+	assert.NilError(t, l.Close())
+	_, err = New(Config{}).DialTimeout(addr, time.Minute)
+	assert.Assert(t, errors.Is(err, ErrNotConnected), "%v", err)
+}
+
+// TestSilence guards against a reader that waits for ever, by the idle time or by its own deadline.
+func TestSilence(t *testing.T) {
+	tests := []struct {
+		name     string
+		idle     time.Duration
+		deadline time.Duration
+	}{
+		{"idle time", 20 * time.Millisecond, 0},
+		{"idle time before the deadline", 20 * time.Millisecond, time.Hour},
+		{"deadline", 0, 20 * time.Millisecond},
+		{"deadline before the idle time", time.Hour, 20 * time.Millisecond},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			d := New(Config{Idle: tt.idle})
+			defer d.Close()
+			c, err := d.Dial(listen(t, ListenConfig{}).Addr().String())
+			assert.NilError(t, err)
+			if tt.deadline > 0 {
+				assert.NilError(t, c.SetDeadline(time.Now().Add(tt.deadline)))
+			}
+			_, err = c.Read(make([]byte, 1))
+			assert.Assert(t, errors.Is(err, os.ErrDeadlineExceeded), "%v", err)
+		})
+	}
+}
+
+// TestConnectionLimit guards against connections without bound, and against a place that stays taken after a close.
+func TestConnectionLimit(t *testing.T) {
+	l := listen(t, ListenConfig{Connections: 1, Refusal: []byte("full")})
+	accepted := make(chan net.Conn)
+	go func() {
+		defer close(accepted)
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			accepted <- c
+		}
+	}()
+	dial := func() net.Conn {
+		c, err := net.Dial("tcp", l.Addr().String())
+		assert.NilError(t, err)
+		return c
+	}
+	first := dial()
+	defer func() { _ = first.Close() }()
+	in := <-accepted
+	second := dial()
+	_, err := io.WriteString(second, "request that nobody reads")
+	assert.NilError(t, err)
+	b, err := io.ReadAll(second)
+	assert.NilError(t, err)
+	assert.Equal(t, string(b), "full")
+	assert.NilError(t, second.Close())
+	assert.NilError(t, in.Close())
+	_ = in.Close()
+	third := dial()
+	defer func() { _ = third.Close() }()
+	assert.NilError(t, (<-accepted).Close())
+	assert.NilError(t, l.Close())
+	for range accepted {
+		t.Fatal("a connection was accepted after the close")
+	}
+}
+
+// TestPeerThatDoesNotRead guards against a writer that waits for ever.
+func TestPeerThatDoesNotRead(t *testing.T) {
+	l := listen(t, ListenConfig{Write: 20 * time.Millisecond})
+	out, err := net.Dial("tcp", l.Addr().String())
+	assert.NilError(t, err)
+	defer func() { _ = out.Close() }()
+	in, err := l.Accept()
+	assert.NilError(t, err)
+	defer func() { _ = in.Close() }()
+	block := make([]byte, 1<<20)
+	for err == nil {
+		_, err = in.Write(block)
+	}
+	assert.Assert(t, errors.Is(err, os.ErrDeadlineExceeded), "%v", err)
+}
