Read callers' requests by exact member names and bound their connections

Cause: Go's JSON decoding ignores the case of names, so {"n":5,"N":1} or {"max_tokens":9999,"MAX_TOKENS":1} hid from the scheduler what the engine runs. Content or prompts of a wrong type counted as empty; a list of several prompts was taken for one; n of 0 or below, negative max_tokens, invalid UTF-8 and an empty or repeated Idempotency-Key were accepted. A key with bytes outside of ASCII became equal to others in the JSON between instances. Unknown paths and other errors of the HTTP library all had the type bad-request. Services got bodies that were unpacked but still declared as compressed, multipart bodies that were parsed and written anew, paths without their escapes, headers listed by Connection, and the bearer scheme was case sensitive. A caller that did not read its answer held its connection; one that left while its request waited went unseen.

Change: members are looked up by exact name with the reason in the refusal; the bytes of services are passed on; each write is bounded, connections beyond the bound get a problem with Retry-After; problems have a readable title and always a detail; Request.Gone is closed when the caller ends its connection (tcp.Watch). Models carry the created member of the API.

Conclusion: package instance should end a waiting request and a whole answer when Request.Gone is closed; until then only streams end with their caller.

--- /dev/null
+++ b/mustardseam/caller/caller_test.go
@@ -0,0 +1,315 @@
+package caller
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"gotest.tools/v3/assert"
+)
+
+func itoa(n int) string { return strconv.Itoa(n) }
+
+const chat = `{"model":"sizing","messages":[{"role":"user","content":"hi"}]}`
+
+// TestRefusals guards against bad input that reaches the scheduler or that is refused without a reason, and against
+// refusals that are not in the documented form.
+func TestRefusals(t *testing.T) {
+	const post = "POST /v1/chat/completions"
+	long := strings.Repeat("x", 70<<10)
+	member := func(m string) string { return strings.TrimSuffix(chat, "}") + "," + m + "}" }
+	prompt := func(p string) string { return `{"model":"sizing","prompt":` + p + `}` }
+	tests := []struct {
+		name, line, header, body string
+		status                   int
+		kind, detail             string
+	}{
+		{"unknown path", "GET /v2/models", "", "", 404, "not-found", ""},
+		{"unknown method", "GET /v1/chat/completions", "", "", 405, "method-not-allowed", ""},
+		{"no key", post, "Authorization: \r\n", chat, 401, "unauthorized", "required"},
+		{"another scheme", post, "Authorization: Basic key-1\r\n", chat, 401, "unauthorized", "required"},
+		{"unknown key", post, "Authorization: Bearer key-2\r\n", chat, 401, "unauthorized", "no team"},
+		{"unknown model", post, "", strings.Replace(chat, "sizing", "other", 1), 404, "unknown-model", "other"},
+		{"model is a service", post, "", strings.Replace(chat, "sizing", "leather", 1), 404, "unknown-model", "leather"},
+		{"service is a model", "POST /services/sizing/x", "", "", 404, "unknown-service", "sizing"},
+		{"no JSON", post, "", `{"model"`, 400, "bad-request", "JSON"},
+		{"no object", post, "", `[1]`, 400, "bad-request", "JSON object"},
+		{"null", post, "", `null`, 400, "bad-request", "messages"},
+		{"invalid UTF-8", post, "", strings.Replace(chat, "hi", "\xff", 1), 400, "bad-request", "UTF-8"},
+		{"deep nesting", post, "", strings.Repeat("[", 50_000), 400, "bad-request", "JSON"},
+		{"compressed body", post, "Content-Encoding: gzip\r\n", "\x1f\x8b", 415, "unsupported-encoding", ""},
+		{"no messages", post, "", `{"model":"sizing","messages":[]}`, 400, "bad-request", "messages"},
+		{"messages of the wrong type", post, "", `{"model":"sizing","messages":"hi"}`, 400, "bad-request", "messages"},
+		{"no role", post, "", strings.Replace(chat, "role", "Role", 1), 400, "bad-request", "messages[0].role"},
+		{"content of the wrong type", post, "", strings.Replace(chat, `"hi"`, "7", 1), 400, "bad-request", "messages[0].content"},
+		{"part of the wrong type", post, "", strings.Replace(chat, `"hi"`, `[{"text":7}]`, 1), 400, "bad-request", "messages[0].content"},
+		{"model of the wrong type", post, "", strings.Replace(chat, `"sizing"`, "7", 1), 400, "bad-request", "model"},
+		{"stream of the wrong type", post, "", member(`"stream":"yes"`), 400, "bad-request", "stream"},
+		{"negative max_tokens", post, "", member(`"max_tokens":-1`), 400, "bad-request", "max_tokens"},
+		{"max_tokens beyond all numbers", post, "", member(`"max_tokens":1e40`), 400, "bad-request", "max_tokens"},
+		{"several choices", post, "", member(`"n":2`), 400, "bad-request", "n must be 1"},
+		{"no choice", post, "", member(`"n":0`), 400, "bad-request", "n must be 1"},
+		{"several choices beside another case", post, "", member(`"n":2,"N":1`), 400, "bad-request", "n must be 1"},
+		{"long user", post, "", member(`"user":"` + long[:300] + `"`), 400, "bad-request", "user"},
+		{"several prompts", "POST /v1/completions", "", prompt(`["a","b"]`), 400, "bad-request", "one prompt"},
+		{"no prompt", "POST /v1/completions", "", `{"model":"sizing"}`, 400, "bad-request", "prompt"},
+		{"prompt of the wrong type", "POST /v1/completions", "", prompt(`{"a":1}`), 400, "bad-request", "prompt"},
+		{"foreign tier", post, "Mustardseam-Tier: gold\r\n", chat, 403, "tier-not-allowed", "fitting, notes"},
+		{"timeout of the wrong type", post, "Mustardseam-Timeout: soon\r\n", chat, 400, "bad-request", "Mustardseam-Timeout"},
+		{"timeout that is no number", post, "Mustardseam-Timeout: NaN\r\n", chat, 400, "bad-request", "Mustardseam-Timeout"},
+		{"endless timeout", post, "Mustardseam-Timeout: inf\r\n", chat, 400, "bad-request", "Mustardseam-Timeout"},
+		{"negative timeout", post, "Mustardseam-Timeout: -1\r\n", chat, 400, "bad-request", "Mustardseam-Timeout"},
+		{"non-idempotent of the wrong type", post, "Mustardseam-Non-Idempotent: yes\r\n", chat, 400, "bad-request", "true or false"},
+		{"empty key", post, "Idempotency-Key: \r\n", chat, 400, "bad-request", "Idempotency-Key"},
+		{"long key", post, "Idempotency-Key: " + long[:257] + "\r\n", chat, 400, "bad-request", "256"},
+		{"key that is not ASCII", post, "Idempotency-Key: \xff\r\n", chat, 400, "bad-request", "ASCII"},
+		{"two keys", post, "Idempotency-Key: a\r\nIdempotency-Key: b\r\n", chat, 400, "bad-request", "repeated"},
+		{"huge body", post, "", long, 413, "body-too-large", ""},
+		{"huge header", post, "X-Long: " + long[:5000] + "\r\n", chat, 431, "header-too-large", ""},
+		{"line feed in a header name", post, "X-A\n: b\r\n", chat, 400, "bad-request", ""},
+		{"two lengths", post, "Content-Length: 3\r\n", chat, 400, "bad-request", ""},
+	}
+	f := newFake()
+	addr := start(t, f, unchanged)
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			resp, body := send(t, addr, tt.line, tt.header, tt.body)
+			assert.Equal(t, resp.StatusCode, tt.status, "%s", body)
+			assert.Equal(t, resp.Header.Get("Content-Type"), "application/problem+json")
+			var p map[string]any
+			assert.NilError(t, json.Unmarshal([]byte(body), &p))
+			assert.Equal(t, p["type"], "urn:mustardseam:problem:"+tt.kind, "%s", body)
+			assert.Equal(t, p["status"], float64(tt.status))
+			assert.Equal(t, p["title"], strings.ReplaceAll(tt.kind, "-", " "))
+			assert.Equal(t, p["not-run"], true)
+			assert.Assert(t, strings.Contains(p["detail"].(string), tt.detail) && p["detail"] != "", "%s", body)
+			assert.Equal(t, resp.Header.Get("WWW-Authenticate") != "", tt.status == 401)
+		})
+	}
+	assert.Equal(t, f.opened, 0)
+}
+
+// TestSchedulerProblem guards against a refusal of the scheduler that loses its wait or its claim of not run.
+func TestSchedulerProblem(t *testing.T) {
+	f := newFake()
+	f.problem = NewProblem("queue-full", 503, false, "full").WithRetryAfter(1100 * time.Millisecond)
+	resp, body := send(t, start(t, f, unchanged), "POST /v1/chat/completions", "", chat)
+	assert.Equal(t, resp.StatusCode, 503)
+	assert.Equal(t, resp.Header.Get("Retry-After"), "2")
+	assert.Equal(t, body, `{"type":"urn:mustardseam:problem:queue-full","title":"queue full","status":503,"detail":"full","not-run":false}`)
+	f.cfg = nil
+	resp, _ = send(t, start(t, f, unchanged), "GET /v1/models", "", "")
+	assert.Equal(t, resp.StatusCode, 503)
+	assert.Equal(t, resp.Header.Get("Retry-After"), "1")
+}
+
+// TestRequests guards against a request that the scheduler sees in another way than its sender meant.
+func TestRequests(t *testing.T) {
+	long := strings.Repeat("0123456789abcdef", 8)
+	hash := xxhash.Sum64String("user:" + long[:blockBytes-5])
+	tests := []struct {
+		name, line, header, body string
+		want                     Request // Only the members that are compared.
+		blocks                   int
+	}{
+		{"chat", "POST /v1/chat/completions", "", chat, Request{Path: chatPath, Chat: true, Prompt: 2}, 0},
+		{"path in another case", "POST /V1/Chat/Completions/", "", chat, Request{Path: chatPath, Chat: true, Prompt: 2}, 0},
+		{"scheme in another case", "POST /v1/chat/completions", "Authorization: bEARER  key-1\r\n", chat, Request{Path: chatPath, Chat: true, Prompt: 2}, 0},
+		{"long prompt", "POST /v1/chat/completions", "", strings.Replace(chat, "hi", long, 1), Request{Path: chatPath, Chat: true, Prompt: 33}, 2},
+		{
+			"list of parts", "POST /v1/chat/completions", "",
+			strings.Replace(chat, `"hi"`, `[{"type":"text","text":"`+long[:100]+`"},{"type":"image_url"},{"text":"`+long[100:]+`"}]`, 1),
+			Request{Path: chatPath, Chat: true, Prompt: 33},
+			2,
+		},
+		{"tool call without content", "POST /v1/chat/completions", "", strings.Replace(chat, `"hi"`, "null", 1), Request{Path: chatPath, Chat: true, Prompt: 1}, 0},
+		{"unknown members", "POST /v1/chat/completions", "", `{"x":[{}],"N":9,` + chat[1:], Request{Path: chatPath, Chat: true, Prompt: 2}, 0},
+		{"prompt", "POST /v1/completions", "", `{"model":"sizing","prompt":"hello you","user":"u1","stream":null}`, Request{Path: textPath, Prompt: 2, Group: "u1"}, 0},
+		{"list of one prompt", "POST /v1/completions", "", `{"model":"sizing","prompt":["hello you"],"n":1}`, Request{Path: textPath, Prompt: 2}, 0},
+		{"tokens", "POST /v1/completions", "", `{"model":"sizing","prompt":[5,6,7],"max_tokens":9}`, Request{Path: textPath, Prompt: 3, MaxOutput: 9}, 0},
+		{"list of tokens", "POST /v1/completions", "", `{"model":"sizing","prompt":[[5,6,7]]}`, Request{Path: textPath, Prompt: 3}, 0},
+		{"huge max_tokens", "POST /v1/completions", "", `{"model":"sizing","prompt":"a","max_tokens":9223372036854775807}`, Request{Path: textPath, Prompt: 1, MaxOutput: maxOutput}, 0},
+		{"service", "PUT /services/leather/a%2Fb//c?q=1&q=%20", "", "\x00", Request{Path: "/a%2Fb//c?q=1&q=%20", Prompt: 1, NonIdempotent: true}, 0},
+		{"service without a path", "GET /services/leather?q", "", "", Request{Path: "/?q", Prompt: 1, NonIdempotent: true}, 0},
+		{"service by absolute address", "GET http://a/services/leather/x", "", "", Request{Path: "/x", Prompt: 1, NonIdempotent: true}, 0},
+		{
+			"headers", "POST /v1/completions", "Mustardseam-Tier: notes\r\nMustardseam-Timeout: 2.5\r\nIdempotency-Key: 17-a|b\r\nMustardseam-Non-Idempotent: true\r\n",
+			`{"model":"sizing","prompt":"a"}`,
+			Request{Path: textPath, Prompt: 1, Key: "17-a|b", NonIdempotent: true, Deadline: testNow.Add(2500 * time.Millisecond)},
+			0,
+		},
+		{"not looser than the route", "GET /services/leather/x", "Mustardseam-Non-Idempotent: false\r\n", "", Request{Path: "/x", Prompt: 1, NonIdempotent: true}, 0},
+		{"timeout beyond the route's", "POST /v1/completions", "Mustardseam-Timeout: 1e9\r\n", `{"model":"sizing","prompt":"a"}`, Request{Path: textPath, Prompt: 1, Deadline: testNow.Add(20 * time.Second)}, 0},
+	}
+	f := newFake()
+	addr := start(t, f, unchanged)
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			resp, body := send(t, addr, tt.line, tt.header, tt.body)
+			assert.Equal(t, resp.StatusCode, 200, "%s", body)
+			r := f.request()
+			assert.Equal(t, string(r.Body), tt.body)
+			assert.Equal(t, len(r.Prefix), tt.blocks)
+			if tt.blocks > 0 {
+				assert.Equal(t, r.Prefix[0], hash)
+			}
+			if !tt.want.Deadline.IsZero() {
+				assert.Assert(t, r.Deadline.Equal(tt.want.Deadline), "%v", r.Deadline)
+			}
+			assert.Equal(t, r.Tier.Name == "notes", strings.Contains(tt.header, "Tier: notes"))
+			got := Request{
+				Path: r.Path, Chat: r.Chat, Prompt: r.Prompt, MaxOutput: r.MaxOutput, Group: r.Group, Key: r.Key,
+				NonIdempotent: r.NonIdempotent, Deadline: tt.want.Deadline,
+			}
+			assert.DeepEqual(t, got, tt.want)
+		})
+	}
+}
+
+// TestServiceHeaders guards against the caller's key or headers of its connection at a service, against changed bodies,
+// and against lost headers of the answer.
+func TestServiceHeaders(t *testing.T) {
+	f := newFake()
+	f.status, f.body, f.header = 418, "\x00tea", map[string]string{"Etag": `"7"`, "Content-Type": "image/png"}
+	resp, body := send(t, start(t, f, unchanged), "POST /services/leather/x", "X-Custom: 1\r\nX-Hop: 2\r\nAccept: a\r\nAccept: b\r\n"+
+		"Connection: X-Hop\r\nTE: trailers\r\nUpgrade: h2c\r\nKeep-Alive: 5\r\nProxy-Authorization: key-1\r\nContent-Encoding: gzip\r\n"+
+		"Idempotency-Key: k1\r\nMustardseam-Tier: notes\r\nContent-Type: multipart/form-data; boundary=q\r\n", "--q\r\nbroken")
+	assert.Equal(t, resp.StatusCode, 418)
+	assert.Equal(t, body, "\x00tea")
+	assert.Equal(t, resp.Header.Get("Etag"), `"7"`)
+	assert.Equal(t, resp.Header.Get("Content-Type"), "image/png")
+	r := f.request()
+	assert.Equal(t, string(r.Body), "--q\r\nbroken")
+	assert.DeepEqual(t, r.Header, map[string]string{
+		"X-Custom": "1", "Accept": "a, b", "Content-Encoding": "gzip", "Idempotency-Key": "k1",
+		"Content-Type": "multipart/form-data; boundary=q",
+	})
+}
+
+// TestModels guards against a list that clients of the API cannot read or that shows services.
+func TestModels(t *testing.T) {
+	_, body := send(t, start(t, newFake(), unchanged), "GET /v1/models", "", "")
+	assert.Equal(t, body, `{"data":[{"id":"sizing","object":"model","created":0,"owned_by":"mustardseam"}],"object":"list"}`)
+}
+
+// TestStream guards against events that are cut, merged or whose end looks whole when it is not.
+func TestStream(t *testing.T) {
+	tests := []struct {
+		name   string
+		events []string
+		end    error
+		want   string
+	}{
+		{"whole", []string{`{"a":1}`, `{"b":2}`}, io.EOF, "data: {\"a\":1}\n\ndata: {\"b\":2}\n\ndata: [DONE]\n\n"},
+		{"line breaks in an event", []string{"{\r\n}"}, io.EOF, "data: {\ndata: }\n\ndata: [DONE]\n\n"},
+		{"broken", []string{`{"a":1}`}, errors.New("engine gone"), "data: {\"a\":1}\n\nevent: error\ndata: {\"error\":" +
+			`{"type":"urn:mustardseam:problem:incomplete","title":"incomplete","status":502,"detail":"the answer is incomplete: engine gone","not-run":false}}` + "\n\n"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newFake()
+			f.events, f.end = tt.events, tt.end
+			resp, body := send(t, start(t, f, unchanged), "POST /v1/chat/completions", "", `{"stream":true,`+chat[1:])
+			assert.Equal(t, resp.Header.Get("Content-Type"), "text/event-stream")
+			assert.Equal(t, body, tt.want)
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			assert.Equal(t, f.closed, 1)
+		})
+	}
+}
+
+// TestCallerLeaves guards against a request that goes on for a caller that has gone.
+func TestCallerLeaves(t *testing.T) {
+	for _, line := range []string{"POST /v1/chat/completions", "POST /services/leather/x"} {
+		f := newFake()
+		f.hang = make(chan struct{})
+		c, err := net.Dial("tcp", start(t, f, unchanged))
+		assert.NilError(t, err)
+		_, err = io.WriteString(c, line+" HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer key-1\r\nContent-Length: "+itoa(len(chat))+"\r\n\r\n"+chat)
+		assert.NilError(t, err)
+		assert.NilError(t, c.Close())
+		<-f.hang
+	}
+}
+
+// TestKeptConnection guards against requests of one connection that are lost or mixed by the watch for its end.
+func TestKeptConnection(t *testing.T) {
+	f := newFake()
+	addr := start(t, f, unchanged)
+	c, err := net.Dial("tcp", addr)
+	assert.NilError(t, err)
+	defer func() { _ = c.Close() }()
+	one := "POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer key-1\r\nContent-Length: " + itoa(len(chat)) + "\r\n\r\n" + chat
+	last := strings.Replace(one, "Host: a", "Host: a\r\nConnection: close", 1)
+	_, err = io.WriteString(c, one+one+one+last)
+	assert.NilError(t, err)
+	b, err := io.ReadAll(c)
+	assert.NilError(t, err)
+	assert.Equal(t, strings.Count(string(b), "HTTP/1.1 200"), 4)
+}
+
+// TestSlowSender guards against connections that are held by bytes that come too slowly, or by none.
+func TestSlowSender(t *testing.T) {
+	tests := []struct{ name, text string }{
+		{"no byte", ""},
+		{"half a header", "POST /v1/chat/completions HTTP/1.1\r\nHos"},
+		{"half a body", "POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nContent-Length: 10\r\n\r\n{"},
+	}
+	addr := start(t, newFake(), func(c *Config) { c.Read, c.Idle = 50*time.Millisecond, 50*time.Millisecond })
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c, err := net.Dial("tcp", addr)
+			assert.NilError(t, err)
+			defer func() { _ = c.Close() }()
+			_, err = io.WriteString(c, tt.text)
+			assert.NilError(t, err)
+			_, err = io.ReadAll(c) // Ends when the server closes the connection.
+			assert.NilError(t, err)
+		})
+	}
+}
+
+// TestConnectionLimit guards against connections without bound and against a refusal that callers cannot read.
+func TestConnectionLimit(t *testing.T) {
+	addr := start(t, newFake(), func(c *Config) { c.Connections = 1 })
+	c, err := net.Dial("tcp", addr)
+	assert.NilError(t, err)
+	defer func() { _ = c.Close() }()
+	_, err = io.WriteString(c, "GET /v1/models HTTP/1.1\r\nHost: a\r\n\r\n")
+	assert.NilError(t, err)
+	_, err = c.Read(make([]byte, 1))
+	assert.NilError(t, err)
+	resp, body := send(t, addr, "GET /v1/models", "", "")
+	assert.Equal(t, resp.StatusCode, 503)
+	assert.Equal(t, resp.Header.Get("Retry-After"), "1")
+	assert.Assert(t, strings.Contains(body, `"not-run":true`), "%s", body)
+}
+
+// BenchmarkPrompt measures the reading of a request's body and the hashing of its prompt.
+func BenchmarkPrompt(b *testing.B) {
+	tests := []struct {
+		name string
+		text int // Bytes.
+	}{{"short", 100}, {"long", 32 << 10}}
+	for _, bb := range tests {
+		b.Run(bb.name, func(b *testing.B) {
+			body := []byte(strings.Replace(chat, "hi", strings.Repeat("0123456789abcdef", bb.text/16+1)[:bb.text], 1))
+			b.SetBytes(int64(len(body)))
+			b.ReportAllocs()
+			for b.Loop() {
+				c, err := parseCompletion(body, true)
+				if err != nil {
+					b.Fatal(err)
+				}
+				blocks(c.prompt.text)
+			}
+		})
+	}
+}
--- a/mustardseam/caller/config.go
+++ b/mustardseam/caller/config.go
@@ -9,6 +9,7 @@
 	HeaderBytes int
 	Connections int
 	Idle        time.Duration // Of a connection between requests.
+	Read        time.Duration // In which a request must arrive, so that slow senders hold no connections; 30 s when zero.
 	Request     time.Duration // Total time of a request; the default and the longest deadline.
 	Now         func() time.Time
 }
--- a/mustardseam/caller/problem.go
+++ b/mustardseam/caller/problem.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/gofiber/fiber/v3"
@@ -11,19 +12,27 @@
 // typePrefix is put before the name of a problem; the names are stable.
 const typePrefix = "urn:mustardseam:problem:"
 
+// problemType is the media type of problems.
+const problemType = "application/problem+json"
+
 // Problem is a refusal or failure as application/problem+json (RFC 9457).
 type Problem struct {
 	Type       string        `json:"type"`
 	Title      string        `json:"title"`
 	Status     int           `json:"status"`
-	Detail     string        `json:"detail,omitempty"`
+	Detail     string        `json:"detail"`
 	NotRun     bool          `json:"not-run"` // True only when it is certain that the request did not run.
 	RetryAfter time.Duration `json:"-"`       // Sent as a header in whole seconds; 0 when unknown.
 }
 
 // NewProblem returns a problem of the named type.
 func NewProblem(name string, status int, notRun bool, detail string) *Problem {
-	return &Problem{Type: typePrefix + name, Title: name, Status: status, NotRun: notRun, Detail: detail}
+	return &Problem{Type: typePrefix + name, Title: strings.ReplaceAll(name, "-", " "), Status: status, NotRun: notRun, Detail: detail}
+}
+
+// badRequest returns the problem of a request that cannot be read.
+func badRequest(detail string) *Problem {
+	return NewProblem("bad-request", fiber.StatusBadRequest, true, detail)
 }
 
 // WithRetryAfter returns a copy that tells the caller when to come back.
@@ -37,5 +46,8 @@
 	if p.RetryAfter > 0 {
 		c.Set(fiber.HeaderRetryAfter, strconv.Itoa(int(math.Ceil(p.RetryAfter.Seconds()))))
 	}
-	return c.Status(p.Status).JSON(p, "application/problem+json")
+	if p.Status == fiber.StatusUnauthorized {
+		c.Set(fiber.HeaderWWWAuthenticate, "Bearer")
+	}
+	return c.Status(p.Status).JSON(p, problemType)
 }
--- a/mustardseam/caller/request.go
+++ b/mustardseam/caller/request.go
@@ -22,7 +22,8 @@
 	Key           string
 	NonIdempotent bool
 	Deadline      time.Time
-	Prompt        int // Estimated tokens.
-	MaxOutput     int // Tokens; 0 when the caller sets no limit.
+	Gone          <-chan struct{} // Closed when the caller ends its connection; nil when that cannot be seen.
+	Prompt        int             // Estimated tokens.
+	MaxOutput     int             // Tokens; 0 when the caller sets no limit.
 	Prefix        []uint64
 }
--- a/mustardseam/caller/server.go
+++ b/mustardseam/caller/server.go
@@ -1,15 +1,22 @@
 package caller
 
 import (
+	"encoding/json"
 	"errors"
+	"fmt"
 	"net"
 	"time"
 
 	"github.com/gofiber/fiber/v3"
+
+	"github.com/mustardseam/mustardseam/mustardseam/tcp"
 )
 
-// readTimeout bounds the time in which a request must arrive, so that slow senders do not hold connections.
-const readTimeout = 30 * time.Second
+const (
+	defaultRead = 30 * time.Second
+	// writeTimeout bounds each write to a caller that does not read.
+	writeTimeout = 30 * time.Second
+)
 
 // Server is the HTTP server for callers.
 type Server struct {
@@ -19,14 +26,19 @@
 
 // New returns a server that does not listen yet.
 func New(cfg Config) *Server {
+	if cfg.Read == 0 {
+		cfg.Read = defaultRead
+	}
 	s := &Server{cfg: cfg}
 	s.app = fiber.New(fiber.Config{
-		BodyLimit: cfg.BodyBytes, ReadBufferSize: cfg.HeaderBytes, Concurrency: cfg.Connections,
-		IdleTimeout: cfg.Idle, ReadTimeout: readTimeout, Immutable: true, ErrorHandler: failed,
+		BodyLimit: cfg.BodyBytes, ReadBufferSize: cfg.HeaderBytes, IdleTimeout: cfg.Idle, ReadTimeout: cfg.Read,
+		Immutable: true, ErrorHandler: failed,
+		// The bodies of services are passed on as they came.
+		DisablePreParseMultipartForm: true,
 	})
 	s.app.Get("/v1/models", s.models)
-	s.app.Post("/v1/chat/completions", func(c fiber.Ctx) error { return s.complete(c, true) })
-	s.app.Post("/v1/completions", func(c fiber.Ctx) error { return s.complete(c, false) })
+	s.app.Post(chatPath, func(c fiber.Ctx) error { return s.complete(c, true) })
+	s.app.Post(textPath, func(c fiber.Ctx) error { return s.complete(c, false) })
 	s.app.All("/services/:route", s.service)
 	s.app.All("/services/:route/*", s.service)
 	return s
@@ -34,6 +46,7 @@
 
 // Serve answers on the listener until Close.
 func (s *Server) Serve(ln net.Listener) error {
+	ln = tcp.Listen(ln, tcp.ListenConfig{Connections: s.cfg.Connections, Write: writeTimeout, Refusal: refusal()})
 	err := s.app.Listener(ln, fiber.ListenConfig{DisableStartupMessage: true})
 	if errors.Is(err, net.ErrClosed) {
 		return nil
@@ -44,6 +57,14 @@
 // Close ends the server after running requests have ended or the timeout has passed.
 func (s *Server) Close(timeout time.Duration) error { return s.app.ShutdownWithTimeout(timeout) }
 
+// refusal returns the response for a connection beyond the bound.
+func refusal() []byte {
+	b, _ := json.Marshal(NewProblem("instance-full", fiber.StatusServiceUnavailable, true,
+		"too many connections are open at this instance"))
+	return fmt.Appendf(nil, "HTTP/1.1 503 Service Unavailable\r\nContent-Type: %s\r\nRetry-After: 1\r\n"+
+		"Connection: close\r\nContent-Length: %d\r\n\r\n%s", problemType, len(b), b)
+}
+
 // failed turns an error of the HTTP library into a problem; such a request was never scheduled.
 func failed(c fiber.Ctx, err error) error {
 	status := fiber.StatusInternalServerError
@@ -51,5 +72,24 @@
 	if errors.As(err, &e) {
 		status = e.Code
 	}
-	return NewProblem("bad-request", status, status < 500, err.Error()).send(c)
+	return NewProblem(problemName(status), status, status < fiber.StatusInternalServerError, err.Error()).send(c)
+}
+
+// problemName returns the name of a problem that the HTTP library found.
+func problemName(status int) string {
+	switch status {
+	case fiber.StatusNotFound:
+		return "not-found"
+	case fiber.StatusMethodNotAllowed:
+		return "method-not-allowed"
+	case fiber.StatusRequestTimeout:
+		return "request-timeout"
+	case fiber.StatusRequestEntityTooLarge:
+		return "body-too-large"
+	case fiber.StatusRequestHeaderFieldsTooLarge:
+		return "header-too-large"
+	case fiber.StatusInternalServerError:
+		return "internal"
+	}
+	return "bad-request"
 }
--- a/mustardseam/caller/service.go
+++ b/mustardseam/caller/service.go
@@ -1,11 +1,15 @@
 package caller
 
 import (
+	"bytes"
 	"fmt"
 	"strings"
 
 	"github.com/gofiber/fiber/v3"
+	"github.com/valyala/fasthttp"
 
+	"github.com/mustardseam/mustardseam/mustardseam/service"
+	"github.com/mustardseam/mustardseam/mustardseam/tcp"
 	"github.com/mustardseam/mustardseam/operator"
 )
 
@@ -15,6 +19,9 @@
 	if problem != nil {
 		return problem.send(c)
 	}
+	gone, stop := tcp.Watch(c.RequestCtx().Conn())
+	defer stop()
+	r.Gone = gone
 	x, problem := s.cfg.Scheduler.Open(r)
 	if problem != nil {
 		return problem.send(c)
@@ -43,31 +50,33 @@
 	if !ok || p.Kind != operator.Services {
 		return Request{}, NewProblem("unknown-service", fiber.StatusNotFound, true, fmt.Sprintf("no service %q", name))
 	}
-	path := "/" + c.Params("*")
-	if q := string(c.Request().URI().QueryString()); q != "" {
-		path += "?" + q
-	}
 	r := Request{
-		Team: team, Route: route, Kind: operator.Services, Method: c.Method(), Path: path,
-		Header: forwarded(c), Body: c.Body(), Prompt: 1,
+		Team: team, Route: route, Kind: operator.Services, Method: c.Method(), Path: servicePath(c.Request().URI()),
+		Header: forwarded(c), Body: bytes.Clone(c.BodyRaw()), Prompt: 1,
 	}
 	return r, s.options(c, cfg, &r)
 }
 
-// forwarded returns the headers that a service may see: neither the caller's key nor those of the connection.
+// servicePath returns the path below the route with its query, as the caller wrote it.
+func servicePath(uri *fasthttp.URI) string {
+	_, rest, _ := strings.Cut(strings.TrimPrefix(string(uri.PathOriginal()), "/"), "/") // After "services".
+	_, rest, _ = strings.Cut(rest, "/")                                                 // After the route.
+	rest = "/" + rest
+	if q := uri.QueryString(); len(q) > 0 {
+		rest += "?" + string(q)
+	}
+	return rest
+}
+
+// forwarded returns the headers that a service may see: neither the caller's key nor those of the connection or of this
+// system.
 func forwarded(c fiber.Ctx) map[string]string {
-	out := map[string]string{}
-	for k, v := range c.Request().Header.All() {
-		name := string(k)
-		switch strings.ToLower(name) {
-		case "authorization", "connection", "keep-alive", "te", "trailer", "transfer-encoding", "upgrade", "host",
-			"content-length", "proxy-authorization", "proxy-connection", "expect":
-			continue
-		}
-		if strings.HasPrefix(strings.ToLower(name), "mustardseam-") {
-			continue
+	out := service.EndToEnd(c.Request().Header.All())
+	for name := range out {
+		lower := strings.ToLower(name)
+		if lower == "authorization" || lower == "host" || lower == "expect" || strings.HasPrefix(lower, "mustardseam-") {
+			delete(out, name)
 		}
-		out[name] = string(v)
 	}
 	return out
 }
--- a/mustardseam/tcp/listener.go
+++ b/mustardseam/tcp/listener.go
@@ -68,28 +68,3 @@
 		}
 	}
 }
-
-// accepted is a connection that bounds each write.
-type accepted struct {
-	net.Conn
-	listener *Listener
-	closed   atomic.Bool
-}
-
-// Write fails when the peer does not read for too long.
-func (c *accepted) Write(b []byte) (int, error) {
-	if d := c.listener.cfg.Write; d > 0 {
-		if err := c.SetWriteDeadline(time.Now().Add(d)); err != nil {
-			return 0, err
-		}
-	}
-	return c.Conn.Write(b)
-}
-
-// Close closes the connection.
-func (c *accepted) Close() error {
-	if c.closed.CompareAndSwap(false, true) {
-		c.listener.open.Add(-1)
-	}
-	return c.Conn.Close()
-}
--- a/mustardseam/tcp/tcp_test.go
+++ b/mustardseam/tcp/tcp_test.go
@@ -122,3 +122,37 @@
 	}
 	assert.Assert(t, errors.Is(err, os.ErrDeadlineExceeded), "%v", err)
 }
+
+// TestWatch guards against a caller that leaves unseen while its request waits, and against bytes of its next request
+// that the watch takes away.
+func TestWatch(t *testing.T) {
+	l := listen(t, ListenConfig{})
+	out, err := net.Dial("tcp", l.Addr().String())
+	assert.NilError(t, err)
+	defer func() { _ = out.Close() }()
+	in, err := l.Accept()
+	assert.NilError(t, err)
+	defer func() { _ = in.Close() }()
+	for _, text := range []string{"first", "second"} {
+		gone, stop := Watch(in)
+		_, err = io.WriteString(out, text)
+		assert.NilError(t, err)
+		stop()
+		b := make([]byte, len(text))
+		_, err = io.ReadFull(in, b)
+		assert.NilError(t, err)
+		assert.Equal(t, string(b), text)
+		select {
+		case <-gone:
+			t.Fatal("the peer is still there")
+		default:
+		}
+	}
+	gone, stop := Watch(in)
+	assert.NilError(t, out.Close())
+	<-gone
+	stop()
+	gone, stop = Watch(out)
+	assert.Assert(t, gone == nil)
+	stop()
+}
