Bound the admin listener and refuse faulty instance lists

Cause: the admin listener had no bound on connections, header and writes. A list of instances that was null or had entries without id or address was taken for the truth, so that instances could count as stopped. A Retry-After that holds a date counted as none, one of years was kept.

--- a/mustardseam/admin/server.go
+++ b/mustardseam/admin/server.go
@@ -7,12 +7,17 @@
 	"time"
 
 	"github.com/gofiber/fiber/v3"
+
+	"github.com/mustardseam/mustardseam/mustardseam/tcp"
 )
 
 const (
-	maxBody     = 1 << 10
-	idleTimeout = time.Minute
-	readTimeout = 5 * time.Second
+	maxBody      = 1 << 10
+	maxHeader    = 8 << 10
+	maxConns     = 64
+	idleTimeout  = time.Minute
+	readTimeout  = 5 * time.Second
+	writeTimeout = 10 * time.Second
 )
 
 // Config says what the server shows.
@@ -29,7 +34,10 @@
 
 // New returns a server that does not listen yet.
 func New(cfg Config) *Server {
-	app := fiber.New(fiber.Config{BodyLimit: maxBody, IdleTimeout: idleTimeout, ReadTimeout: readTimeout})
+	app := fiber.New(fiber.Config{
+		BodyLimit: maxBody, ReadBufferSize: maxHeader, IdleTimeout: idleTimeout, ReadTimeout: readTimeout,
+		WriteTimeout: writeTimeout,
+	})
 	app.Get("/live", func(c fiber.Ctx) error { return c.SendString("live\n") })
 	app.Get("/ready", func(c fiber.Ctx) error {
 		if !cfg.Ready() {
@@ -47,6 +55,7 @@
 
 // Serve answers on the listener until Close.
 func (s *Server) Serve(ln net.Listener) error {
+	ln = tcp.Listen(ln, tcp.ListenConfig{Connections: maxConns, Write: writeTimeout})
 	err := s.app.Listener(ln, fiber.ListenConfig{DisableStartupMessage: true})
 	if errors.Is(err, net.ErrClosed) {
 		return nil
--- a/mustardseam/platform/client.go
+++ b/mustardseam/platform/client.go
@@ -2,14 +2,25 @@
 
 import (
 	"encoding/json"
+	"net/url"
 	"strconv"
 	"time"
 
 	"github.com/rotisserie/eris"
 	"github.com/valyala/fasthttp"
+
+	"github.com/mustardseam/mustardseam/mustardseam/tcp"
 )
 
-const timeout = time.Second
+const (
+	timeout = time.Second
+	// maxAnswer bounds an answer in bytes; the list of 350 instances takes some 50 KB.
+	maxAnswer = 1 << 20
+	// minRetry is the wait when the weight store names none.
+	minRetry = time.Second
+	// maxRetry bounds the wait that the weight store asks for.
+	maxRetry = 10 * time.Minute
+)
 
 // Client calls the platform; its methods are safe for concurrent use.
 type Client struct {
@@ -19,10 +30,14 @@
 
 // New returns a client of the platform at addr, IP:port.
 func New(addr string) *Client {
-	return &Client{addr: addr, http: &fasthttp.Client{MaxResponseBodySize: 1 << 20}}
+	return &Client{addr: addr, http: &fasthttp.Client{
+		MaxResponseBodySize: maxAnswer, NoDefaultUserAgentHeader: true, DisablePathNormalizing: true,
+		DialTimeout: tcp.New(tcp.Config{}).DialTimeout,
+	}}
 }
 
-// Instances reads the list, which lags behind the truth.
+// Instances reads the list, which lags behind the truth. An entry without id or address makes the whole list an error,
+// because a list that misses instances would let the others take them for stopped.
 func (c *Client) Instances() ([]Instance, error) {
 	status, body, _, err := c.get("/instances")
 	if err != nil {
@@ -35,24 +50,33 @@
 	if err := json.Unmarshal(body, &list); err != nil {
 		return nil, eris.Wrapf(err, "decode instance list of platform %s", c.addr)
 	}
+	if list == nil {
+		return nil, eris.Errorf("decode instance list of platform %s: no list", c.addr)
+	}
+	for n, i := range list {
+		if i.ID == "" || i.Address == "" {
+			return nil, eris.Errorf("decode instance list of platform %s: entry %d has no id or no address", c.addr, n)
+		}
+	}
 	return list, nil
 }
 
 // Weights asks for the weights of a model, version or adapter; retry is above 0 when the rate of the weight store is
 // used up and says how long to wait.
 func (c *Client) Weights(name string) (retry time.Duration, err error) {
-	status, _, after, err := c.get("/weights/" + name)
+	status, _, after, err := c.get("/weights/" + url.PathEscape(name))
 	switch {
 	case err != nil:
 		return 0, eris.Wrapf(err, "load weights %s from platform %s", name, c.addr)
 	case status == fasthttp.StatusTooManyRequests:
-		return max(after, time.Second), nil
+		return min(max(after, minRetry), maxRetry), nil
 	case status != fasthttp.StatusOK:
 		return 0, eris.Errorf("load weights %s from platform %s: status %d", name, c.addr, status)
 	}
 	return 0, nil
 }
 
+// get makes a call that may be repeated.
 func (c *Client) get(path string) (status int, body []byte, after time.Duration, err error) {
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
@@ -61,6 +85,18 @@
 	if err := c.http.DoTimeout(req, resp, timeout); err != nil {
 		return 0, nil, 0, err
 	}
-	sec, _ := strconv.Atoi(string(resp.Header.Peek(fasthttp.HeaderRetryAfter)))
-	return resp.StatusCode(), append([]byte{}, resp.Body()...), time.Duration(sec) * time.Second, nil
+	return resp.StatusCode(), append([]byte{}, resp.Body()...), retryAfter(resp), nil
+}
+
+// retryAfter reads the header, which holds seconds or a date (RFC 9110 section 10.2.3); 0 when it holds neither.
+func retryAfter(resp *fasthttp.Response) time.Duration {
+	text := resp.Header.Peek(fasthttp.HeaderRetryAfter)
+	if sec, err := strconv.ParseInt(string(text), 10, 32); err == nil {
+		return time.Duration(sec) * time.Second
+	}
+	at, err := fasthttp.ParseHTTPDate(text)
+	if err != nil {
+		return 0
+	}
+	return time.Until(at)
 }
