Let the stand-ins fail in all documented ways within bounded memory

Cause: the stand-in engine published cache events at once and without gaps, kept every stream and event for ever, answered the resume of a cancelled stream as if it were whole, and ended a request when its reader left, so that a broken stream could not be resumed after that. The store could not lose a call before it took effect, did not drop watches, kept its log for ever, took leases that do not exist, and read every comparison as EQUAL.

Change: files by topic; Stats of each stand-in; faults by count; late cache events with gaps; bounds on streams, events, counters and the store's log with compaction; a platform whose list can be stuck.

Engine.Stats.Unannounced counts the requests beyond the cold limit that came while the published report still showed a warm engine.

--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -1,7 +1,6 @@
 package engine
 
 import (
-	"maps"
 	"sync"
 	"time"
 )
@@ -12,48 +11,45 @@
 // Engine runs the batch; its methods are safe for concurrent use.
 type Engine struct {
 	cfg  Config
-	stop chan struct{}
-
-	mu        sync.Mutex // Guards all that follows.
-	faults    Faults
-	version   string
-	fence     uint64
-	running   []*stream
-	waiting   []*stream
-	streams   map[string]*stream
-	cache     *cache
-	events    []Event
-	coldLeft  int
-	admitted  int
-	fallen    int // Times that the engine fell over in cold start.
-	overCold  int // Requests beyond the cold limit.
-	sequence  uint64
-	reports   []timedLoad
-	broken    bool
-	perKey    map[string]int
-	perTag    map[string]int
-	prefilled int
-	reused    int
-}
-
-type timedLoad struct {
-	at   time.Time
-	load Load
+	stop chan struct{} // Closed by Close.
+	done chan struct{} // Closed when the batch has stopped.
+	once sync.Once     // Guards the closing of stop.
+
+	mu       sync.Mutex // Guards all that follows.
+	faults   Faults
+	version  string
+	role     string
+	adapters []string
+	fence    uint64
+	running  []*stream
+	waiting  []*stream
+	streams  map[string]*stream
+	order    []string // Ids of streams in the order of their admission.
+	cache    *cache
+	events   eventLog
+	coldLeft int
+	sequence uint64
+	reports  []timedLoad
+	broken   bool
+	stats    Stats
 }
 
 // New starts an engine, which runs until Close.
 func New(cfg Config) *Engine {
+	cfg = cfg.withDefaults()
 	e := &Engine{
 		cfg:      cfg,
 		stop:     make(chan struct{}),
+		done:     make(chan struct{}),
 		version:  cfg.Version,
 		streams:  map[string]*stream{},
 		cache:    newCache(cfg.CacheBlocks),
+		events:   eventLog{limit: cfg.Remember},
 		coldLeft: cfg.ColdFor,
-		perKey:   map[string]int{},
-		perTag:   map[string]int{},
+		stats:    Stats{PerID: map[string]int{}, PerTag: map[string]int{}},
 	}
 	go func() {
+		defer close(e.done)
 		for {
 			select {
 			case <-e.stop:
@@ -67,7 +63,8 @@
 
 // Close stops the engine and ends all streams as failed.
 func (e *Engine) Close() {
-	close(e.stop)
+	e.once.Do(func() { close(e.stop) })
+	<-e.done
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.failAll()
@@ -88,71 +85,71 @@
 	e.coldLeft = max(1, e.cfg.ColdFor)
 }
 
-// Stats are counters for tests and reports.
-type Stats struct {
-	Admitted  int            // Requests admitted.
-	Fallen    int            // Times fallen over in cold start.
-	OverCold  int            // Requests admitted beyond the cold limit.
-	Prefilled int            // Prompt tokens computed.
-	Reused    int            // Prompt tokens read from the cache.
-	PerID     map[string]int // Executions by request id.
-	PerTag    map[string]int // Executions by the prompt's tag.
-}
-
-// Stats returns the counters.
-func (e *Engine) Stats() Stats {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return Stats{
-		Admitted: e.admitted, Fallen: e.fallen, OverCold: e.overCold, Prefilled: e.prefilled, Reused: e.reused,
-		PerID: maps.Clone(e.perKey), PerTag: maps.Clone(e.perTag),
-	}
-}
-
-// admit puts a request into the batch or the engine's own queue.
+// admit puts a request into the batch or the engine's own queue and reports whether the engine failed it instead.
 func (e *Engine) admit(s *stream) (failed bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.admitted++
-	e.perKey[s.id]++
-	e.perTag[s.tag]++
+	e.stats.count(s.id, s.tag)
 	n := len(e.running) + len(e.waiting) + 1
-	if e.faults.FailEvery > 0 && e.faults.hit(s.model, n) && e.admitted%e.faults.FailEvery == 0 {
+	if e.faults.FailEvery > 0 && e.faults.hit(s.model, n) && e.stats.Admitted%e.faults.FailEvery == 0 {
 		return true
 	}
-	hits := e.cache.hits(s.blocks)
-	s.cached = min(s.prompt, hits*BlockTokens)
-	s.left = s.prompt - s.cached
-	e.prefilled += s.left
-	e.reused += s.cached
-	e.note(e.cache.put(s.blocks), s.blocks)
+	e.prefill(s)
 	s.delay = int(e.faults.Delay / e.cfg.Step)
-	e.streams[s.id] = s
+	e.remember(s)
 	e.waiting = append(e.waiting, s)
-	if e.coldLeft > 0 && n > e.cfg.ColdLimit {
-		e.overCold++
-		e.fallen++
-		e.coldLeft = e.cfg.ColdFor
-		e.failAll()
-		return true
+	if e.coldLeft == 0 || n <= e.cfg.ColdLimit {
+		return false
 	}
-	return false
+	e.stats.OverCold++
+	if !e.published().Cold {
+		e.stats.Unannounced++
+	}
+	e.stats.Fallen++
+	e.coldLeft = e.cfg.ColdFor
+	e.failAll()
+	return true
 }
 
-// note records cache events; it must be called with mu held.
-func (e *Engine) note(evicted, stored []uint64) {
-	for _, b := range stored {
-		e.events = append(e.events, Event{Number: uint64(len(e.events)) + 1, Block: b})
+// prefill finds what of the prompt the cache holds and stores the rest; it must be called with mu held.
+func (e *Engine) prefill(s *stream) {
+	s.cached = min(s.prompt, e.cache.hits(s.blocks)*BlockTokens)
+	s.left = s.prompt - s.cached
+	e.stats.Prefilled += s.left
+	e.stats.Reused += s.cached
+	evicted := e.cache.put(s.blocks)
+	now := time.Now()
+	for _, b := range s.blocks {
+		e.events.add(now, b, false, e.faults.GapEvery)
 	}
 	for _, b := range evicted {
-		e.events = append(e.events, Event{Number: uint64(len(e.events)) + 1, Block: b, Evicted: true})
+		e.events.add(now, b, true, e.faults.GapEvery)
+	}
+}
+
+// remember keeps a stream for a resume and forgets the oldest one beyond the bound, at twice the bound also when it
+// hangs; it must be called with mu held.
+func (e *Engine) remember(s *stream) {
+	if e.streams[s.id] == nil {
+		e.order = append(e.order, s.id)
+	}
+	e.streams[s.id] = s
+	for len(e.order) > e.cfg.Remember {
+		oldest := e.order[0]
+		if _, state, _ := e.streams[oldest].read(); state == running && len(e.order) <= 2*e.cfg.Remember {
+			return
+		}
+		delete(e.streams, oldest)
+		e.order = e.order[1:]
 	}
 }
 
 // failAll ends every stream; it must be called with mu held.
 func (e *Engine) failAll() {
-	for _, s := range append(e.running, e.waiting...) {
-		s.end(true)
+	for _, list := range [][]*stream{e.running, e.waiting} {
+		for _, s := range list {
+			s.stop(failed)
+		}
 	}
 	e.running, e.waiting = nil, nil
 }
@@ -174,6 +171,7 @@
 			rest = append(rest, s)
 		}
 	}
+	clear(e.running[len(rest):])
 	e.running = rest
 	e.report()
 	d := e.cfg.Step
@@ -185,7 +183,8 @@
 
 // advance prefills or decodes one stream and reports whether it has ended; it must be called with mu held.
 func (e *Engine) advance(s *stream, budget *int) bool {
-	if _, ended, _, _ := s.read(); ended {
+	tokens, state, _ := s.read()
+	if state != running {
 		return true
 	}
 	if s.left > 0 {
@@ -198,7 +197,7 @@
 		s.delay--
 		return false
 	}
-	if e.faults.HangAfter > 0 && s.tokens >= e.faults.HangAfter {
+	if e.faults.HangAfter > 0 && tokens >= e.faults.HangAfter {
 		return false
 	}
 	if !s.emit() {
@@ -209,28 +208,3 @@
 	}
 	return true
 }
-
-// report keeps the load for later publication; it must be called with mu held.
-func (e *Engine) report() {
-	now := time.Now()
-	e.sequence++
-	e.reports = append(e.reports, timedLoad{now, Load{
-		Sequence: e.sequence, Running: len(e.running), Waiting: len(e.waiting),
-		Cold: e.coldLeft > 0, Version: e.version,
-	}})
-	for len(e.reports) > 1 && now.Sub(e.reports[1].at) >= e.cfg.ReportLag {
-		e.reports = e.reports[1:]
-	}
-}
-
-// load returns the newest report that is at least ReportLag old.
-func (e *Engine) load() Load {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if len(e.reports) == 0 {
-		return Load{Cold: e.coldLeft > 0, Version: e.version}
-	}
-	l := e.reports[0].load
-	l.AgeMS = time.Since(e.reports[0].at).Milliseconds()
-	return l
-}
--- a/standin/etcd/message.go
+++ b/standin/etcd/message.go
@@ -57,6 +57,7 @@
 	Result         string `json:"result"`
 	ModRevision    number `json:"mod_revision"`
 	CreateRevision number `json:"create_revision"`
+	Version        number `json:"version"`
 }
 
 type operation struct {
@@ -112,8 +113,11 @@
 
 type watchResponse struct {
 	Result struct {
-		Header  header  `json:"header"`
-		Created bool    `json:"created,omitempty"`
-		Events  []event `json:"events,omitempty"`
+		Header          header  `json:"header"`
+		Created         bool    `json:"created,omitempty"`
+		Canceled        bool    `json:"canceled,omitempty"`
+		CompactRevision number  `json:"compact_revision,omitempty"`
+		CancelReason    string  `json:"cancel_reason,omitempty"`
+		Events          []event `json:"events,omitempty"`
 	} `json:"result"`
 }
--- a/standin/etcd/store.go
+++ b/standin/etcd/store.go
@@ -2,26 +2,33 @@
 
 import (
 	"bytes"
-	"sort"
+	"slices"
 	"sync"
 	"time"
 )
 
+const (
+	// maxLog bounds the changes that a late watch can still read.
+	maxLog = 1 << 14
+	// maxValue bounds a value in bytes, as the platform does.
+	maxValue = 1 << 20
+)
+
 // Store is the key-value store; its methods are safe for concurrent use.
 type Store struct {
-	mu       sync.Mutex // Guards all that follows.
-	faults   Faults
-	revision number
-	keys     map[string]keyValue
-	leases   map[number]lease
-	log      []event // All changes in the order of their revisions.
-	changed  chan struct{}
-	calls    int
-}
-
-type lease struct {
-	ttl  time.Duration
-	ends time.Time
+	mu        sync.Mutex // Guards all that follows.
+	faults    Faults
+	revision  number
+	keys      map[string]keyValue
+	leases    map[number]lease
+	lastLease number
+	log       []event // Newest changes in the order of their revisions.
+	compacted number  // Revision up to which changes are forgotten.
+	changed   chan struct{}
+	drops     int // Times that watches were dropped.
+	second    time.Time
+	inSecond  int // Calls since second.
+	stats     Stats
 }
 
 // New returns an empty store.
@@ -37,22 +44,19 @@
 	s.wake()
 }
 
-// Calls returns the number of calls so far, a waiting watch counted as one.
-func (s *Store) Calls() int {
+// DropWatches ends every watch that is waiting.
+func (s *Store) DropWatches() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.calls
+	s.drops++
+	s.wake()
 }
 
-// ExpireLeases ends every lease at once, as a long pause of its holder does.
-func (s *Store) ExpireLeases() {
+// Compact forgets all changes, so that watches can only begin after the current revision.
+func (s *Store) Compact() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for id, l := range s.leases {
-		l.ends = time.Time{}
-		s.leases[id] = l
-	}
-	s.expire()
+	s.log, s.compacted = nil, s.revision
 }
 
 // wake must be called with mu held.
@@ -61,34 +65,27 @@
 	s.changed = make(chan struct{})
 }
 
-// expire drops the keys of leases that have ended; it must be called with mu held.
-func (s *Store) expire() {
-	now := time.Now()
-	for id, l := range s.leases {
-		if l.ends.After(now) {
-			continue
-		}
-		delete(s.leases, id)
-		for key, kv := range s.keys {
-			if kv.Lease == id {
-				s.remove(key)
-			}
-		}
+// note must be called with mu held.
+func (s *Store) note(ev event) {
+	s.log = append(s.log, ev)
+	if len(s.log) > 2*maxLog {
+		s.compacted = s.log[len(s.log)-maxLog-1].KV.ModRevision
+		s.log = slices.Clone(s.log[len(s.log)-maxLog:])
 	}
+	s.wake()
 }
 
-// remove must be called with mu held.
+// remove must be called with mu held; it takes a revision of its own.
 func (s *Store) remove(key string) {
 	if _, ok := s.keys[key]; !ok {
 		return
 	}
 	s.revision++
 	delete(s.keys, key)
-	s.log = append(s.log, event{Type: "DELETE", KV: keyValue{Key: []byte(key), ModRevision: s.revision}})
-	s.wake()
+	s.note(event{Type: "DELETE", KV: keyValue{Key: []byte(key), ModRevision: s.revision}})
 }
 
-// put must be called with mu held.
+// put must be called with mu held, for a request that check has passed.
 func (s *Store) put(r putRequest) {
 	s.revision++
 	kv := s.keys[string(r.Key)]
@@ -99,8 +96,21 @@
 	kv.ModRevision = s.revision
 	kv.Version++
 	s.keys[string(r.Key)] = kv
-	s.log = append(s.log, event{KV: kv})
-	s.wake()
+	s.note(event{KV: kv})
+}
+
+// check says why a write cannot be done; it must be called with mu held.
+func (s *Store) check(r putRequest) error {
+	if len(r.Key) == 0 {
+		return errNoKey
+	}
+	if len(r.Value) > maxValue {
+		return errTooLarge
+	}
+	if _, ok := s.leases[r.Lease]; r.Lease != 0 && !ok {
+		return errNoLease
+	}
+	return nil
 }
 
 // read must be called with mu held.
@@ -116,56 +126,16 @@
 				out.KVs = append(out.KVs, kv)
 			}
 		}
-		sort.Slice(out.KVs, func(i, j int) bool { return bytes.Compare(out.KVs[i].Key, out.KVs[j].Key) < 0 })
+		slices.SortFunc(out.KVs, func(a, b keyValue) int { return bytes.Compare(a.Key, b.Key) })
 	}
 	out.Count = number(len(out.KVs))
 	return out
 }
 
-// within reports whether key lies in the range; an empty end means the single key from.
+// within reports whether key lies in the range; an empty end means the single key from, a zero byte no end.
 func within(key, from, end []byte) bool {
 	if len(end) == 0 {
 		return bytes.Equal(key, from)
 	}
-	return bytes.Compare(key, from) >= 0 && bytes.Compare(key, end) < 0
-}
-
-// txn must be called with mu held.
-func (s *Store) txn(r txnRequest) txnResponse {
-	out := txnResponse{Succeeded: true}
-	for _, c := range r.Compare {
-		kv := s.keys[string(c.Key)]
-		switch c.Target {
-		case "CREATE":
-			out.Succeeded = out.Succeeded && kv.CreateRevision == c.CreateRevision
-		default:
-			out.Succeeded = out.Succeeded && kv.ModRevision == c.ModRevision
-		}
-	}
-	ops := r.Success
-	if !out.Succeeded {
-		ops = r.Failure
-	}
-	for _, op := range ops {
-		out.Responses = append(out.Responses, s.apply(op))
-	}
-	out.Header.Revision = s.revision
-	return out
-}
-
-// apply must be called with mu held.
-func (s *Store) apply(op operation) operationResponse {
-	switch {
-	case op.Put != nil:
-		s.put(*op.Put)
-		return operationResponse{Put: &putResponse{header{s.revision}}}
-	case op.Range != nil:
-		out := s.read(*op.Range)
-		return operationResponse{Range: &out}
-	case op.Delete != nil:
-		for _, kv := range s.read(*op.Delete).KVs {
-			s.remove(string(kv.Key))
-		}
-	}
-	return operationResponse{}
+	return bytes.Compare(key, from) >= 0 && (bytes.Equal(end, []byte{0}) || bytes.Compare(key, end) < 0)
 }
