Free the key of a failed attempt before the next one claims it

Cause: a retry of a keyed request after a refusal before admission met its own claim and was told in-progress; samples of servers in cold start were left out of the judgement, so that a version that fails at once was never judged; requests at an instance that reaches nobody waited until their deadline. Change: the next ask carries the outcome of the attempt before; cold servers count for failures but not for slowness; an isolated instance leaves the ready state and gives up on a request after 15 s without a home.

--- a/demo/cluster/failure_test.go
+++ b/demo/cluster/failure_test.go
@@ -73,8 +73,11 @@
 	client := NewClient()
 	l := c.load(4, 6, 0)
 	l.progress(t, "warm engines", 300)
-	c.Store.SetFaults(etcd.Faults{Down: true})
 	home := c.homeOf(ModelPool)
+	eventually(t, "a record with all candidates", func() bool {
+		return len(c.Instance(home).State().Pools[ModelPool].Record.Candidates) == c.Instances()
+	})
+	c.Store.SetFaults(etcd.Faults{Down: true})
 	c.Remove(home).Kill()
 	eventually(t, "static shares", func() bool {
 		for n := range c.Instances() {
--- a/demo/cluster/harness_test.go
+++ b/demo/cluster/harness_test.go
@@ -30,10 +30,31 @@
 	c, err := New(Config{Site: Qasr(), Instances: n, Log: log})
 	assert.NilError(t, err)
 	t.Cleanup(c.Close)
+	t.Cleanup(func() {
+		if t.Failed() {
+			c.explain(t)
+		}
+	})
 	assert.NilError(t, c.WaitReady(patience))
 	return c
 }
 
+// explain logs the part of every instance in every pool.
+func (c *Cluster) explain(t *testing.T) {
+	for n := range c.Instances() {
+		i := c.Instance(n)
+		if i == nil {
+			t.Logf("instance %d is not running", n)
+			continue
+		}
+		s := i.State()
+		for name, p := range s.Pools {
+			t.Logf("instance %d pool %s: mode %s, serving %d, asks %d, started %d, record %+v",
+				n, name, p.Mode, p.Serving, p.Asks, p.Started, p.Record)
+		}
+	}
+}
+
 // eventually waits until the condition holds.
 func eventually(t *testing.T, what string, condition func() bool) {
 	t.Helper()
@@ -107,7 +128,7 @@
 	for range 2 {
 		n := r.IntN(l.cluster.Instances())
 		i := l.cluster.Instance(n)
-		if i == nil {
+		if i == nil || !i.Ready() { // As the balancer does.
 			time.Sleep(poll)
 			continue
 		}
--- a/mustardseam/instance/ask.go
+++ b/mustardseam/instance/ask.go
@@ -46,6 +46,9 @@
 	}
 	a := h.asks[r.Ask.ID]
 	if a == nil {
+		if r.Previous != nil {
+			h.outcome(now, *r.Previous, "")
+		}
 		a = &ask{ask: r.Ask, done: make(chan struct{})}
 		a.ask.Deadline = now.Add(time.Duration(r.LeftMS) * time.Millisecond)
 		h.asks[r.Ask.ID] = a
--- a/mustardseam/instance/followconfig.go
+++ b/mustardseam/instance/followconfig.go
@@ -17,6 +17,7 @@
 	for i.ctx.Err() == nil {
 		head, mod, err := revision.ReadHead(i.ctx, i.store)
 		if err == nil {
+			i.reached()
 			i.adopt(head.Revision, head.Digest, "")
 			err = i.store.Watch(i.ctx, revision.HeadKey, mod+1, func(kv etcd.KeyValue) {
 				var h revision.Head
--- a/mustardseam/instance/homes.go
+++ b/mustardseam/instance/homes.go
@@ -29,6 +29,9 @@
 
 // storeAnswered logs when the store begins or ceases to answer.
 func (i *Instance) storeAnswered(err error) {
+	if err == nil {
+		i.reached()
+	}
 	if down := err != nil; i.storeDown.Swap(down) != down {
 		if down {
 			event.StoreFailed.On(&i.log).Err(err).Send()
--- a/mustardseam/instance/instance.go
+++ b/mustardseam/instance/instance.go
@@ -49,6 +49,7 @@
 	homesMu   sync.Mutex                       // Held while homes are created and closed.
 	homes     atomic.Pointer[map[string]*home] // By pool; replaced as a whole.
 	storeDown atomic.Bool
+	contact   atomic.Int64 // Unix nanoseconds of the last answer from the store or a peer.
 
 	membersMu sync.Mutex
 	members   *member.Table // Guarded by membersMu.
@@ -138,8 +139,17 @@
 // Metrics returns the counters of the instance.
 func (i *Instance) Metrics() *expvar.Map { return &i.metrics }
 
+// isolation is the time without an answer from the store or a peer after which an instance leaves the ready state, so
+// that the balancer sends its callers elsewhere.
+const isolation = 5 * time.Second
+
 // Ready reports whether the instance takes requests.
-func (i *Instance) Ready() bool { return i.holder.Current() != nil && !i.draining.Load() }
+func (i *Instance) Ready() bool {
+	return i.holder.Current() != nil && !i.draining.Load() && i.cfg.Now().Sub(time.Unix(0, i.contact.Load())) < isolation
+}
+
+// reached notes an answer from the store or a peer.
+func (i *Instance) reached() { i.contact.Store(i.cfg.Now().UnixNano()) }
 
 // enter counts a request in, unless the instance is stopping.
 func (i *Instance) enter() bool {
--- a/mustardseam/instance/membership.go
+++ b/mustardseam/instance/membership.go
@@ -80,6 +80,7 @@
 func (i *Instance) beatTo(addr, incarnation string, h peer.Heartbeat) {
 	answer, err := i.peers.Heartbeat(addr, h)
 	if err == nil {
+		i.reached()
 		i.hear(answer)
 	}
 	if incarnation == "" {
--- a/mustardseam/instance/obtain.go
+++ b/mustardseam/instance/obtain.go
@@ -16,16 +16,20 @@
 	askHold = 300 * time.Millisecond
 	// askRetry is the wait before an ask goes out again when no home took it.
 	askRetry = 50 * time.Millisecond
+	// homeless is how long a request waits while no home answers; a takeover, or static shares in an outage of the
+	// store, take less.
+	homeless = 15 * time.Second
 )
 
 // obtain asks the home of the route's pool until it has decided. It returns a permit that may be started at once, or the
-// answer of an earlier request with the same key, or a problem.
-func (i *Instance) obtain(r caller.Request, a *pool.Ask) (pool.Permit, caller.Exchange, *caller.Problem) {
+// answer of an earlier request with the same key, or a problem. Previous is the outcome of the attempt before.
+func (i *Instance) obtain(r caller.Request, a *pool.Ask, previous *pool.Outcome) (pool.Permit, caller.Exchange, *caller.Problem) {
 	h := (*i.homes.Load())[r.Route.Pool]
 	if h == nil {
 		return pool.Permit{}, nil, caller.NewProblem("not-ready", http.StatusServiceUnavailable, true,
 			"the route's pool is not known yet").WithRetryAfter(time.Second)
 	}
+	answered := i.cfg.Now()
 	for {
 		now := i.cfg.Now()
 		if i.draining.Load() {
@@ -38,20 +42,27 @@
 			return pool.Permit{}, nil, caller.NewProblem("deadline-exceeded", http.StatusGatewayTimeout, true,
 				"the request was still waiting at its deadline").WithRetryAfter(time.Second)
 		}
-		answer := i.askHome(h, *a, left)
+		answer := i.askHome(h, *a, left, previous)
 		switch answer.Status {
 		case peer.Granted:
 			if h.mayStart(i.cfg.Now(), now, answer.Permit.Epoch) {
 				return *answer.Permit, nil, nil
 			}
 			event.StalePermit.On(&i.log).Str("request", a.ID).Str("server", answer.Permit.Server).Send()
-			i.report(r.Route.Pool, pool.Outcome{Ask: a.ID, Result: pool.NotRun, Unused: true})
+			previous = &pool.Outcome{Ask: a.ID, Result: pool.NotRun, Unused: true}
+			i.report(r.Route.Pool, *previous)
 			a.ID = i.nextID()
 		case peer.Done:
 			x, problem := i.replayed(answer)
 			return pool.Permit{}, x, problem
 		case peer.Pending:
+			answered = i.cfg.Now()
 		case peer.NotHome, "":
+			if i.cfg.Now().Sub(answered) > homeless {
+				h.withdraw(a.ID)
+				return pool.Permit{}, nil, caller.NewProblem("home-unreachable", http.StatusServiceUnavailable, true,
+					"no home of the pool answers this instance").WithRetryAfter(time.Second)
+			}
 			i.sleep(askRetry)
 		default:
 			return pool.Permit{}, nil, refused(answer)
@@ -60,11 +71,12 @@
 }
 
 // askHome polls the home of the pool once; an empty status means that no home answered.
-func (i *Instance) askHome(h *home, a pool.Ask, left time.Duration) peer.AskAnswer {
+func (i *Instance) askHome(h *home, a pool.Ask, left time.Duration, previous *pool.Outcome) peer.AskAnswer {
 	hold := min(askHold, left)
 	r := peer.AskRequest{
 		Proto: peer.Current(), Region: i.cfg.Region, Pool: h.name, Ask: a,
 		LeftMS: left.Milliseconds(), HoldMS: max(1, hold.Milliseconds()), Marks: i.marks.List(),
+		Previous: previous,
 	}
 	addr, self, ok := h.target(i.cfg.Now())
 	if self {
--- a/mustardseam/instance/open.go
+++ b/mustardseam/instance/open.go
@@ -42,9 +42,10 @@
 func (i *Instance) run(r caller.Request) (caller.Exchange, *caller.Problem) {
 	i.metrics.Add("requests", 1)
 	ask := i.newAsk(r)
+	var previous *pool.Outcome
 	for {
 		i.waiting.Add(1)
-		permit, x, problem := i.obtain(r, &ask)
+		permit, x, problem := i.obtain(r, &ask, previous)
 		i.waiting.Add(-1)
 		if problem != nil || x != nil {
 			return x, problem
@@ -54,6 +55,7 @@
 			return x, problem
 		}
 		i.metrics.Add("attempts-not-run", 1)
+		previous = &pool.Outcome{Ask: ask.ID, Result: pool.NotRun}
 		ask = i.nextAsk(ask, permit.Server)
 	}
 }
@@ -109,7 +111,8 @@
 	var status *engine.StatusError
 	switch {
 	case errors.Is(err, engine.ErrNotRun):
-		return nil, i.notRun(r, a, p, err), nil
+		i.notRun(r, a, p, err)
+		return nil, true, nil
 	case errors.As(err, &status):
 		i.report(r.Route.Pool, pool.Outcome{Ask: a.ID, Result: pool.Failed, Status: status.Status})
 		if status.Status/100 == 4 {
@@ -131,7 +134,8 @@
 	})
 	switch {
 	case errors.Is(err, service.ErrNotRun):
-		return nil, i.notRun(r, a, p, err), nil
+		i.notRun(r, a, p, err)
+		return nil, true, nil
 	case err != nil:
 		i.report(r.Route.Pool, pool.Outcome{Ask: a.ID, Result: pool.Unknown})
 		return nil, false, unknown(err)
@@ -148,11 +152,11 @@
 	return &wholeExchange{stored: s}, false, nil
 }
 
-// notRun reports an attempt that certainly did not run.
-func (i *Instance) notRun(r caller.Request, a pool.Ask, p pool.Permit, err error) bool {
+// notRun reports an attempt that certainly did not run. The report goes out also with the next ask, but that one may
+// never be made.
+func (i *Instance) notRun(r caller.Request, a pool.Ask, p pool.Permit, err error) {
 	event.NotRun.On(&i.log).Str("request", a.ID).Str("server", p.Server).Err(err).Send()
 	i.report(r.Route.Pool, pool.Outcome{Ask: a.ID, Result: pool.NotRun})
-	return true
 }
 
 // finish reports the outcome of a request whose answer has ended.
--- a/mustardseam/instance/rollouts.go
+++ b/mustardseam/instance/rollouts.go
@@ -133,12 +133,16 @@
 // judge feeds the outcome of a request to the rollout of its route; it must be called with mu held.
 func (h *home) judge(now time.Time, run running, o pool.Outcome) {
 	m := h.moves[run.ask.Route]
-	if m == nil || m.blocked || !evidence(o) || run.cold {
+	if m == nil || m.blocked || !evidence(o) {
 		return
 	}
-	v := m.judge.Observe(now, rollout.Sample{
+	s := rollout.Sample{
 		Version: run.permit.Version, OK: o.Result == pool.OK, First: o.First, Between: o.Between, Load: run.load,
-	})
+	}
+	if run.cold {
+		s.First, s.Between = 0, 0 // A cold start is slow in every version.
+	}
+	v := m.judge.Observe(now, s)
 	if v.Decision == rollout.Bad {
 		h.inst.marks.Add(m.record.ID)
 		h.block(m, v.Reason)
--- a/mustardseam/instance/state.go
+++ b/mustardseam/instance/state.go
@@ -22,12 +22,12 @@
 
 // PoolState is this instance's part in one pool.
 type PoolState struct {
-	Mode    string         `json:"mode"`
-	Serving uint64         `json:"serving-epoch"` // 0 when this instance does not decide for the pool.
-	Home    tenure.HomeRef `json:"home"`
-	Asks    int            `json:"asks"`
-	Started int            `json:"started"`
-	Pool    any            `json:"pool,omitempty"`
+	Mode    string        `json:"mode"`
+	Serving uint64        `json:"serving-epoch"` // 0 when this instance does not decide for the pool.
+	Record  tenure.Record `json:"record"`        // As last read; without an epoch when none is known.
+	Asks    int           `json:"asks"`
+	Started int           `json:"started"`
+	Pool    any           `json:"pool,omitempty"`
 }
 
 // State returns the dump.
@@ -50,9 +50,9 @@
 func (h *home) state() PoolState {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	ref, _ := h.tenure.HomeRef()
+	rec, _ := h.tenure.Record()
 	s := PoolState{
-		Mode: h.tenure.Mode(h.inst.cfg.Now()).String(), Serving: h.serving, Home: ref, Asks: len(h.asks), Started: len(h.started),
+		Mode: h.tenure.Mode(h.inst.cfg.Now()).String(), Serving: h.serving, Record: rec, Asks: len(h.asks), Started: len(h.started),
 	}
 	if h.serving != 0 {
 		s.Pool = h.pool.Dump()
--- a/mustardseam/peer/message.go
+++ b/mustardseam/peer/message.go
@@ -14,6 +14,10 @@
 	LeftMS int64    `json:"left-ms"` // Until the caller's deadline.
 	HoldMS int64    `json:"hold-ms"` // How long the home may hold the poll.
 	Marks  []string `json:"marks,omitempty"`
+
+	// Previous is the outcome of the attempt that this one replaces. The home takes it in first, because it frees the
+	// idempotency key that the ask claims again.
+	Previous *pool.Outcome `json:"previous,omitempty"`
 }
 
 // Status says what became of an ask.
