--- a/mustardseam/member/dump.go
+++ b/mustardseam/member/dump.go
@@ -17,7 +17,7 @@
 	Member
 	State    State `json:"state"`
 	SilentMS int64 `json:"silent-ms"` // Since its last progress.
-	Listed   bool  `json:"listed"`
+	Listed   bool  `json:"listed"`    // As IsListed reports.
 }
 
 // Dump returns the table's state for inspection, in the order of incarnations and ids.
@@ -26,8 +26,7 @@
 	d := Dump{Self: t.self, Members: []DumpLine{}, Listed: []Entry{}}
 	for _, m := range t.filter(func(p *peer) bool { return !p.gone }) {
 		p := t.peers[m.Incarnation]
-		_, listed := t.list[m.ID]
-		line := DumpLine{Member: m, State: p.state(now, t.cfg), Listed: listed}
+		line := DumpLine{Member: m, State: p.state(now, t.cfg), Listed: t.IsListed(now, m.Incarnation)}
 		line.SilentMS = now.Sub(p.progress).Milliseconds()
 		d.Members = append(d.Members, line)
 	}
--- /dev/null
+++ b/mustardseam/revision/errors.go
@@ -0,0 +1,38 @@
+package revision
+
+import "fmt"
+
+// ConflictError says that another submission was accepted first.
+type ConflictError struct {
+	Base  uint64
+	Other Submit
+}
+
+// Error names the other submission.
+func (e *ConflictError) Error() string {
+	return fmt.Sprintf("conflict: based on revision %d, but revision %d by %s (submission %s) is in force",
+		e.Base, e.Other.Revision, e.Other.Author, e.Other.ID)
+}
+
+// ForgottenError says that the head no longer remembers whether a submission on top of the base revision was accepted.
+type ForgottenError struct {
+	ID     string
+	Base   uint64
+	Oldest uint64 // Lowest revision that the head remembers.
+}
+
+// Error names the submission and what the head remembers.
+func (e *ForgottenError) Error() string {
+	return fmt.Sprintf("outcome unknown: submission %s is based on revision %d, and the head remembers those from revision %d on",
+		e.ID, e.Base, e.Oldest)
+}
+
+// ReusedError says that another document was accepted under the id of the submission.
+type ReusedError struct {
+	Other Submit
+}
+
+// Error names the accepted submission.
+func (e *ReusedError) Error() string {
+	return fmt.Sprintf("submission id %s was used for revision %d, which has another document", e.Other.ID, e.Other.Revision)
+}
--- a/mustardseam/revision/submit.go
+++ b/mustardseam/revision/submit.go
@@ -2,115 +2,121 @@
 
 import (
 	"context"
-	"encoding/json"
-	"fmt"
-	"time"
+	"errors"
 
 	"github.com/rotisserie/eris"
 
 	"github.com/mustardseam/mustardseam/mustardseam/etcd"
-	"github.com/mustardseam/mustardseam/operator"
 )
 
-// Store is what submissions need of the platform's store.
-type Store interface {
-	Get(ctx context.Context, key string) (etcd.KeyValue, bool, error)
-	Swap(ctx context.Context, key string, value []byte, last int64) (int64, bool, error)
-}
-
-// Submission is a document on its way to acceptance.
-type Submission struct {
-	ID       string // Unique; settles a lost answer.
-	Author   string
-	Base     uint64 // Revision that the operator started from; 0 for the first submission.
-	Document operator.Document
-	At       time.Time
-}
-
-// ConflictError says that another submission was accepted first.
-type ConflictError struct {
-	Base  uint64
-	Other Submit
-}
-
-// Error names the other submission.
-func (e *ConflictError) Error() string {
-	return fmt.Sprintf("conflict: based on revision %d, but revision %d by %s (submission %s) is in force",
-		e.Base, e.Other.Revision, e.Other.Author, e.Other.ID)
-}
+const (
+	// maxPacked is the largest value in bytes that the store takes.
+	maxPacked = 1 << 20
+	// attempts is how often the head is read and swapped when answers are lost. Repeating is safe: each swap names the
+	// revision of the key that it replaces, and each read looks for the submission's id first.
+	attempts = 3
+)
 
-// Send stores the document and moves the head to it; the error may be operator.FieldErrors, a ConflictError, or
-// etcd.ErrUnanswered when the outcome could not be found out.
+// Send stores the document and moves the head to it. The error may be
+//   - operator.FieldErrors or a rollout.ConflictError: the submission is not allowed;
+//   - a ConflictError: another submission was accepted on the same base;
+//   - a ReusedError: the id belongs to another document;
+//   - a ForgottenError: the submission is so old that its outcome cannot be found out;
+//   - etcd.ErrUnanswered: the submission may or may not be accepted, now or later; send it again with the same id;
+//   - etcd.ErrUnavailable or any other: this call had no effect.
 func Send(ctx context.Context, store Store, s Submission) (Submit, error) {
-	if err := s.Document.Validate(); err != nil {
+	if err := s.check(); err != nil {
 		return Submit{}, err
 	}
 	packed, digest, err := Encode(s.Document)
 	if err != nil {
 		return Submit{}, err
 	}
-	if err := putOnce(ctx, store, DocPrefix+digest, packed); err != nil {
+	if len(packed) > maxPacked {
+		return Submit{}, eris.Errorf("the packed document has %d bytes; the store takes %d", len(packed), maxPacked)
+	}
+	head, _, err := ReadHead(ctx, store)
+	if err != nil {
+		return Submit{}, harmless(err, "read head")
+	}
+	if done, err := s.decided(head, digest); done != nil || err != nil {
+		return value(done), err
+	}
+	if err := checkRollouts(ctx, store, head, s.Document); err != nil {
 		return Submit{}, err
 	}
+	if err := putOnce(ctx, store, DocPrefix+digest, packed); err != nil {
+		return Submit{}, harmless(err, "store document")
+	}
 	return moveHead(ctx, store, s, digest)
 }
 
-// putOnce writes a key whose name is its content's digest; another writer can only have written the same.
-func putOnce(ctx context.Context, store Store, key string, value []byte) error {
-	if _, ok, err := store.Get(ctx, key); err != nil || ok {
-		return err
+// decided returns the record of an accepted submission, the error of one that cannot be accepted, or neither while the
+// head still shows the base revision.
+func (s Submission) decided(head Head, digest string) (*Submit, error) {
+	if done, ok := head.find(s.ID); ok {
+		if done.Digest != digest {
+			return nil, &ReusedError{Other: done}
+		}
+		return &done, nil
 	}
-	_, _, err := store.Swap(ctx, key, value, 0)
-	if err == nil {
-		return nil
+	if head.Revision == s.Base {
+		return nil, nil
 	}
-	_, ok, again := store.Get(ctx, key)
-	if again == nil && ok {
-		return nil
+	if !head.remembers(s.Base) {
+		return nil, &ForgottenError{ID: s.ID, Base: s.Base, Oldest: head.Submits[0].Revision}
 	}
-	return err
+	return nil, conflict(s, head)
 }
 
-// moveHead swaps the head and settles a lost answer by reading it back.
+// moveHead swaps the head, and settles lost answers by reading it back.
 func moveHead(ctx context.Context, store Store, s Submission, digest string) (Submit, error) {
-	head, mod, err := ReadHead(ctx, store)
-	if err != nil {
-		return Submit{}, err
-	}
-	if done, ok := head.find(s.ID); ok {
-		return done, nil
-	}
-	if head.Revision != s.Base {
-		return Submit{}, conflict(s, head)
-	}
-	record := Submit{ID: s.ID, Revision: head.Revision + 1, Digest: digest, Author: s.Author, At: s.At}
-	value, err := json.Marshal(head.with(record))
+	var open, last error // Why a swap may still take effect, and why the latest attempt failed.
+	for range attempts {
+		head, mod, err := ReadHead(ctx, store)
+		if err != nil {
+			last = err
+			continue
+		}
+		if done, err := s.decided(head, digest); done != nil || err != nil {
+			return value(done), err
+		}
+		ok, err := swapHead(ctx, store, head.with(s.accepted(digest)), mod)
+		if ok {
+			return s.accepted(digest), nil
+		}
+		if err != nil {
+			last = err
+		}
+		if err != nil && !errors.Is(err, etcd.ErrUnavailable) {
+			open = err
+		}
+	}
+	if open != nil {
+		return Submit{}, eris.Wrapf(etcd.ErrUnanswered, "move head: %v", open)
+	}
+	return Submit{}, harmless(last, "move head")
+}
+
+func swapHead(ctx context.Context, store Store, next Head, mod int64) (bool, error) {
+	value, err := next.encode()
 	if err != nil {
-		return Submit{}, eris.Wrap(err, "encode head")
+		return false, err
 	}
 	_, ok, err := store.Swap(ctx, HeadKey, value, mod)
-	if err == nil && ok {
-		return record, nil
-	}
-	return settle(ctx, store, s, err)
+	return ok && err == nil, err
 }
 
-// settle finds out what became of a swap that failed or whose answer was lost.
-func settle(ctx context.Context, store Store, s Submission, cause error) (Submit, error) {
-	head, _, err := ReadHead(ctx, store)
-	if err != nil && cause != nil {
-		return Submit{}, cause
-	}
-	if err != nil {
-		return Submit{}, err
-	}
-	if done, ok := head.find(s.ID); ok {
-		return done, nil
-	}
-	if cause != nil && head.Revision == s.Base {
-		return Submit{}, cause
+// harmless turns an error into etcd.ErrUnavailable, where no answer that was lost can have moved the head.
+func harmless(err error, step string) error {
+	return eris.Wrapf(etcd.ErrUnavailable, "%s: %v", step, err)
+}
+
+func value(s *Submit) Submit {
+	if s == nil {
+		return Submit{}
 	}
-	return Submit{}, conflict(s, head)
+	return *s
 }
 
 func conflict(s Submission, head Head) error {
@@ -120,28 +126,3 @@
 	}
 	return e
 }
-
-// ReadHead reads the head and the store's revision of its key; a store without a head yields zero values.
-func ReadHead(ctx context.Context, store Store) (Head, int64, error) {
-	kv, ok, err := store.Get(ctx, HeadKey)
-	if err != nil || !ok {
-		return Head{}, 0, err
-	}
-	var h Head
-	if err := json.Unmarshal(kv.Value, &h); err != nil {
-		return Head{}, 0, eris.Wrap(err, "decode head")
-	}
-	return h, kv.ModRevision, nil
-}
-
-// Fetch reads the document of a digest from the store.
-func Fetch(ctx context.Context, store Store, digest string) ([]byte, error) {
-	kv, ok, err := store.Get(ctx, DocPrefix+digest)
-	if err != nil {
-		return nil, err
-	}
-	if !ok {
-		return nil, eris.Errorf("read configuration: no document %s in the store", digest)
-	}
-	return kv.Value, nil
-}
--- a/mustardseam/rollout/conflict.go
+++ b/mustardseam/rollout/conflict.go
@@ -19,9 +19,14 @@
 	return fmt.Sprintf("%s: rollout %q %s", e.Path, e.Running, e.Reason)
 }
 
+// Unwrap returns the fault as operator.FieldErrors.
+func (e *ConflictError) Unwrap() error {
+	return operator.FieldErrors{{Path: e.Path, Reason: fmt.Sprintf("rollout %q %s", e.Running, e.Reason)}}
+}
+
 // Conflict returns a ConflictError when the new document changes the versions of a route whose rollout in the old one
-// is among the running ids, unless the new rollout supersedes it by naming its id. A changed schedule under the same id
-// is refused too, because the record of a running rollout holds its own copy.
+// is among the running ids, unless the new rollout supersedes it by naming its id. Removing the rollout is allowed: it
+// ends, and the route keeps its version. So is another schedule under the same id, which Reschedule puts into the record.
 func Conflict(before, after operator.Document, running []string) error {
 	at := map[string]int{}
 	for i, r := range after.Routes {
@@ -75,20 +80,16 @@
 		return busy(path+".version", old, remedy)
 	case next.Pool != old.Pool:
 		return busy(path+".pool", old, remedy)
-	case next.Rollout == nil:
-		return busy(path+".rollout", old, "is running and cannot be removed; take it back or supersede it")
+	case next.Rollout == nil: // Ends the rollout; the route keeps its version.
+		return nil
 	case next.Rollout.ID != old.Rollout.ID:
 		return busy(path+".rollout.supersedes", old, remedy)
-	case !same(*old.Rollout, *next.Rollout):
-		return busy(path+".rollout", old, "is running and cannot be changed; supersede it by a rollout with another id")
+	case next.Rollout.To != old.Rollout.To:
+		return busy(path+".rollout.to", old, "is running; a rollout to another version needs another id and must supersede it")
 	}
 	return nil
 }
 
-func same(a, b operator.Rollout) bool {
-	return a.To == b.To && a.CanaryShare == b.CanaryShare && a.Start.Equal(b.Start) && a.Deadline.Equal(b.Deadline)
-}
-
 func busy(path string, r operator.Route, reason string) error {
 	return &ConflictError{Path: path, Running: r.Rollout.ID, Reason: reason}
 }
--- a/mustardseam/rollout/event.go
+++ b/mustardseam/rollout/event.go
@@ -5,10 +5,11 @@
 // Kind says what an event of a record is about.
 type Kind string
 
-// The kinds of events; a record has at most one of each step and one of each other kind.
+// The kinds of events.
 const (
 	Started        Kind = "started"
 	Advanced       Kind = "advanced"
+	Rescheduled    Kind = "rescheduled"
 	DoneEvent      Kind = "done"
 	TakenBackEvent Kind = "taken-back"
 	LateEvent      Kind = "late"
--- a/mustardseam/rollout/record.go
+++ b/mustardseam/rollout/record.go
@@ -24,7 +24,7 @@
 )
 
 // Record is the durable state of a rollout, the JSON value of its store key. It is an immutable value: transitions
-// return another one. It holds its own copy of the schedule, so a later document cannot change a running rollout.
+// return another one. It holds its own copy of the schedule; Reschedule replaces it by that of a newer document.
 type Record struct {
 	ID       string    `json:"id"`
 	Route    string    `json:"route"`
--- a/mustardseam/rollout/record_test.go
+++ b/mustardseam/rollout/record_test.go
@@ -91,6 +91,39 @@
 	}
 }
 
+// TestReschedule guards against a new schedule that has no effect, raises the share by itself, or reopens a rollout.
+func TestReschedule(t *testing.T) {
+	later := moved.Rollout.WithWindow(start, start.Add(time.Hour))
+	tests := []struct {
+		name    string
+		state   State
+		step    int
+		rollout operator.Rollout
+		want    State
+		next    int
+		share   float64
+		changed bool
+	}{
+		{"unchanged", Running, 2, *moved.Rollout, Running, 2, 0.25, false},
+		{"later deadline", Late, 2, later, Running, 2, 0.25, true},
+		{"larger canary share", Running, 0, later.WithCanaryShare(0.1), Running, 0, 0.1, true},
+		{"larger canary share at a later step", Running, 2, later.WithCanaryShare(0.1), Running, 1, 0.25, true},
+		{"taken back", TakenBack, 2, later, TakenBack, 2, 0.25, false},
+		{"another id", Running, 2, operator.Rollout{ID: "r2", To: "v2"}, Running, 2, 0.25, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			r := NewRecord(start, moved)
+			r.Step, r.State, r.Share = test.step, test.state, r.Plan().Share(start, test.step)
+			next, changed := Reschedule(start.Add(200*time.Second), r, test.rollout)
+			assert.Equal(t, changed, test.changed)
+			assert.Equal(t, next.State, test.want)
+			assert.Equal(t, next.Step, test.next)
+			assert.Equal(t, next.Share, test.share)
+		})
+	}
+}
+
 // TestConcurrentChanges guards against a mark that a concurrent advance overwrites: homes that race write one record by
 // compare-and-swap, some with stale copies, and whatever the order, a taken-back rollout stays taken back with share 0.
 func TestConcurrentChanges(t *testing.T) {
--- a/mustardseam/rollout/transition.go
+++ b/mustardseam/rollout/transition.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"time"
+
+	"github.com/mustardseam/mustardseam/operator"
 )
 
 // Advance returns the record after a verdict and whether it changed: one step further, done, or taken back. It goes one
@@ -48,3 +50,23 @@
 	r.State = Late
 	return r.with(now, LateEvent, fmt.Sprintf("at %.0f %% at the deadline", 100*r.Share)), true
 }
+
+// Reschedule returns the record with the canary share and the window of a newer document, and whether it changed. The
+// step becomes the last one whose share is not above the present one, so only a larger canary share raises it.
+func Reschedule(now time.Time, r Record, o operator.Rollout) (Record, bool) {
+	same := r.Canary == o.CanaryShare && r.Start.Equal(o.Start) && r.Deadline.Equal(o.Deadline)
+	if same || !r.Open() || r.ID != o.ID || r.To != o.To {
+		return r, false
+	}
+	r.Canary, r.Start, r.Deadline = o.CanaryShare, o.Start, o.Deadline
+	plan, share := r.Plan(), r.Share
+	r.Step = 0
+	for r.Step+1 < plan.Steps() && plan.shares[r.Step+1] <= share {
+		r.Step++
+	}
+	r.Share = plan.shares[r.Step]
+	if now.Before(r.Deadline) {
+		r.State = Running
+	}
+	return r.with(now, Rescheduled, fmt.Sprintf("%.0f %% of requests, deadline %s", 100*r.Share, r.Deadline.Format(time.RFC3339))), true
+}
