--- a/mustardseam/peer/client.go
+++ b/mustardseam/peer/client.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"errors"
+	"net"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -17,6 +18,7 @@
 	Key     []byte
 	Timeout time.Duration // Of a call that is not held by the peer; 1 s when zero.
 	Now     func() time.Time
+	Dial    func(addr string) (net.Conn, error) // Opens connections; nil for the usual way.
 }
 
 // Client calls other instances; its methods are safe for concurrent use.
@@ -31,7 +33,7 @@
 		cfg.Timeout = time.Second
 	}
 	return &Client{cfg: cfg, http: &fasthttp.Client{
-		NoDefaultUserAgentHeader: true, MaxConnsPerHost: 4096, MaxResponseBodySize: maxBody,
+		NoDefaultUserAgentHeader: true, Dial: cfg.Dial, MaxConnsPerHost: 4096, MaxResponseBodySize: maxBody,
 	}}
 }
 
@@ -43,8 +45,10 @@
 }
 
 // Done reports outcomes to the home at addr.
-func (c *Client) Done(addr string, r DoneRequest) error {
-	return c.post(addr, "/peer/v1/done", r, &Ack{}, c.cfg.Timeout)
+func (c *Client) Done(addr string, r DoneRequest) (Ack, error) {
+	var a Ack
+	err := c.post(addr, "/peer/v1/done", r, &a, c.cfg.Timeout)
+	return a, err
 }
 
 // Heartbeat exchanges heartbeats with the instance at addr.
