Keep the kind of a rollout's event a string

Cause: the type of the field had changed after the surface was published, and mustardctl did not build. Change: Event.Kind is a string again, with named constants. Conclusion: the surface is as first published.

--- a/mustardseam/rollout/record.go
+++ b/mustardseam/rollout/record.go
@@ -47,7 +47,7 @@
 		ID: o.ID, Route: r.Name, From: r.Version, To: o.To, Canary: o.CanaryShare, Start: o.Start, Deadline: o.Deadline,
 		Share: o.CanaryShare, State: Running,
 	}
-	return rec.with(now, Started, r.Version+" to "+o.To)
+	return rec.with(now, StartedEvent, r.Version+" to "+o.To)
 }
 
 // Open reports whether the rollout still runs.
@@ -59,7 +59,7 @@
 }
 
 // with returns the record with one more event.
-func (r Record) with(now time.Time, kind Kind, text string) Record {
+func (r Record) with(now time.Time, kind, text string) Record {
 	events := make([]Event, len(r.Events), len(r.Events)+1)
 	copy(events, r.Events)
 	r.Events = append(events, Event{Time: now, Kind: kind, Text: text})
--- a/mustardseam/rollout/record_test.go
+++ b/mustardseam/rollout/record_test.go
@@ -17,7 +17,7 @@
 }}
 
 // reached reports whether the record has an event of the kind.
-func (r Record) reached(kind Kind) bool {
+func (r Record) reached(kind string) bool {
 	for _, e := range r.Events {
 		if e.Kind == kind {
 			return true
--- a/mustardseam/rollout/transition.go
+++ b/mustardseam/rollout/transition.go
@@ -28,7 +28,7 @@
 	}
 	r.Step++
 	r.Share = plan.Share(now, r.Step)
-	return r.with(now, Advanced, fmt.Sprintf("%.0f %% after %d answers", 100*r.Share, v.Seen)), true
+	return r.with(now, AdvancedEvent, fmt.Sprintf("%.0f %% after %d answers", 100*r.Share, v.Seen)), true
 }
 
 // TakeBack returns the record of a rollout that is taken back and whether it changed. It applies to any open record, so
@@ -68,5 +68,5 @@
 	if now.Before(r.Deadline) {
 		r.State = Running
 	}
-	return r.with(now, Rescheduled, fmt.Sprintf("%.0f %% of requests, deadline %s", 100*r.Share, r.Deadline.Format(time.RFC3339))), true
+	return r.with(now, RescheduledEvent, fmt.Sprintf("%.0f %% of requests, deadline %s", 100*r.Share, r.Deadline.Format(time.RFC3339))), true
 }
