--- a/mustardctl/event.go
+++ b/mustardctl/event.go
@@ -39,7 +39,7 @@
 	var list []event
 	for _, id := range slices.Sorted(maps.Keys(records)) {
 		for _, ev := range records[id].Events {
-			list = append(list, event{At: ev.Time.UTC(), Kind: rolloutKind + ev.Kind, Subject: id, Detail: ev.Text})
+			list = append(list, event{At: ev.Time.UTC(), Kind: rolloutKind + string(ev.Kind), Subject: id, Detail: ev.Text})
 		}
 	}
 	moves, err := e.dataCentreEvents(ctx, docs)
--- a/mustardseam/instance/ask.go
+++ b/mustardseam/instance/ask.go
@@ -288,7 +288,7 @@
 	case pool.NotRun:
 		h.journal.NotRun(now, o.Ask)
 	case pool.Unknown:
-		h.journal.Abandon(now, "")
+		h.journal.Doubt(now, o.Ask)
 	default:
 		h.journal.Finish(now, o.Ask, status(o), holder)
 	}
--- a/mustardseam/instance/config.go
+++ b/mustardseam/instance/config.go
@@ -1,12 +1,12 @@
 package instance
 
 import (
-	"net"
 	"time"
 
 	"github.com/rs/zerolog"
 
 	"github.com/mustardseam/mustardseam/mustardseam/etcd"
+	"github.com/mustardseam/mustardseam/mustardseam/tcp"
 )
 
 // Config is what an instance is told by its settings.
@@ -35,7 +35,7 @@
 	Request     time.Duration // Total time of a request.
 	ReplayBytes int           // Memory for answers of keyed requests.
 
-	Dial func(addr string) (net.Conn, error) // Opens connections to the store and to peers; nil for the usual way.
+	Dial tcp.Dial // Opens connections to the store and to peers; nil for the usual way.
 
 	Log zerolog.Logger
 	Now func() time.Time // time.Now when nil.
--- a/mustardseam/tcp/dialer.go
+++ b/mustardseam/tcp/dialer.go
@@ -14,10 +14,13 @@
 // ErrNotConnected says that no connection was made, so that no byte of a request can have left.
 var ErrNotConnected = errors.New("not connected")
 
+// Dial opens a connection to an address of the form IP:port within the timeout.
+type Dial func(addr string, timeout time.Duration) (net.Conn, error)
+
 // Config bounds the silence of a peer.
 type Config struct {
-	Idle time.Duration                       // Longest wait for the next byte.
-	Dial func(addr string) (net.Conn, error) // Opens connections; nil for the usual way.
+	Idle time.Duration // Longest wait for the next byte.
+	Dial Dial          // Opens connections; nil for the usual way.
 }
 
 // Dialer opens connections and keeps track of them; its methods are safe for concurrent use.
@@ -31,14 +34,22 @@
 // New returns a dialer without connections.
 func New(cfg Config) *Dialer {
 	if cfg.Dial == nil {
-		cfg.Dial = func(addr string) (net.Conn, error) { return net.DialTimeout("tcp", addr, connectTimeout) }
+		cfg.Dial = func(addr string, timeout time.Duration) (net.Conn, error) {
+			return net.DialTimeout("tcp", addr, timeout)
+		}
 	}
 	return &Dialer{cfg: cfg, conns: map[*conn]struct{}{}}
 }
 
-// Dial connects to an address of the form IP:port.
-func (d *Dialer) Dial(addr string) (net.Conn, error) {
-	raw, err := d.cfg.Dial(addr)
+// Dial connects to an address of the form IP:port within a second.
+func (d *Dialer) Dial(addr string) (net.Conn, error) { return d.DialTimeout(addr, 0) }
+
+// DialTimeout connects to an address of the form IP:port within the timeout, at most a second; 0 means a second.
+func (d *Dialer) DialTimeout(addr string, timeout time.Duration) (net.Conn, error) {
+	if timeout <= 0 {
+		timeout = connectTimeout
+	}
+	raw, err := d.cfg.Dial(addr, min(timeout, connectTimeout))
 	if err != nil {
 		return nil, eris.Wrapf(ErrNotConnected, "connect to %s: %v", addr, err)
 	}
