--- a/mustardseam/rollout/traffic_test.go
+++ b/mustardseam/rollout/traffic_test.go
@@ -1,6 +1,7 @@
 package rollout
 
 import (
+	"flag"
 	"math"
 	"math/rand/v2"
 	"time"
@@ -10,6 +11,12 @@
 
 var start = time.Unix(1_700_000_000, 0)
 
+// The seed is fixed, so that a verdict depends only on the tree.
+func init() {
+	_ = flag.Set("rapid.seed", "20261204")
+	_ = flag.Set("rapid.checks", "1000")
+}
+
 // traffic is a route under a rollout in virtual time, with lengths that differ a hundredfold, a load that swings and
 // disturbances that hit both versions alike.
 type traffic struct {
