--- a/mustardseam/rollout/record.go
+++ b/mustardseam/rollout/record.go
@@ -24,7 +24,7 @@
 )
 
 // Record is the durable state of a rollout, the JSON value of its store key. It is an immutable value: transitions
-// return another one. It holds its own copy of the schedule, so a later document cannot change a running rollout.
+// return another one. It holds its own copy of the schedule; Reschedule replaces it by that of a newer document.
 type Record struct {
 	ID       string    `json:"id"`
 	Route    string    `json:"route"`
@@ -47,7 +47,7 @@
 		ID: o.ID, Route: r.Name, From: r.Version, To: o.To, Canary: o.CanaryShare, Start: o.Start, Deadline: o.Deadline,
 		Share: o.CanaryShare, State: Running,
 	}
-	return rec.with(now, Started, r.Version+" to "+o.To)
+	return rec.with(now, StartedEvent, r.Version+" to "+o.To)
 }
 
 // Open reports whether the rollout still runs.
@@ -59,7 +59,7 @@
 }
 
 // with returns the record with one more event.
-func (r Record) with(now time.Time, kind Kind, text string) Record {
+func (r Record) with(now time.Time, kind, text string) Record {
 	events := make([]Event, len(r.Events), len(r.Events)+1)
 	copy(events, r.Events)
 	r.Events = append(events, Event{Time: now, Kind: kind, Text: text})
