Ask every listed instance once a candidate has ended

Cause: a home cut off from the store counts a candidate as excused after the list dropped it, but that candidate may have taken over before and named new candidates, which the old home never asks; two instances then hold the right. Change: with an ended candidate every listed or live instance is a voter; a leaving one is excused only by a consent given after its stop; an instance whose own swap may still take effect refuses. SeenHome tells a home from a sharer.

--- a/mustardseam/tenure/consent.go
+++ b/mustardseam/tenure/consent.go
@@ -1,6 +1,9 @@
 package tenure
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // promise is what this instance consented to.
 type promise struct {
@@ -19,17 +22,30 @@
 	}
 	t.raise(epoch)
 	end := now.Add(t.cfg.drifted(hold))
-	if t.exists && t.rec.Epoch == epoch && t.rec.Home != from {
+	if home := t.homeOf(epoch); home != "" && home != from {
 		return t.consentToShare(now, end), t.seen
 	}
 	return t.consentToHome(now, from, end), t.seen
 }
 
+// homeOf returns the home of the epoch, or "" when it is not known.
+func (t *Tenure) homeOf(epoch uint64) string {
+	switch {
+	case t.exists && t.rec.Epoch == epoch:
+		return t.rec.Home
+	case t.hint.Epoch == epoch:
+		return t.hint.Home
+	default:
+		return ""
+	}
+}
+
 // consentToHome also serves a candidate that has not read the record of the epoch yet. It cannot tell a home from a
-// sharer then, so it consents to one instance at a time.
+// sharer then, so it consents to one instance at a time. It refuses while a swap of its own may still take effect, since
+// the record would then name candidates that the asking home does not know.
 func (t *Tenure) consentToHome(now time.Time, from string, end time.Time) bool {
 	p := &t.promise
-	if t.store.pending != nil && !t.closed || now.Before(p.shareEnd) || now.Before(t.staticUntil) {
+	if t.store.doubt != nil || now.Before(p.shareEnd) || now.Before(t.staticUntil) {
 		return false
 	}
 	if p.home != from && now.Before(p.homeEnd) {
@@ -53,6 +69,9 @@
 // Consented reports that a candidate consented to an Ask that was sent at started.
 func (t *Tenure) Consented(_, started time.Time, from string) {
 	t.consents[from] = later(t.consents[from], started)
+	if left, ok := t.presence.leftAt[from]; ok && !started.Before(left) {
+		t.presence.waived[from] = true
+	}
 }
 
 // Denied reports that a candidate refused, and the highest epoch that it has seen.
@@ -67,24 +86,31 @@
 func (t *Tenure) ask(now time.Time) []Action {
 	t.asked = now
 	t.consents[t.cfg.Self.ID] = now
-	to := t.voters()
+	to := slices.DeleteFunc(t.voters(), func(c Candidate) bool { return c.Address == "" })
 	if len(to) == 0 {
 		return nil
 	}
 	return []Action{{Kind: Ask, Epoch: t.rec.Epoch, To: to, Hold: t.cfg.GrantRight}}
 }
 
-// voters returns the other candidates whose consent is needed.
+// voters returns the other instances whose consent is needed: the candidates, in the record and in a swap that may still
+// take effect. When one of them has ended, it may have taken over before, unnoticed, and have named new candidates. So
+// every instance that is listed or live is needed then.
 func (t *Tenure) voters() []Candidate {
 	var to []Candidate
-	add := func(candidates []Candidate) {
+	add := func(candidates []Candidate) (ended bool) {
 		for _, c := range candidates {
+			ended = ended || t.presence.gone[c.ID]
 			if c.ID != t.cfg.Self.ID && !t.presence.excused(c.ID) && !contains(to, c.ID) {
 				to = append(to, c)
 			}
 		}
+		return ended
+	}
+	ended := add(t.rec.Candidates)
+	if add(t.store.doubt) || ended {
+		add(t.presence.live)
+		add(t.presence.unreached())
 	}
-	add(t.rec.Candidates)
-	add(t.store.doubt)
 	return to
 }
--- a/mustardseam/tenure/presence.go
+++ b/mustardseam/tenure/presence.go
@@ -7,11 +7,26 @@
 	absent  map[string]time.Time // By incarnation: since when it is neither listed nor heard.
 	gone    map[string]bool      // Absent for long enough to count as ended.
 	leaving map[string]bool
-	vacant  time.Time // Since when the record has no live home; zero while it has one.
+	leftAt  map[string]time.Time // Since when an instance is known to be leaving.
+	waived  map[string]bool      // Consented after they had stopped, which holds for good.
+	vacant  time.Time            // Since when the record has no live home; zero while it has one.
+	listed  map[string]bool
+	live    []Candidate
 }
 
-// excused tells whether the instance can neither take over nor grant: it has ended or has announced its stop.
-func (p *presence) excused(id string) bool { return p.gone[id] || p.leaving[id] }
+// excused tells whether the instance can neither take over nor grant any more.
+func (p *presence) excused(id string) bool { return p.gone[id] || p.waived[id] }
+
+// unreached returns the listed instances that are not live; their addresses are not known.
+func (p *presence) unreached() []Candidate {
+	var list []Candidate
+	for id, shown := range p.listed {
+		if shown && !contains(p.live, id) {
+			list = append(list, Candidate{ID: id})
+		}
+	}
+	return list
+}
 
 // notice takes the View of a Step.
 func (t *Tenure) notice(now time.Time, v View) {
@@ -30,7 +45,12 @@
 		p.gone[id] = now.Sub(since) >= t.cfg.ExcuseAfter
 	}
 	p.absent = absent
-	p.leaving = v.Leaving
+	p.leaving, p.listed, p.live = v.Leaving, v.Listed, v.Preferred
+	for id := range v.Leaving {
+		if _, ok := p.leftAt[id]; !ok && v.Leaving[id] {
+			p.leftAt[id] = now
+		}
+	}
 	t.noticeVacancy(now, v)
 }
 
--- a/mustardseam/tenure/rules_test.go
+++ b/mustardseam/tenure/rules_test.go
@@ -15,7 +15,7 @@
 }
 
 func at(epoch uint64, home string) Record {
-	return Record{Epoch: epoch, Home: home, Candidates: []Candidate{{ID: "a"}, {ID: "b"}, {ID: "c"}}}
+	return Record{Epoch: epoch, Home: home, Candidates: []Candidate{{ID: "a", Address: "a"}, {ID: "b", Address: "b"}, {ID: "c", Address: "c"}}}
 }
 
 func newLone() *lone {
@@ -125,7 +125,7 @@
 		{"candidates of a swap that may still take effect are asked too", func(l *lone) bool {
 			l.home()
 			l.view.Listed["d"] = true
-			l.view.Preferred = append(l.view.Preferred, Candidate{ID: "d"})
+			l.view.Preferred = append(l.view.Preferred, Candidate{ID: "d", Address: "d"})
 			for range 30 {
 				l.Observed(l.now, l.now, at(2, "a"), 2, true)
 				l.pass(100 * time.Millisecond)
@@ -204,6 +204,26 @@
 			l.agree(time.Second)
 			return early == Lapsed && l.Mode(l.now) == Consent
 		}},
+		{"an instance named by a candidate that ended is asked too", func(l *lone) bool {
+			l.home()
+			l.now = l.now.Add(3 * time.Second) // The right lapses, "b" may take over, name "d", and end.
+			l.view.Listed["b"], l.view.Listed["d"] = false, true
+			l.view.Preferred = []Candidate{{ID: "a"}, {ID: "c", Address: "c"}}
+			l.StoreFailed(l.now)
+			l.agree(5 * time.Second)
+			without := l.Mode(l.now)
+			l.Consented(l.now, l.now, "d")
+			return without == Lapsed && l.Mode(l.now) == Consent
+		}},
+		{"the consent of a candidate that stopped holds for good", func(l *lone) bool {
+			l.home()
+			l.view.Leaving = map[string]bool{"b": true}
+			l.StoreFailed(l.now)
+			l.pass(600 * time.Millisecond)
+			l.Consented(l.now, l.now, "b")
+			l.agree(10 * time.Second)
+			return l.Mode(l.now) == Consent
+		}},
 		{"a released record is granted on after the permits of sharers", func(l *lone) bool {
 			l.Observed(l.now, l.now, at(1, "b"), 1, true)
 			l.StoreFailed(l.now)
--- a/mustardseam/tenure/takeover.go
+++ b/mustardseam/tenure/takeover.go
@@ -28,7 +28,7 @@
 		return false
 	}
 	for _, c := range t.rec.Candidates {
-		if c.ID != t.rec.Home && !t.presence.excused(c.ID) {
+		if c.ID != t.rec.Home && !t.presence.gone[c.ID] && !t.presence.leaving[c.ID] {
 			return false
 		}
 	}
--- a/mustardseam/tenure/tenure.go
+++ b/mustardseam/tenure/tenure.go
@@ -5,9 +5,10 @@
 // Tenure is one instance's view of who is home of one pool.
 type Tenure struct {
 	cfg    Config
-	seen   uint64 // Highest epoch learned from anyone.
-	unread int    // Reads until one that was sent after seen was raised has answered.
-	known  bool   // Whether the store was read at all.
+	seen   uint64  // Highest epoch learned from anyone.
+	unread int     // Reads until one that was sent after seen was raised has answered.
+	hint   HomeRef // As announced by peers.
+	known  bool    // Whether the store was read at all.
 	exists bool
 	rec    Record
 	mod    int64
@@ -35,7 +36,7 @@
 	return &Tenure{
 		cfg:      cfg.withDefaults(),
 		consents: map[string]time.Time{},
-		presence: presence{absent: map[string]time.Time{}, leaving: map[string]bool{}},
+		presence: presence{absent: map[string]time.Time{}, waived: map[string]bool{}, leftAt: map[string]time.Time{}},
 	}
 }
 
@@ -58,6 +59,14 @@
 // SeenEpoch takes an epoch that a peer announced; a higher one than that of the own record ends the right to grant.
 func (t *Tenure) SeenEpoch(_ time.Time, epoch uint64) { t.raise(epoch) }
 
+// SeenHome takes the home of an epoch that a peer announced.
+func (t *Tenure) SeenHome(now time.Time, ref HomeRef) {
+	t.SeenEpoch(now, ref.Epoch)
+	if ref.Epoch > t.hint.Epoch {
+		t.hint = ref
+	}
+}
+
 // Fence tells whether a permit or message of the epoch is current, and remembers the highest epoch.
 func (t *Tenure) Fence(epoch uint64) bool {
 	t.raise(epoch)
--- a/mustardseam/tenure/world_test.go
+++ b/mustardseam/tenure/world_test.go
@@ -163,6 +163,9 @@
 			n.heard[m] = n.w.now
 			if n.w.rnd.IntN(25) == 0 { // One heartbeat in 500 ms.
 				n.SeenEpoch(n.clock(), m.seen)
+				if ref, ok := m.HomeRef(); ok {
+					n.SeenHome(n.clock(), ref)
+				}
 			}
 		}
 	}
