Have a home wait that regains its right after a long lapse

Cause: during a lapse another home may have come and ended, so that its running requests are not in the accounts of the old one; the lapse was measured from rounds that nobody had to answer.

--- a/mustardseam/tenure/right.go
+++ b/mustardseam/tenure/right.go
@@ -43,13 +43,12 @@
 }
 
 func (t *Tenure) homeMode(now time.Time) Mode {
-	byStore := t.current(t.confirmed, now)
 	switch {
-	case t.superseded() || !byStore && !t.unanimous(now):
+	case !t.valid(now):
 		return Lapsed
-	case now.Before(t.grantFrom):
+	case now.Before(t.grantFrom) || t.lapsedLong(now):
 		return Waiting
-	case byStore:
+	case t.current(t.confirmed, now):
 		return Home
 	default:
 		return Consent
@@ -75,13 +74,24 @@
 	return true
 }
 
-// lapsedLong tells whether the right ended so long ago that others may have begun a static share.
-func (t *Tenure) lapsedLong(now time.Time) bool {
-	last := t.confirmed
-	if own := t.consents[t.cfg.Self.ID]; own.After(last) {
-		last = own
+// valid tells whether a confirmation holds.
+func (t *Tenure) valid(now time.Time) bool {
+	return !t.superseded() && (t.current(t.confirmed, now) || t.unanimous(now))
+}
+
+// lapsedLong tells whether the right was lost for so long that others may have granted in between: a static share, or a
+// home that has ended since.
+func (t *Tenure) lapsedLong(now time.Time) bool { return elapsed(t.held, now) > t.cfg.GrantRight*3/2 }
+
+// hold notes at each Step that the right holds, and has a home that regains it wait as a new one does.
+func (t *Tenure) hold(now time.Time) {
+	if !t.Holding() || !t.valid(now) {
+		return
+	}
+	if t.lapsedLong(now) {
+		t.await(now, t.cfg.wait())
 	}
-	return elapsed(last, now) > 2*t.cfg.GrantRight
+	t.held = now
 }
 
 // await holds grants back for d from now, and until no permit under a right that this instance consented to, or of its
@@ -89,6 +99,7 @@
 func (t *Tenure) await(now time.Time, d time.Duration) {
 	consented := t.promise.until().Add(t.cfg.drifted(t.cfg.StartWindow))
 	t.grantFrom = later(now.Add(d), later(consented, t.staticUntil))
+	t.held = now
 }
 
 // withdraw ends the right at once.
--- a/mustardseam/tenure/store.go
+++ b/mustardseam/tenure/store.go
@@ -146,10 +146,9 @@
 		t.await(now, t.waitAfter(before))
 	case rec.Epoch > before.Epoch+1:
 		t.await(now, t.cfg.wait()) // Another home in between.
-	case t.lapsedLong(now):
-		t.await(now, t.cfg.wait())
 	}
 	t.confirmed = later(t.confirmed, started)
+	t.hold(now)
 }
 
 // waitAfter returns the wait of a new home whose record follows the given one.
--- a/mustardseam/tenure/tenure.go
+++ b/mustardseam/tenure/tenure.go
@@ -21,6 +21,7 @@
 	confirmed time.Time            // Start of the last read or swap that showed the own epoch.
 	consents  map[string]time.Time // By incarnation, the start of the last round that it consented to.
 	asked     time.Time            // Start of the last round.
+	held      time.Time            // Last Step at which the right held.
 	grantFrom time.Time            // Earlier rights are void from then on.
 
 	staticFrom  time.Time // Static share may be granted from then on; zero without unanimity.
@@ -94,6 +95,7 @@
 // Step returns what the caller has to do now.
 func (t *Tenure) Step(now time.Time, v View) []Action {
 	t.notice(now, v)
+	t.hold(now)
 	var actions []Action
 	if t.readDue(now, v) {
 		t.store.reading = true
