--- a/standin/doc.go
+++ /dev/null
@@ -1,2 +0,0 @@
-// Package standin holds the stand-ins of engines, services and the platform.
-package standin
--- a/standin/engine/faults.go
+++ b/standin/engine/faults.go
@@ -7,7 +7,7 @@
 	Slow       float64       // Factor on the duration of a step; 0 means 1.
 	FailEvery  int           // Every n-th request fails with status 500; 0 for none.
 	HangAfter  int           // Tokens after which a stream hangs until it is cancelled; 0 for never.
-	BreakAt    int           // Tokens after which the connection breaks once; 0 for never.
+	BreakAt    int           // Tokens that are sent before the connection breaks, once; some may be lost with it. 0 for never.
 	Refuse     bool          // Refuses requests before admission.
 	Down       bool          // Closes each connection without an answer.
 	LoseAnswer int           // The next n requests are admitted and their connections closed before the first byte.
--- a/standin/etcd/http.go
+++ b/standin/etcd/http.go
@@ -62,11 +62,11 @@
 // handle decodes a request, applies the faults and answers with the result of do, which runs with mu held.
 func handle[R any](s *Store, write bool, do func(R) (any, error)) fiber.Handler {
 	return func(c fiber.Ctx) error {
+		time.Sleep(s.arrive(write))
 		var r R
 		if err := json.Unmarshal(c.Body(), &r); err != nil {
 			return refuse(c, err)
 		}
-		time.Sleep(s.arrive(write))
 		out, lost, after, err := perform(s, write, func() (any, error) { return do(r) })
 		time.Sleep(after)
 		switch {
--- /dev/null
+++ b/standin/main.go
@@ -0,0 +1,59 @@
+// Command standin runs stand-ins of the store, the platform, engines and order services, so that instances can be tried
+// against them by hand. It prints their addresses and runs until it is told to stop.
+package main
+
+import (
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+	"github.com/rs/zerolog"
+)
+
+// commandLine holds the flags.
+type commandLine struct {
+	File     string   `arg:"" optional:"" type:"existingfile" help:"YAML file that describes the stand-ins; example.yaml is one."`
+	Engines  int      `help:"Engines when there is no file." default:"3"`
+	Services int      `help:"Order services when there is no file." default:"1"`
+	Instance []string `help:"Entry of the platform's list when there is no file: ID=IP:port=data centre." sep:"none"`
+}
+
+func main() {
+	var c commandLine
+	kong.Parse(&c, kong.Name("standin"), kong.Description("Runs stand-ins of the store, the platform, engines and order services."))
+	log := zerolog.New(zerolog.ConsoleWriter{Out: os.Stderr}).With().Timestamp().Logger()
+	if err := c.run(log); err != nil {
+		log.Fatal().Err(err).Msg("standin ends")
+	}
+}
+
+// run starts everything and waits for the end.
+func (c commandLine) run(log zerolog.Logger) error {
+	cfg, err := c.config()
+	if err != nil {
+		return err
+	}
+	site, err := start(cfg, log)
+	if err != nil {
+		return err
+	}
+	defer site.close()
+	site.print(os.Stdout)
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+	<-signals
+	return nil
+}
+
+// config reads the file, or describes what the flags ask for.
+func (c commandLine) config() (config, error) {
+	if c.File == "" {
+		return byFlags(c)
+	}
+	b, err := os.ReadFile(c.File)
+	if err != nil {
+		return config{}, err
+	}
+	return parse(b)
+}
