--- a/mustardseam/caller/caller_test.go
+++ b/mustardseam/caller/caller_test.go
@@ -260,6 +260,8 @@
 	tests := []struct{ name, text string }{
 		{"no byte", ""},
 		{"half a header", "POST /v1/chat/completions HTTP/1.1\r\nHos"},
+		{"silence after an answer", "GET /v1/models HTTP/1.1\r\nHost: a\r\n\r\n"},
+		{"silence after a watched answer", "POST /v1/completions HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer key-1\r\nContent-Length: 33\r\n\r\n{\"model\":\"sizing\",\"prompt\":\"hey\"}"},
 		{"half a body", "POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nContent-Length: 10\r\n\r\n{"},
 	}
 	addr := start(t, newFake(), func(c *Config) { c.Read, c.Idle = 50*time.Millisecond, 50*time.Millisecond })
--- a/mustardseam/peer/client_test.go
+++ b/mustardseam/peer/client_test.go
@@ -21,12 +21,18 @@
 
 // TestCalls guards against a call that the other side does not understand, and against polls that are taken for replays.
 func TestCalls(t *testing.T) {
-	addr := start(t, &home{}, plain)
+	h := &home{}
+	addr := start(t, h, plain)
+	ask := AskRequest{
+		Proto: Current(), Region: "amman", Pool: "models", LeftMS: 5, HoldMS: 3, Marks: []string{"m"},
+		Ask: pool.Ask{ID: "a1", Team: "bridal", Tier: 2, Prefix: []uint64{1, 1<<64 - 1}},
+	}
 	for _, key := range [][]byte{testKey, previous} {
 		c := testClient(key)
 		for range 2 {
-			a, err := c.Ask(addr, AskRequest{Proto: Current(), Ask: pool.Ask{ID: "a1"}})
+			a, err := c.Ask(addr, ask)
 			assert.NilError(t, err)
+			assert.DeepEqual(t, h.last(), ask)
 			assert.Equal(t, a.Permit.Ask, "a1")
 		}
 		_, err := c.Done(addr, DoneRequest{Proto: Current()})
--- a/mustardseam/peer/server_test.go
+++ b/mustardseam/peer/server_test.go
@@ -41,6 +41,14 @@
 	h.ask = r
 	return AskAnswer{Proto: Current(), Status: Granted, Epoch: 7, Permit: &pool.Permit{Ask: r.Ask.ID, Server: "sizing-v1-1"}}
 }
+
+// last returns the last ask.
+func (h *home) last() AskRequest {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.ask
+}
+
 func (h *home) Done(DoneRequest) Ack          { return Ack{Proto: Current()} }
 func (h *home) Heartbeat(Heartbeat) Heartbeat { return Heartbeat{Proto: Current(), Revision: 4} }
 
@@ -160,6 +168,7 @@
 		{"reads version 2 only", `{"proto":{"reads":[2,2],"writes":1}}`, 426, `"reads":[1,1]`},
 		{"no version", `{"region":"amman"}`, 426, `"reads":[1,1]`},
 		{"wrong type", `{"proto":{"reads":[1,1],"writes":1},"ask":[1]}`, 400, "ask"},
+		{"cut block hash", `{"proto":{"reads":[1,1],"writes":1},"blocks":"AAAA"}`, 400, "blocks"},
 		{"no JSON", `proto`, 400, "invalid JSON"},
 		{"empty", ``, 400, "invalid JSON"},
 	}
@@ -173,8 +182,9 @@
 			assert.Assert(t, strings.Contains(body, tt.text), "%s", body)
 		})
 	}
-	assert.Equal(t, h.ask.Ask.ID, "a1")
-	assert.Equal(t, h.ask.HoldMS, maxHold.Milliseconds(), "a peer cannot hold a call for longer")
+	assert.Equal(t, h.last().Ask.ID, "a1")
+	assert.DeepEqual(t, h.last().Ask.Prefix, []uint64{1, 2})
+	assert.Equal(t, h.last().HoldMS, maxHold.Milliseconds(), "a peer cannot hold a call for longer")
 }
 
 // TestLimits guards against messages that would fill the memory, also before the sender is known.
