Add measure: scenarios of the decision logic in virtual time

Cause: the targets of design 4.1 need figures that come from the decision logic alone, with the same arrivals for the pool and for simple baselines.

--- /dev/null
+++ b/measure/baseline/doc.go
@@ -0,0 +1,2 @@
+// Package baseline holds simple schedulers to compare with: each sees the same asks, outcomes and reports as the pool.
+package baseline
--- /dev/null
+++ b/measure/chart/doc.go
@@ -0,0 +1,2 @@
+// Package chart draws the series of a run.
+package chart
--- /dev/null
+++ b/measure/clock/doc.go
@@ -0,0 +1,2 @@
+// Package clock runs events in virtual time.
+package clock
--- /dev/null
+++ b/measure/list.go
@@ -0,0 +1,20 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"text/tabwriter"
+
+	"github.com/mustardseam/mustardseam/measure/scenario"
+)
+
+type list struct{}
+
+// Run prints the scenarios, one a line.
+func (list) Run() error {
+	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	for _, s := range scenario.All() {
+		fmt.Fprintf(w, "%s\t%s\n", s.Name, s.Note)
+	}
+	return w.Flush()
+}
--- /dev/null
+++ b/measure/scenario/doc.go
@@ -0,0 +1,2 @@
+// Package scenario defines the runs of measure and the figures that each reports.
+package scenario
--- /dev/null
+++ b/measure/scenario/recovery.go
@@ -0,0 +1,52 @@
+package scenario
+
+import (
+	"math"
+	"time"
+
+	"github.com/mustardseam/mustardseam/measure/figure"
+)
+
+// Recovery is judged by the calls of windows of this length.
+const recoveryWindow = time.Second
+
+// prompt is the time to first token by which an answer counts as prompt, the target at rated load.
+const prompt = 1300 * time.Millisecond
+
+// promptness returns the share of calls of a window that were answered in time, and whose first token was prompt.
+func (r *run) promptness(from, to time.Duration) (good, quick float64) {
+	calls, inTime, fast := 0, 0, 0
+	for _, rec := range r.w.Records {
+		if r.isService(rec) || rec.At < from || rec.At >= to {
+			continue
+		}
+		calls++
+		if rec.InTime() {
+			inTime++
+		}
+		if rec.Tokens > 0 && rec.First <= prompt {
+			fast++
+		}
+	}
+	return figure.Ratio(float64(inTime), float64(calls)), figure.Ratio(float64(fast), float64(calls))
+}
+
+// recovery returns the seconds after the end of a burst from which on, for three windows, the share of calls answered
+// in time and the share with a prompt first token are within 5 % of those of the steady window before it.
+func (r *run) recovery(steadyFrom, steadyTo, burstEnd, until time.Duration) figure.Figure {
+	good, quick := r.promptness(steadyFrom, steadyTo)
+	took, row := math.Inf(1), 0
+	for at := burstEnd; at+recoveryWindow <= until; at += recoveryWindow {
+		g, q := r.promptness(at, at+recoveryWindow)
+		if g < 0.95*good || q < 0.95*quick {
+			row = 0
+			continue
+		}
+		row++
+		if row == 3 {
+			took = (at - 2*recoveryWindow - burstEnd).Seconds()
+			break
+		}
+	}
+	return figure.New("recovery-after-burst", took, "s").With(figure.AtMost, 10, figure.Targets)
+}
