Count requests that the batch has room for as running

Cause: readings between two steps showed fresh requests as waiting although the batch had room, against design 1.3 (engines admit requests as they arrive), and callers' repeats were counted as calls of their own. Change: readings count up to the batch's room as running; Config.LateBatch keeps the other behaviour, which stale-reports uses. Permits that are not used are reported so.

--- a/measure/drive/entry.go
+++ b/measure/drive/entry.go
@@ -68,7 +68,7 @@
 		return
 	}
 	if r.State != Open || r.ask != p.Ask {
-		w.report(r, pool.Outcome{Ask: p.Ask, Result: pool.NotRun})
+		w.report(r, pool.Outcome{Ask: p.Ask, Result: pool.NotRun, Unused: true})
 		return
 	}
 	r.waits = false
@@ -79,7 +79,7 @@
 func (w *World) admit(r *Record, p pool.Permit) {
 	e := w.Engines[p.Server]
 	if r.State != Open {
-		w.report(r, pool.Outcome{Ask: p.Ask, Result: pool.NotRun})
+		w.report(r, pool.Outcome{Ask: p.Ask, Result: pool.NotRun, Unused: true})
 		return
 	}
 	if e.Cold() && e.Load() >= e.Config().ColdLimit && r.warm {
@@ -183,6 +183,7 @@
 	if !again || r.tried >= w.cfg.Retries {
 		return
 	}
+	r.Repeats = true
 	req := r.Request
 	req.ID += "r"
 	w.Clock.After(toClient+max(after, w.cfg.RetryAfter), func() { w.call(req, r.tried+1) })
--- a/measure/drive/record.go
+++ b/measure/drive/record.go
@@ -24,6 +24,7 @@
 type Record struct {
 	load.Request
 	State   State
+	Repeats bool          // The caller has called again, so that the later record tells how the request ended.
 	Reason  string        // Of a refusal.
 	Arrived time.Time     // At the caller.
 	First   time.Duration // From the call to the first token at the caller.
--- a/measure/engine/config.go
+++ b/measure/engine/config.go
@@ -21,6 +21,7 @@
 	ReportLag     time.Duration // Age of a load report.
 	EventLag      time.Duration // Age of a cache event.
 	EventLoss     float64       // Share of cache events that are never published.
+	LateBatch     bool          // Reports count requests as waiting that came during the current step.
 	Seed          uint64
 }
 
--- a/measure/engine/report.go
+++ b/measure/engine/report.go
@@ -14,10 +14,15 @@
 	cold    bool
 }
 
-// note keeps the present load for later reports.
+// note keeps the present load for later reports. Requests are admitted as they arrive (design 1.3), so that those for
+// which the batch has room count as running at once, unless LateBatch is set.
 func (e *Engine) note() {
 	now := e.clock.Now()
-	e.readings = append(e.readings, reading{now, len(e.running), len(e.waiting), e.Cold()})
+	running := len(e.running)
+	if !e.cfg.LateBatch {
+		running = min(e.Load(), e.cfg.MaxBatch)
+	}
+	e.readings = append(e.readings, reading{now, running, e.Load() - running, e.Cold()})
 	for len(e.readings) > 1 && now.Sub(e.readings[1].at) > e.cfg.ReportLag {
 		e.readings = e.readings[1:]
 	}
--- a/measure/scenario/qasr.go
+++ b/measure/scenario/qasr.go
@@ -105,7 +105,7 @@
 	p := ratedPlan(rated, 60*time.Second)
 	p.rated = true
 	p.site = p.site.WithEngines(func(c engine.Config) engine.Config {
-		c.ReportLag, c.EventLag, c.EventLoss = 5*time.Second, 5*time.Second, 0.3
+		c.ReportLag, c.EventLag, c.EventLoss, c.LateBatch = 5*time.Second, 5*time.Second, 0.3, true
 		return c
 	})
 	p.adjust = func(cfg *drive.Config) { cfg.Polls = 2 * time.Second }
