--- a/measure/drive/config.go
+++ b/measure/drive/config.go
@@ -23,8 +23,8 @@
 	Seed       uint64
 	Make       Maker
 	Arrivals   []load.Request
-	Polls      time.Duration // Period of load reports and cache events; 0 for 500 ms.
-	Cold       bool          // The model engines start cold.
-	Retries    int           // Times that a caller repeats a refused call.
-	RetryAfter time.Duration // Wait of a caller before it repeats a call, when the refusal names none.
+	Polls      time.Duration            // Period of load reports and cache events; 0 for 500 ms.
+	Cold       func(server string) bool // Which engines start cold; nil for none.
+	Retries    int                      // Times that a caller repeats a refused call.
+	RetryAfter time.Duration            // Wait of a caller before it repeats a call, when the refusal names none.
 }
--- a/measure/drive/failure.go
+++ b/measure/drive/failure.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"github.com/mustardseam/mustardseam/measure/site"
 )
 
 // Bounds of design 1.2: a data centre that is taken out gets no new work after 3 s. The configuration change takes
@@ -58,7 +60,9 @@
 			b.Baseline(w.Clock.Now())
 		}
 		for _, b := range h.cfg.Servers {
-			w.poll(b.Name)
+			if pool == site.Models {
+				w.poll(b.Name)
+			}
 		}
 		for _, r := range w.Records {
 			if r.State == Open && r.waits && w.home(r) == h {
--- a/measure/drive/home.go
+++ b/measure/drive/home.go
@@ -119,6 +119,7 @@
 	delete(h.waiting, p.Ask)
 	h.pass(r, p)
 	r.Server, r.Version, r.Granted, r.warm = p.Server, p.Version, w.Clock.Now(), h.warm[p.Server]
+	r.Load = w.Engines[p.Server].Load()
 	if since, ok := w.out[w.centres[p.Server]]; ok && w.Clock.Now().Sub(since) > outOfServiceWithin {
 		w.Tally.OutOfService++
 	}
@@ -140,11 +141,16 @@
 	})
 }
 
-// serves reports whether the server may serve the request by the configuration.
-func (h *home) serves(b operator.BackendServer, r *Record) bool {
+// serves reports whether the server may serve the request by the configuration. A version that traffic moves to
+// counts for those requests only that take the place of one of the same route.
+func (h *home) serves(b operator.BackendServer, r, instead *Record) bool {
 	route := h.w.route(r.Route)
 	if b.Pool != h.pool || b.Leaving || h.w.Engines[b.Name].Refuses() {
 		return false
 	}
-	return b.Version == route.Version
+	if b.Version == route.Version {
+		_, out := h.w.out[b.DataCentre]
+		return !out
+	}
+	return instead != nil && instead.Route == r.Route && r.Asks == 1
 }
--- a/measure/drive/inversion.go
+++ b/measure/drive/inversion.go
@@ -12,16 +12,16 @@
 func (h *home) pass(r *Record, p pool.Permit) {
 	now := h.w.Clock.Now()
 	for _, other := range h.waiting {
-		if other.Tier < r.Tier && !other.passed && h.inTime(other, p.Server, now) {
+		if other.Tier < r.Tier && !other.passed && h.inTime(other, r, p.Server, now) {
 			other.passed = true
 		}
 	}
 }
 
 // inTime reports whether the server would have answered the request before its deadline in a full batch, when it was
-// granted at the given time.
-func (h *home) inTime(r *Record, server string, at time.Time) bool {
-	if !h.serves(h.w.server(server), r) || slices.Contains(r.avoid, server) {
+// granted at the given time, in place of another one if that is not nil.
+func (h *home) inTime(r, instead *Record, server string, at time.Time) bool {
+	if !h.serves(h.w.server(server), r, instead) || slices.Contains(r.avoid, server) {
 		return false
 	}
 	run := h.w.Engines[server].Config().Duration(r.Prompt, r.Output)
@@ -46,7 +46,7 @@
 		return
 	}
 	for _, b := range h.cfg.Servers {
-		if h.inTime(r, b.Name, r.atHome) {
+		if h.inTime(r, nil, b.Name, r.atHome) {
 			h.w.Tally.WaitInversions++
 			return
 		}
--- a/measure/drive/record.go
+++ b/measure/drive/record.go
@@ -35,7 +35,8 @@
 	Tokens  int    // Tokens of the answer.
 	Version string // That served it last.
 	Server  string
-	Granted time.Time // Of the last permit.
+	Granted time.Time // When the last permit was given.
+	Load    int       // Requests at the server at that time.
 
 	deadline time.Time
 	entry    *entry
--- a/measure/drive/world.go
+++ b/measure/drive/world.go
@@ -54,7 +54,7 @@
 		w.entries = append(w.entries, &entry{name: e.Name, centre: e.DataCentre})
 	}
 	for i, ec := range cfg.Site.Engines {
-		w.Engines[ec.Name] = engine.New(w.Clock, ec, cfg.Cold && cfg.Site.Document.BackendServers[i].Pool == site.Models)
+		w.Engines[ec.Name] = engine.New(w.Clock, ec, cfg.Cold != nil && cfg.Cold(ec.Name))
 		w.centres[ec.Name] = cfg.Site.Document.BackendServers[i].DataCentre
 	}
 	for _, p := range w.Document.Pools {
@@ -74,6 +74,9 @@
 		polls = 500 * time.Millisecond
 	}
 	for i, ec := range w.cfg.Site.Engines {
+		if w.server(ec.Name).Pool != site.Models {
+			continue // Plain services publish no load.
+		}
 		// Polls are spread over the period, as those of a running home are.
 		first := polls * time.Duration(i) / time.Duration(len(w.cfg.Site.Engines))
 		w.Clock.Every(first, polls, func() bool {
--- a/measure/scenario/plan.go
+++ b/measure/scenario/plan.go
@@ -65,7 +65,9 @@
 }
 
 // measured reports whether the request belongs to the window and the record tells how it ended.
-func (r *run) measured(rec *drive.Record) bool { return rec.At >= r.from && rec.At < r.to && !rec.Repeats }
+func (r *run) measured(rec *drive.Record) bool {
+	return rec.At >= r.from && rec.At < r.to && !rec.Repeats
+}
 
 func (r *run) collect(rec *drive.Record) {
 	switch {
--- a/measure/scenario/qasr.go
+++ b/measure/scenario/qasr.go
@@ -85,7 +85,7 @@
 	m := models(p.site)
 	p.phases = append(p.phases, at(m, p.capacity, 0.6, warm, end))
 	p.from, p.to, p.end = 0, end, end+drain
-	p.adjust = func(cfg *drive.Config) { cfg.Cold = true }
+	p.adjust = func(cfg *drive.Config) { cfg.Cold = func(server string) bool { return server[0] == 'm' } }
 	p.faults = func(w *drive.World) {
 		w.Clock.At(50*time.Second, w.Engines["m5"].Chill)
 		w.Clock.At(60*time.Second, w.Engines["m10"].Chill)
--- a/measure/scenario/scenario.go
+++ b/measure/scenario/scenario.go
@@ -44,6 +44,7 @@
 		{"retry-storm", "four engines refuse connections and callers repeat refused calls", planned(retryStorm)},
 		{"instance-loss", "an entry instance dies, then the home", planned(instanceLoss)},
 		{"tokachi-data-centre-move", "a data centre is taken out and returns cold", planned(dataCentreMove)},
+		{"tokachi-rollout", "good versions and five kinds of bad version over 20 seeds", tokachiRollout},
 	}
 }
 
--- a/measure/site/site.go
+++ b/measure/site/site.go
@@ -43,8 +43,11 @@
 // within the 10 s of design 4.1.
 const maxWaiting = 150
 
-// serviceStep is the time that a plain service takes for a call.
-const serviceStep = 20 * time.Millisecond
+// A plain service takes two steps for a call, and it has no cold start, although the document must name a limit for it.
+const (
+	serviceStep      = 20 * time.Millisecond
+	serviceColdLimit = 2
+)
 
 // base returns a site with tiers, pools, data centres and 8 entry instances.
 func base(region string, centres ...string) Site {
@@ -79,12 +82,11 @@
 // withService returns the site with one more replica of a plain service.
 func (s Site) withService(name, centre string) Site {
 	cfg := engine.Config{
-		Name: name, Version: Old, Speed: 1, MaxBatch: 8, Base: serviceStep, PrefillTokens: 1 << 20, ColdFor: 5,
-		ColdLimit: 2, ReportLag: engine.Reference.ReportLag, EventLag: engine.Reference.EventLag,
+		Name: name, Version: Old, Speed: 1, MaxBatch: 8, Base: serviceStep, PrefillTokens: 1 << 20, ReportLag: engine.Reference.ReportLag, EventLag: engine.Reference.EventLag,
 	}
 	s.Document = s.Document.WithBackendServer(operator.BackendServer{
 		Name: name, Pool: Services, DataCentre: centre, Address: fmt.Sprintf("127.0.0.1:%d", 9001+len(s.Engines)),
-		Version: Old, Limit: cfg.MaxBatch, ColdLimit: cfg.ColdLimit,
+		Version: Old, Limit: cfg.MaxBatch, ColdLimit: serviceColdLimit,
 	})
 	return s.withEngine(cfg)
 }
