--- a/measure/scenario/rollout.go
+++ b/measure/scenario/rollout.go
@@ -45,6 +45,7 @@
 // moves is what became of the rollouts of one run.
 type moves struct {
 	good, goodDone int
+	goodBack       int // Good versions that were taken back; those neither done nor back were late.
 	bad, badBack   int
 	share          float64 // Largest share of a route's traffic that went to a bad version.
 	after          int     // Requests to a bad version later than 2 s after the verdict.
@@ -93,6 +94,8 @@
 		}
 	}
 	list = append(list,
+		figure.New("good-versions-taken-back", float64(total.goodBack), ""),
+		figure.New("good-versions-late", float64(total.good-total.goodDone-total.goodBack), ""),
 		figure.New("good-versions-rolled-out", figure.Ratio(float64(total.goodDone), float64(total.good)), "").
 			With(figure.AtLeast, 0.99, figure.Targets),
 		figure.New("bad-versions-rolled-back", figure.Ratio(float64(total.badBack), float64(total.bad)), "").
@@ -119,7 +122,7 @@
 
 func (m moves) plus(n moves) moves {
 	m.good, m.goodDone, m.bad, m.badBack = m.good+n.good, m.goodDone+n.goodDone, m.bad+n.bad, m.badBack+n.badBack
-	m.share, m.after = max(m.share, n.share), m.after+n.after
+	m.share, m.after, m.goodBack = max(m.share, n.share), m.after+n.after, m.goodBack+n.goodBack
 	return m
 }
 
@@ -152,6 +155,9 @@
 			if m.rec.State == rollout.Done && !m.ended.After(m.rec.Deadline) {
 				out.goodDone++
 			}
+			if m.rec.State == rollout.TakenBack {
+				out.goodBack++
+			}
 			continue
 		}
 		out.bad++
--- a/measure/site/site.go
+++ b/measure/site/site.go
@@ -43,10 +43,10 @@
 // within the 10 s of design 4.1.
 const maxWaiting = 150
 
-// A plain service takes two steps for a call, and it has no cold start, although the document must name a limit for it.
+// A plain service takes two steps for a call. It has no cold start, so that its two limits are the same.
 const (
-	serviceStep      = 20 * time.Millisecond
-	serviceColdLimit = 2
+	serviceStep  = 20 * time.Millisecond
+	serviceLimit = 8
 )
 
 // base returns a site with tiers, pools, data centres and 8 entry instances.
@@ -82,11 +82,11 @@
 // withService returns the site with one more replica of a plain service.
 func (s Site) withService(name, centre string) Site {
 	cfg := engine.Config{
-		Name: name, Version: Old, Speed: 1, MaxBatch: 8, Base: serviceStep, PrefillTokens: 1 << 20, ReportLag: engine.Reference.ReportLag, EventLag: engine.Reference.EventLag,
+		Name: name, Version: Old, Speed: 1, MaxBatch: serviceLimit, Base: serviceStep, PrefillTokens: 1 << 20, ReportLag: engine.Reference.ReportLag, EventLag: engine.Reference.EventLag,
 	}
 	s.Document = s.Document.WithBackendServer(operator.BackendServer{
 		Name: name, Pool: Services, DataCentre: centre, Address: fmt.Sprintf("127.0.0.1:%d", 9001+len(s.Engines)),
-		Version: Old, Limit: cfg.MaxBatch, ColdLimit: serviceColdLimit,
+		Version: Old, Limit: serviceLimit, ColdLimit: serviceLimit,
 	})
 	return s.withEngine(cfg)
 }
