--- a/measure/run.go
+++ b/measure/run.go
@@ -26,14 +26,15 @@
 	if !ok {
 		return eris.Errorf("no scenario %q", r.Name)
 	}
+	baselines, ok := baseline.Maker(r.Baseline)
+	if r.Baseline != "" && !ok {
+		return eris.Errorf("no baseline %q: choose one of %s", r.Baseline, strings.Join(baseline.Names, ", "))
+	}
 	o := scenario.Options{Seed: r.Seed}
 	res := s.Run(o)
 	columns := []figure.Column{{Scheduler: "pool", Figures: res.Figures}}
 	if r.Baseline != "" {
-		o.Make, ok = baseline.Maker(r.Baseline)
-		if !ok {
-			return eris.Errorf("no baseline %q: choose one of %s", r.Baseline, strings.Join(baseline.Names, ", "))
-		}
+		o.Make = baselines
 		columns = append(columns, figure.Column{Scheduler: r.Baseline, Figures: s.Run(o).Figures})
 	}
 	if r.Plot != "" {
--- a/measure/scenario/outage.go
+++ b/measure/scenario/outage.go
@@ -18,7 +18,8 @@
 )
 
 // storeOutage runs the order service of Tokachi through an outage of the store, once with a home that lives on by the
-// consent of the others, and once with a home that dies. Answers are lost at the store and on the way to the callers.
+// consent of the others, and once with a home that dies. Answers are lost at the store and on the way to the callers. A
+// baseline has no part in it, so that o.Make is not used.
 func storeOutage(o Options) Result {
 	consent := throughOutage(o.Seed, 0)
 	static := throughOutage(o.Seed, homeDies)
