Bind peer signatures to the receiver and give store writes all of their time

Cause: all instances share the peer key and each knows only the signatures that it has seen itself, so a message recorded on its way to one instance was accepted by another. With several store addresses a write got only its part of the time, although it does not move on after a timeout.

Change: a signature covers the receiver's address in one form; the receiver takes its local address of the connection, so a peer address must be reached without address translation, as the settings demand. Only reads divide the time.

Conclusion: a replay is refused at every instance.

--- a/mustardseam/etcd/call.go
+++ b/mustardseam/etcd/call.go
@@ -16,19 +16,23 @@
 // read sends a call that may be repeated; it tries each address once, and each gets an equal part of the time that is
 // left, so that a silent one does not use it up.
 func (c *Client) read(ctx context.Context, path string, in, out any) error {
-	return c.call(ctx, path, in, out, func(err error) bool {
-		return errors.Is(err, ErrUnavailable) || errors.Is(err, ErrUnanswered)
+	return c.call(ctx, path, in, out, failedOver, func(now, end time.Time, left int) time.Time {
+		return now.Add(end.Sub(now) / time.Duration(left))
 	})
 }
 
 // write sends a call that must not be repeated; it tries another address only when the one before certainly did not
-// take it.
+// take it, so each may use all of the time.
 func (c *Client) write(ctx context.Context, path string, in, out any) error {
-	return c.call(ctx, path, in, out, func(err error) bool { return errors.Is(err, ErrUnavailable) })
+	return c.call(ctx, path, in, out, func(err error) bool { return errors.Is(err, ErrUnavailable) },
+		func(_, end time.Time, _ int) time.Time { return end })
 }
 
-// call tries the addresses in turn, beginning with the last that answered, while again allows it.
-func (c *Client) call(ctx context.Context, path string, in, out any, again func(error) bool) error {
+// call tries the addresses in turn, beginning with the last that answered, while again allows it; until says how long
+// the next one may take when so many are left.
+func (c *Client) call(ctx context.Context, path string, in, out any,
+	again func(error) bool, until func(now, end time.Time, left int) time.Time,
+) error {
 	body, err := json.Marshal(in)
 	if err != nil {
 		return err
@@ -36,8 +40,7 @@
 	end := deadline(ctx, c.cfg.Timeout)
 	for left := len(c.cfg.Addresses); ; left-- {
 		at := c.next.Load()
-		now := time.Now()
-		err = c.send(c.address(at), path, body, out, now.Add(end.Sub(now)/time.Duration(left)))
+		err = c.send(c.address(at), path, body, out, until(time.Now(), end, left))
 		if !failedOver(err) {
 			return err
 		}
--- a/mustardseam/peer/auth.go
+++ b/mustardseam/peer/auth.go
@@ -7,6 +7,7 @@
 	"encoding/base64"
 	"hash"
 	"io"
+	"net/netip"
 	"strconv"
 	"strings"
 	"time"
@@ -27,18 +28,18 @@
 // encoding writes the nonce and the signature.
 var encoding = base64.RawURLEncoding
 
-// sign returns the value of the authorization header of a call. The nonce tells equal calls of one second apart, which
+// sign returns the value of the authorization header of a call to an address. The nonce tells equal calls of one second apart, which
 // polls are, from replays.
-func sign(key []byte, now time.Time, method, uri string, body []byte) string {
+func sign(key []byte, now time.Time, to, method, uri string, body []byte) string {
 	at := strconv.FormatInt(now.Unix(), 10)
 	var raw [nonceBytes]byte
 	_, _ = rand.Read(raw[:]) // Never fails: the package ends the program instead.
 	nonce := encoding.EncodeToString(raw[:])
-	return authScheme + at + "." + nonce + "." + encoding.EncodeToString(mac(key, at, nonce, method, uri, body))
+	return authScheme + at + "." + nonce + "." + encoding.EncodeToString(mac(key, at, nonce, canonical(to), method, uri, body))
 }
 
-// verify returns the signature of a call that was made with one of the keys and is not too old.
-func verify(keys [][]byte, now time.Time, header, method, uri string, body []byte) (signature [macBytes]byte, ok bool) {
+// verify returns the signature of a call to the address that was made with one of the keys and is not too old.
+func verify(keys [][]byte, now time.Time, header, to, method, uri string, body []byte) (signature [macBytes]byte, ok bool) {
 	rest, ok := strings.CutPrefix(header, authScheme)
 	part := strings.Split(rest, ".")
 	if !ok || len(part) != 3 {
@@ -54,23 +55,33 @@
 	}
 	for _, key := range keys {
 		// A key that is not set would let anyone sign.
-		if len(key) > 0 && hmac.Equal(sum, mac(key, part[0], part[1], method, uri, body)) {
+		if len(key) > 0 && hmac.Equal(sum, mac(key, part[0], part[1], canonical(to), method, uri, body)) {
 			return [macBytes]byte(sum), true
 		}
 	}
 	return signature, false
 }
 
-// mac covers all of a call that its handler acts on. None of the parts before the body can hold a line feed.
-func mac(key []byte, at, nonce, method, uri string, body []byte) []byte {
+// mac covers all of a call that its handler acts on, and the receiver, because all instances share the key and each knows
+// only the signatures that it has seen. None of the parts before the body can hold a line feed.
+func mac(key []byte, at, nonce, to, method, uri string, body []byte) []byte {
 	h := hmac.New(sha256.New, key)
-	for _, part := range []string{at, nonce, method, uri} {
+	for _, part := range []string{at, nonce, to, method, uri} {
 		line(h, part)
 	}
 	_, _ = h.Write(body)
 	return h.Sum(nil)[:macBytes]
 }
 
+// canonical returns the one form of an address IP:port that both sides sign.
+func canonical(addr string) string {
+	p, err := netip.ParseAddrPort(addr)
+	if err != nil {
+		return addr
+	}
+	return netip.AddrPortFrom(p.Addr().Unmap(), p.Port()).String()
+}
+
 func line(h hash.Hash, s string) {
 	_, _ = io.WriteString(h, s)
 	_, _ = h.Write([]byte{'\n'})
--- a/mustardseam/peer/client.go
+++ b/mustardseam/peer/client.go
@@ -105,7 +105,7 @@
 	defer fasthttp.ReleaseResponse(resp)
 	req.SetRequestURI("http://" + addr + path)
 	req.Header.SetMethod(method)
-	req.Header.Set(authHeader, sign(c.cfg.Key, c.cfg.Now(), method, path, body))
+	req.Header.Set(authHeader, sign(c.cfg.Key, c.cfg.Now(), addr, method, path, body))
 	req.SetBodyRaw(body)
 	if err := c.http.DoTimeout(req, resp, timeout); err != nil {
 		return nil, eris.Wrapf(err, "call %s of peer %s", path, addr)
--- a/mustardseam/peer/server.go
+++ b/mustardseam/peer/server.go
@@ -72,9 +72,10 @@
 // authenticate answers 401 to strangers and to replays, whatever they ask for.
 func (s *Server) authenticate(c fiber.Ctx) error {
 	now := s.cfg.Now()
-	signature, ok := verify(s.cfg.Keys, now, c.Get(authHeader), c.Method(), c.OriginalURL(), c.BodyRaw())
+	to := c.RequestCtx().LocalAddr().String()
+	signature, ok := verify(s.cfg.Keys, now, c.Get(authHeader), to, c.Method(), c.OriginalURL(), c.BodyRaw())
 	if !ok || !s.seen.first(now, signature) {
-		return c.Status(fiber.StatusUnauthorized).SendString("the call is not signed with the key of these instances, or was seen before")
+		return c.Status(fiber.StatusUnauthorized).SendString("the call is not signed with the key of these instances for this address, or was seen before")
 	}
 	return c.Next()
 }
--- a/mustardseam/peer/server_test.go
+++ b/mustardseam/peer/server_test.go
@@ -97,7 +97,8 @@
 // again.
 func TestAuthentication(t *testing.T) {
 	const path, body = "/peer/v1/heartbeat", `{"proto":{"reads":[1,1],"writes":1}}`
-	good := sign(testKey, testNow, "POST", path, []byte(body))
+	addr := start(t, &home{}, plain)
+	good := sign(testKey, testNow, addr, "POST", path, []byte(body))
 	tests := []struct {
 		name, auth         string
 		method, path, body string // As sent, when not as signed.
@@ -105,26 +106,26 @@
 	}{
 		{name: "current key", auth: good, status: 200},
 		{name: "the same call again", auth: good, status: 401},
-		{name: "previous key", auth: sign(previous, testNow, "POST", path, []byte(body)), status: 200},
-		{name: "clock within the skew", auth: sign(testKey, testNow.Add(-maxSkew), "POST", path, []byte(body)), status: 200},
-		{name: "too old", auth: sign(testKey, testNow.Add(-maxSkew-time.Second), "POST", path, []byte(body)), status: 401},
-		{name: "too early", auth: sign(testKey, testNow.Add(maxSkew+time.Second), "POST", path, []byte(body)), status: 401},
-		{name: "another key", auth: sign([]byte("guess"), testNow, "POST", path, []byte(body)), status: 401},
-		{name: "empty key", auth: sign(nil, testNow, "POST", path, []byte(body)), status: 401},
+		{name: "previous key", auth: sign(previous, testNow, addr, "POST", path, []byte(body)), status: 200},
+		{name: "clock within the skew", auth: sign(testKey, testNow.Add(-maxSkew), addr, "POST", path, []byte(body)), status: 200},
+		{name: "too old", auth: sign(testKey, testNow.Add(-maxSkew-time.Second), addr, "POST", path, []byte(body)), status: 401},
+		{name: "too early", auth: sign(testKey, testNow.Add(maxSkew+time.Second), addr, "POST", path, []byte(body)), status: 401},
+		{name: "another key", auth: sign([]byte("guess"), testNow, addr, "POST", path, []byte(body)), status: 401},
+		{name: "empty key", auth: sign(nil, testNow, addr, "POST", path, []byte(body)), status: 401},
 		{name: "no signature", status: 401},
 		{name: "another scheme", auth: "Bearer " + strings.TrimPrefix(good, authScheme), status: 401},
 		{name: "parts missing", auth: authScheme + "1700000000.abc", status: 401},
 		{name: "no number", auth: authScheme + "x.abc.def", status: 401},
 		{name: "no base64", auth: authScheme + "1700000000.abc.$$$", status: 401},
 		{name: "short signature", auth: good[:len(good)-4], status: 401},
-		{name: "altered body", auth: sign(testKey, testNow, "POST", path, []byte(body)), body: body + " ", status: 401},
-		{name: "altered path", auth: sign(testKey, testNow, "POST", path, []byte(body)), path: "/peer/v1/done", status: 401},
-		{name: "altered query", auth: sign(testKey, testNow, "POST", path, []byte(body)), path: path + "?a=b", status: 401},
-		{name: "altered method", auth: sign(testKey, testNow, "PUT", path, []byte(body)), status: 401},
+		{name: "recorded on the way to another instance", auth: sign(testKey, testNow, "127.0.0.1:1", "POST", path, []byte(body)), status: 401},
+		{name: "altered body", auth: sign(testKey, testNow, addr, "POST", path, []byte(body)), body: body + " ", status: 401},
+		{name: "altered path", auth: sign(testKey, testNow, addr, "POST", path, []byte(body)), path: "/peer/v1/done", status: 401},
+		{name: "altered query", auth: sign(testKey, testNow, addr, "POST", path, []byte(body)), path: path + "?a=b", status: 401},
+		{name: "altered method", auth: sign(testKey, testNow, addr, "PUT", path, []byte(body)), status: 401},
 		{name: "unknown path of a stranger", path: "/debug", status: 401},
-		{name: "unknown path of a peer", auth: sign(testKey, testNow, "POST", "/debug", []byte(body)), path: "/debug", status: 404},
+		{name: "unknown path of a peer", auth: sign(testKey, testNow, addr, "POST", "/debug", []byte(body)), path: "/debug", status: 404},
 	}
-	addr := start(t, &home{}, plain)
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			send, to := body, path
@@ -153,6 +154,19 @@
 	assert.Assert(t, len(s.fresh)+len(s.old) <= 2*seenLimit)
 }
 
+// TestCanonical guards against two forms of one address, which would make the other side a stranger.
+func TestCanonical(t *testing.T) {
+	tests := []struct{ addr, want string }{
+		{"10.0.0.1:80", "10.0.0.1:80"},
+		{"[::ffff:10.0.0.1]:80", "10.0.0.1:80"},
+		{"[2001:0db8::0001]:80", "[2001:db8::1]:80"},
+		{"no address", "no address"},
+	}
+	for _, tt := range tests {
+		assert.Equal(t, canonical(tt.addr), tt.want)
+	}
+}
+
 // TestVersions guards against a rolling upgrade in which instances of two versions misread each other.
 func TestVersions(t *testing.T) {
 	const extra = `{"proto":{"reads":[1,3],"writes":1,"flags":["x"]},"region":"amman","pool":"models","hold-ms":9999999,` +
@@ -177,7 +191,7 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			const path = "/peer/v1/ask"
-			status, body := call(t, "POST", "http://"+addr+path, sign(testKey, testNow, "POST", path, []byte(tt.body)), tt.body)
+			status, body := call(t, "POST", "http://"+addr+path, sign(testKey, testNow, addr, "POST", path, []byte(tt.body)), tt.body)
 			assert.Equal(t, status, tt.status, "%s", body)
 			assert.Assert(t, strings.Contains(body, tt.text), "%s", body)
 		})
