--- /dev/null
+++ b/mustardseam/caller/connection_test.go
@@ -0,0 +1,108 @@
+package caller
+
+import (
+	"errors"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestStream guards against events that are cut, merged or whose end looks whole when it is not.
+func TestStream(t *testing.T) {
+	tests := []struct {
+		name   string
+		events []string
+		end    error
+		want   string
+	}{
+		{"whole", []string{`{"a":1}`, `{"b":2}`}, io.EOF, "data: {\"a\":1}\n\ndata: {\"b\":2}\n\ndata: [DONE]\n\n"},
+		{"line breaks in an event", []string{"{\r\n}"}, io.EOF, "data: {\ndata: }\n\ndata: [DONE]\n\n"},
+		{"broken", []string{`{"a":1}`}, errors.New("engine gone"), "data: {\"a\":1}\n\nevent: error\ndata: {\"error\":" +
+			`{"type":"urn:mustardseam:problem:incomplete","title":"incomplete","status":502,"detail":"the answer is incomplete: engine gone","not-run":false}}` + "\n\n"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newFake()
+			f.events, f.end = tt.events, tt.end
+			resp, body := send(t, start(t, f, unchanged), "POST /v1/chat/completions", "", `{"stream":true,`+chat[1:])
+			assert.Equal(t, resp.Header.Get("Content-Type"), "text/event-stream")
+			assert.Equal(t, body, tt.want)
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			assert.Equal(t, f.closed, 1)
+		})
+	}
+}
+
+// TestCallerLeaves guards against a request that goes on for a caller that has gone.
+func TestCallerLeaves(t *testing.T) {
+	for _, line := range []string{"POST /v1/chat/completions", "POST /services/leather/x"} {
+		f := newFake()
+		f.hang = make(chan struct{})
+		c, err := net.Dial("tcp", start(t, f, unchanged))
+		assert.NilError(t, err)
+		_, err = io.WriteString(c, line+" HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer key-1\r\nContent-Length: "+itoa(len(chat))+"\r\n\r\n"+chat)
+		assert.NilError(t, err)
+		assert.NilError(t, c.Close())
+		<-f.hang
+	}
+}
+
+// TestKeptConnection guards against requests of one connection that are lost or mixed by the watch for its end.
+func TestKeptConnection(t *testing.T) {
+	f := newFake()
+	addr := start(t, f, unchanged)
+	c, err := net.Dial("tcp", addr)
+	assert.NilError(t, err)
+	defer func() { _ = c.Close() }()
+	one := "POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer key-1\r\nContent-Length: " + itoa(len(chat)) + "\r\n\r\n" + chat
+	last := strings.Replace(one, "Host: a", "Host: a\r\nConnection: close", 1)
+	_, err = io.WriteString(c, one+one+one+last)
+	assert.NilError(t, err)
+	b, err := io.ReadAll(c)
+	assert.NilError(t, err)
+	assert.Equal(t, strings.Count(string(b), "HTTP/1.1 200"), 4)
+}
+
+// TestSlowSender guards against connections that are held by bytes that come too slowly, or by none.
+func TestSlowSender(t *testing.T) {
+	tests := []struct{ name, text string }{
+		{"no byte", ""},
+		{"half a header", "POST /v1/chat/completions HTTP/1.1\r\nHos"},
+		{"silence after an answer", "GET /v1/models HTTP/1.1\r\nHost: a\r\n\r\n"},
+		{"silence after a watched answer", "POST /v1/completions HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer key-1\r\nContent-Length: 33\r\n\r\n{\"model\":\"sizing\",\"prompt\":\"hey\"}"},
+		{"half a body", "POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nContent-Length: 10\r\n\r\n{"},
+	}
+	addr := start(t, newFake(), func(c *Config) { c.Read, c.Idle = 50*time.Millisecond, 50*time.Millisecond })
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c, err := net.Dial("tcp", addr)
+			assert.NilError(t, err)
+			defer func() { _ = c.Close() }()
+			_, err = io.WriteString(c, tt.text)
+			assert.NilError(t, err)
+			_, err = io.ReadAll(c) // Ends when the server closes the connection.
+			assert.NilError(t, err)
+		})
+	}
+}
+
+// TestConnectionLimit guards against connections without bound and against a refusal that callers cannot read.
+func TestConnectionLimit(t *testing.T) {
+	addr := start(t, newFake(), func(c *Config) { c.Connections = 1 })
+	c, err := net.Dial("tcp", addr)
+	assert.NilError(t, err)
+	defer func() { _ = c.Close() }()
+	_, err = io.WriteString(c, "GET /v1/models HTTP/1.1\r\nHost: a\r\n\r\n")
+	assert.NilError(t, err)
+	_, err = c.Read(make([]byte, 1))
+	assert.NilError(t, err)
+	resp, body := send(t, addr, "GET /v1/models", "", "")
+	assert.Equal(t, resp.StatusCode, 503)
+	assert.Equal(t, resp.Header.Get("Retry-After"), "1")
+	assert.Assert(t, strings.Contains(body, `"not-run":true`), "%s", body)
+}
