Tell callers when to come back after every refusal that was not run

Cause: a trial against failing engines got retry-budget-exhausted without Retry-After, which the design asks for with every request that is given up.

Change: a 503 that was not run and whose wait is not known says one second.

Conclusion: the table test covers a known, an unknown and no wait.

--- a/mustardseam/caller/caller_test.go
+++ b/mustardseam/caller/caller_test.go
@@ -94,14 +94,30 @@
 
 // TestSchedulerProblem guards against a refusal of the scheduler that loses its wait or its claim of not run.
 func TestSchedulerProblem(t *testing.T) {
+	tests := []struct {
+		name    string
+		problem *Problem
+		wait    string
+	}{
+		{"known wait", NewProblem("queue-full", 503, true, "full").WithRetryAfter(1100 * time.Millisecond), "2"},
+		{"unknown wait", NewProblem("retry-budget-exhausted", 503, true, "full"), "1"},
+		{"may have run", NewProblem("outcome-unknown", 502, false, "lost"), ""},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newFake()
+			f.problem = tt.problem
+			resp, body := send(t, start(t, f, unchanged), "POST /v1/chat/completions", "", chat)
+			assert.Equal(t, resp.Header.Get("Retry-After"), tt.wait)
+			var p Problem
+			assert.NilError(t, json.Unmarshal([]byte(body), &p))
+			p.RetryAfter = tt.problem.RetryAfter
+			assert.DeepEqual(t, &p, tt.problem)
+		})
+	}
 	f := newFake()
-	f.problem = NewProblem("queue-full", 503, false, "full").WithRetryAfter(1100 * time.Millisecond)
-	resp, body := send(t, start(t, f, unchanged), "POST /v1/chat/completions", "", chat)
-	assert.Equal(t, resp.StatusCode, 503)
-	assert.Equal(t, resp.Header.Get("Retry-After"), "2")
-	assert.Equal(t, body, `{"type":"urn:mustardseam:problem:queue-full","title":"queue full","status":503,"detail":"full","not-run":false}`)
 	f.cfg = nil
-	resp, _ = send(t, start(t, f, unchanged), "GET /v1/models", "", "")
+	resp, _ := send(t, start(t, f, unchanged), "GET /v1/models", "", "")
 	assert.Equal(t, resp.StatusCode, 503)
 	assert.Equal(t, resp.Header.Get("Retry-After"), "1")
 }
--- a/mustardseam/caller/problem.go
+++ b/mustardseam/caller/problem.go
@@ -15,6 +15,9 @@
 // problemType is the media type of problems.
 const problemType = "application/problem+json"
 
+// defaultRetry is what a request that was given up without being run is told when no better time is known.
+const defaultRetry = time.Second
+
 // Problem is a refusal or failure as application/problem+json (RFC 9457).
 type Problem struct {
 	Type       string        `json:"type"`
@@ -43,8 +46,12 @@
 
 // send writes the problem as the response.
 func (p *Problem) send(c fiber.Ctx) error {
-	if p.RetryAfter > 0 {
-		c.Set(fiber.HeaderRetryAfter, strconv.Itoa(int(math.Ceil(p.RetryAfter.Seconds()))))
+	wait := p.RetryAfter
+	if wait <= 0 && p.NotRun && p.Status == fiber.StatusServiceUnavailable {
+		wait = defaultRetry
+	}
+	if wait > 0 {
+		c.Set(fiber.HeaderRetryAfter, strconv.Itoa(int(math.Ceil(wait.Seconds()))))
 	}
 	if p.Status == fiber.StatusUnauthorized {
 		c.Set(fiber.HeaderWWWAuthenticate, "Bearer")
