End all connections of a stopped instance

Cause: a killed or stopped instance went on to answer heartbeats on connections that its peers kept open, so it counted as alive and its pools stayed without a home for good. Ruled out: the tenure and the membership table, whose inputs showed the instance as alive. Change: the addresses of an instance close their connections with it; a caller that goes away ends its wait and its whole answer.

--- a/mustardseam/instance/ask.go
+++ b/mustardseam/instance/ask.go
@@ -301,7 +301,7 @@
 func status(o pool.Outcome) int {
 	switch o.Result {
 	case pool.Cancelled:
-		return 499
+		return statusCallerGone
 	case pool.Incomplete:
 		return 502
 	default:
--- a/mustardseam/instance/instance.go
+++ b/mustardseam/instance/instance.go
@@ -8,7 +8,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
 	"github.com/sourcegraph/conc"
 
@@ -23,6 +22,7 @@
 	"github.com/mustardseam/mustardseam/mustardseam/revision"
 	"github.com/mustardseam/mustardseam/mustardseam/rollout"
 	"github.com/mustardseam/mustardseam/mustardseam/service"
+	"github.com/mustardseam/mustardseam/mustardseam/tcp"
 )
 
 const (
@@ -61,7 +61,7 @@
 	callerServer *caller.Server
 	peerServer   *peer.Server
 	adminServer  *admin.Server
-	listeners    [3]net.Listener // Of callers, peers and admin.
+	listeners    [3]*tcp.Socket // Of callers, peers and admin.
 
 	ctx    context.Context // Ends with the instance.
 	cancel context.CancelFunc
@@ -115,12 +115,12 @@
 // listen opens the three listeners.
 func (i *Instance) listen() error {
 	for n, addr := range []string{i.cfg.CallerAddress, i.cfg.PeerAddress, i.cfg.AdminAddress} {
-		ln, err := net.Listen("tcp", addr)
+		ln, err := tcp.Open(addr)
 		if err != nil {
 			for _, open := range i.listeners[:n] {
 				_ = open.Close()
 			}
-			return eris.Wrapf(err, "listen on %s", addr)
+			return err
 		}
 		i.listeners[n] = ln
 	}
--- a/mustardseam/instance/modelexchange.go
+++ b/mustardseam/instance/modelexchange.go
@@ -105,6 +105,9 @@
 // Whole reads the answer to its end.
 func (x *modelExchange) Whole() ([]byte, *caller.Problem) {
 	for {
+		if gone(x.request) {
+			return nil, caller.NewProblem("caller-gone", statusCallerGone, false, "the caller ended the connection")
+		}
 		_, err := x.Next()
 		if errors.Is(err, io.EOF) {
 			break
--- a/mustardseam/instance/obtain.go
+++ b/mustardseam/instance/obtain.go
@@ -36,6 +36,10 @@
 			h.withdraw(a.ID)
 			return pool.Permit{}, nil, draining()
 		}
+		if gone(r) {
+			h.withdraw(a.ID)
+			return pool.Permit{}, nil, caller.NewProblem("caller-gone", statusCallerGone, true, "the caller ended the connection")
+		}
 		left := r.Deadline.Sub(now)
 		if left <= 0 {
 			h.withdraw(a.ID)
@@ -70,6 +74,19 @@
 	}
 }
 
+// statusCallerGone is the status of a request whose caller has ended the connection; nobody reads it.
+const statusCallerGone = 499
+
+// gone reports whether the caller has ended the connection.
+func gone(r caller.Request) bool {
+	select {
+	case <-r.Gone:
+		return true
+	default:
+		return false
+	}
+}
+
 // askHome polls the home of the pool once; an empty status means that no home answered.
 func (i *Instance) askHome(h *home, a pool.Ask, left time.Duration, previous *pool.Outcome) peer.AskAnswer {
 	hold := min(askHold, left)
--- a/mustardseam/instance/stop.go
+++ b/mustardseam/instance/stop.go
@@ -50,7 +50,7 @@
 func (i *Instance) close() {
 	i.cancel()
 	for _, ln := range i.listeners {
-		_ = ln.Close()
+		ln.Abort()
 	}
 	i.engines.Close()
 	i.services.Close()
