--- a/model/mustardseam.pml
+++ b/model/mustardseam.pml
@@ -2,6 +2,7 @@
  * The core protocol of mustardseam, checked by model/check. Select one part:
  *   -DTENURE  who may grant requests to a pool's servers (package tenure)
  *   -DCLAIMS  which keyed request may run (package claim, on top of tenure)
+ *   -DMEMORY  with -DCLAIMS: claims in memory while the journal cannot be written
  *   -DCONFIG  which configuration is in force, and rollback marks (packages revision and rollout)
  * -DBROKEN_<name> breaks one rule; the search must then find an error.
  *
@@ -11,6 +12,7 @@
 #define NONE 9
 #define BIT(i) (1 << (i))
 #define DEC(t) t = (t > 0 -> t - 1 : 0)
+#define INC(t) t = (t < OLD -> t + 1 : OLD)
 
 #if defined(TENURE) || defined(CLAIMS)
 
@@ -30,7 +32,11 @@
 #endif
 #else
 #define N 2
+#ifdef MEMORY
+#define EPOCHS 2
+#else
 #define EPOCHS 3
+#endif
 #define CRASHES 0
 #endif
 
@@ -133,7 +139,9 @@
 	      :: released -> delay[i] = 0
 	      :: else
 	      fi
+#ifndef MEMORY
 	   :: call[i] == 1 -> call[i] = 2 /* Tenure.SwapLost */
+#endif
 	   :: call[i] != 1
 	   fi;
 	   released = 0
@@ -205,7 +213,7 @@
 byte known[N];    /* mod revision known */
 bit taken[N];     /* the home knows the key as claimed */
 bit ready[N], loaded[N], fenced[N];
-byte kind[N];     /* write under way: 0 none, 1 fence, 2 claim, 3 free */
+byte kind[N];     /* write under way: 0 none, 1 fence, 2 claim, 3 free, 4 stamp only */
 bit sent[N];      /* it may still take effect */
 bit lost[N];
 byte wx[N];       /* mod revision that it replaces */
@@ -214,8 +222,34 @@
 bit started[N];   /* a permit for it is out */
 byte term[N];     /* epoch of the journal */
 byte runs;
-#ifndef WRITES
-#define WRITES 6 /* all homes together */
+#ifdef MEMORY
+#define WRITES 4 /* all homes together */
+#else
+#define WRITES 6
+#endif
+
+#ifdef MEMORY
+#define GAP 1          /* age of the last stamp at a takeover after which claims may be missing */
+#ifdef BROKEN_EARLY
+#define FAILING 1
+#else
+#define FAILING (GAP + R + 1) /* age of the last stamp sent after which a home claims in memory */
+#endif
+#define OLD FAILING /* ages are counted up to here */
+bit born;              /* the key has been made; it carries that time */
+byte stampAge;         /* since the stamp in the store */
+bit stampBefore = 1;   /* the stamp is older than the key */
+byte sentAge[N];       /* the same of the last write sent */
+bit sentBefore[N];
+bit gapBefore[N];      /* the same of the beginning of the gap that a new home found */
+bit gap[N];
+bit inMemory[N];
+bit with[N];           /* the write under way holds the claim in memory */
+#define forgetMemory(i) inMemory[i] = 0
+#define canClaim(i) (born && !(gap[i] && gapBefore[i]))
+#else
+#define canClaim(i) true
+#define forgetMemory(i) skip
 #endif
 
 inline commit(i) {
@@ -223,9 +257,14 @@
 	if
 	:: kind[i] == 1 -> ready[i] = 1
 	:: kind[i] == 2 -> granted[i] = 1;
+#ifndef MEMORY
 	   /* No home commits a claim once a newer one may grant. */
 	   assert(!(ready[other(i, 1)] && term[other(i, 1)] > term[i]))
+#else
+	   skip
+#endif
 	:: kind[i] == 3 -> taken[i] = 0
+	:: kind[i] == 4
 	fi;
 	kind[i] = 0; lost[i] = 0
 }
@@ -239,6 +278,11 @@
 	:: mod == wx[i] ->
 #endif
 	   mod++; writer = i; wid = id[i]; slotTerm = term[i];
+#ifdef MEMORY
+	   stampAge = sentAge[i]; stampBefore = sentBefore[i];
+	   claimedKey = claimedKey || with[i];
+#endif
+
 	   claimedKey = (kind[i] == 2 -> 1 : (kind[i] == 3 -> 0 : claimedKey));
 	   if
 	   :: !lost[i] -> commit(i)
@@ -268,11 +312,18 @@
 }
 
 inline send(i, what) {
-	kind[i] = what; sent[i] = 1; lost[i] = 0; wx[i] = known[i]; id[i] = 1 - id[i]
+	kind[i] = what; sent[i] = 1; lost[i] = 0; wx[i] = known[i]; id[i] = 1 - id[i];
+#ifdef MEMORY
+	with[i] = inMemory[i];
+	if
+	:: what != 1 -> sentAge[i] = 0; sentBefore[i] = !born
+	:: else /* a fence does not move the stamp */
+	fi
+#endif
 }
 #define idle(i) (kind[i] == 0 && !sent[i] && mod <= WRITES)
 /* A Journal belongs to one takeover. */
-#define newJournal(i) loaded[i] = 0; ready[i] = 0; fenced[i] = 0; kind[i] = 0; lost[i] = 0; granted[i] = 0; started[i] = 0; taken[i] = 0
+#define newJournal(i) loaded[i] = 0; ready[i] = 0; fenced[i] = 0; kind[i] = 0; lost[i] = 0; granted[i] = 0; started[i] = 0; taken[i] = 0; forgetMemory(i)
 #endif
 
 proctype instance(byte i) {
@@ -286,7 +337,9 @@
 	:: atomic { !dead[i] && !closed[i] && hm[i] != i && mayRun(i) && call[i] == 0 && !net[i] && ep[i] < EPOCHS && ep[i] > 0 &&
 	     toHome[i] == 0 && toShare[i] == 0 -> net[i] = 1; nx[i] = ep[i]; call[i] = 1; doubt[i] = 1 }
 	:: atomic { net[i] -> apply(i) }
+#ifndef MEMORY
 	:: atomic { call[i] == 1 && net[i] -> call[i] = 2 }
+#endif
 	/* Tenure.Consent to the home j */
 #ifdef TENURE
 	:: atomic { homeAsks(other(i, 1), i) -> consentToHome(other(i, 1), i) }
@@ -324,7 +377,13 @@
 	/* Journal.Load */
 	:: atomic { hm[i] == i && term[i] == ep[i] && !loaded[i] && idle(i) -> loaded[i] = 1; known[i] = mod; taken[i] = claimedKey;
 #ifndef BROKEN_OLD_LOAD
-	   fenced[i] = (slotTerm > term[i])
+	   fenced[i] = (slotTerm > term[i]);
+#endif
+#ifdef MEMORY
+	   sentAge[i] = stampAge; sentBefore[i] = stampBefore; gapBefore[i] = stampBefore;
+#ifndef BROKEN_GAP
+	   gap[i] = (term[i] > 1 && stampAge > GAP)
+#endif
 #endif
 	   }
 	/* Journal.Pending: the first write fences earlier homes off */
@@ -335,8 +394,19 @@
 	   send(i, 1)
 #endif
 	   }
+#ifdef MEMORY
+	/* Journal.memory: the last write sent has no answer for long, and its stamp is older than the key */
+	:: atomic { ready[i] && !fenced[i] && kind[i] > 1 && sentAge[i] >= FAILING && canClaim(i) &&
+#ifndef BROKEN_OLD_KEY
+	     sentBefore[i] &&
+#endif
+	     (!taken[i] || kind[i] == 2 && !granted[i]) -> taken[i] = 1; granted[i] = 1; started[i] = 0; inMemory[i] = 1 }
+	:: atomic { !born -> born = 1 }
+	/* the stamp */
+	:: atomic { ready[i] && !fenced[i] && idle(i) -> send(i, 4) }
+#endif
 	/* Journal.Claim of a retry that reached this home */
-	:: atomic { ready[i] && !fenced[i] && !taken[i] && idle(i) -> taken[i] = 1; started[i] = 0; granted[i] = 0; send(i, 2) }
+	:: atomic { ready[i] && !fenced[i] && !taken[i] && idle(i) && canClaim(i) -> taken[i] = 1; started[i] = 0; granted[i] = 0; send(i, 2) }
 	:: atomic { sent[i] -> applyWrite(i) }
 	:: atomic { sent[i] && !lost[i] -> lost[i] = 1 }
 	:: atomic { lost[i] && kind[i] != 0 -> readBack(i) }
@@ -344,12 +414,14 @@
 	:: atomic { granted[i] && !started[i] && mayGrant(i) && permit[i] == 0 -> started[i] = 1; permit[i] = S }
 	/* The entry instance starts the request within the window. */
 	:: atomic { permit[i] > 0 && started[i] && !shared[i] -> shared[i] = 1; permit[i] = 0; runs++; assert(runs <= 1) }
+#ifndef MEMORY
 	/* Journal.NotRun, when the permit can no longer be started */
 #ifdef BROKEN_FREE
 	:: atomic { started[i] && !shared[i] && ready[i] && !fenced[i] && idle(i) && taken[i] -> send(i, 3) }
 #else
 	:: atomic { started[i] && !shared[i] && permit[i] == 0 && ready[i] && !fenced[i] && idle(i) && taken[i] -> send(i, 3) }
 #endif
+#endif
 #endif
 	od
 }
@@ -365,9 +437,15 @@
 	:: d_step {
 		for (i : 0 .. N - 1) {
 			DEC(right[i]); DEC(delay[i]); DEC(toHome[i]); DEC(toShare[i]); DEC(permit[i]); DEC(tomb[i]);
+#ifdef MEMORY
+			INC(sentAge[i]);
+#endif
 			for (k : 0 .. N - 1) { DEC(cons[i * N + k]) }
 		}
 		for (i : 0 .. N - 1) { sharing[i] = (sharing[i] && agreed(i)) }
+#ifdef MEMORY
+		INC(stampAge);
+#endif
 		k = 0; i = 0 }
 	od
 }
