Judge slow answers by the load where the old version is being served

Change: an answer is compared with the nearest load bucket in which the old version had answers while it waited, with an allowance per bucket below; at the last step nothing is waited for; the last two steps begin earlier (72 % and 85 % of the window). Conclusion: a slow version is caught by its times although it makes its own servers busy.

--- a/mustardseam/rollout/control.go
+++ b/mustardseam/rollout/control.go
@@ -12,9 +12,6 @@
 	enough = 9
 	// slowTenth is the part of the control's answers that counts as slow: those beyond its 90th percentile.
 	slowTenth = 0.1
-	// freshness is how old the latest answer of a window may be: a load bucket that nothing visited for longer may hold
-	// answers from before a disturbance of both versions.
-	freshness = 10 * time.Second
 )
 
 // control is a bounded window of the control's latest answers in one load bucket, or in all of them.
@@ -30,11 +27,6 @@
 	c.sequence.add(bad)
 }
 
-// usable reports whether the window has enough answers and a fresh one.
-func (c *control) usable(now time.Time) bool {
-	return c.total >= enough && now.Sub(c.last) <= freshness
-}
-
 func (c *control) size() int { return min(c.total, windowSize) }
 
 // failureRate returns the rate of failures in the window plus its standard error.
--- a/mustardseam/rollout/judge.go
+++ b/mustardseam/rollout/judge.go
@@ -37,6 +37,7 @@
 	maxNull          = 0.95 // Of anything, so that the test keeps some power.
 	failuresAlone    = 0.5  // Of failures, without a control to compare with: most answers must succeed.
 	slowdownAlone    = 2    // Times the control's last percentile, without a control to compare with.
+	loadAllowance    = 0.5  // Of the times, for each load bucket that the control's window is below the answer's.
 	enoughNeighbours = neighbours / 2
 )
 
@@ -99,11 +100,14 @@
 	return j.verdict
 }
 
-// control takes in an answer of the old version. It is compared with its own bucket, however old the answers there are,
-// so that the first ones after a pause show that they are outdated.
+// control takes in an answer of the old version.
 func (j *Judge) control(now time.Time, s Sample) {
 	c := &j.controls[s.Load]
-	bad, _ := compare(c, s)
+	bad := flags{failure: !s.OK}
+	for a := first; a < aspects && s.OK; a++ {
+		slow, ok := c.slow(timeOf(a)(s), timeOf(a))
+		bad[a] = slow && ok
+	}
 	c.add(now, s, bad)
 	j.all.add(now, s, bad)
 	j.accepted.base[s.Load]++
@@ -111,38 +115,13 @@
 
 // candidate takes in an answer of the new version.
 func (j *Judge) candidate(now time.Time, s Sample) {
-	w := waiting{Sample: s, at: now, all: place(&j.all.sequence), window: j.window(now, s.Load)}
-	w.bad[failure] = !s.OK
-	if w.window != nil {
-		w.ref = place(&w.window.sequence)
-		w.bad, w.tested = compare(w.window, s)
+	w := waiting{Sample: s, at: now, mark: j.all.total}
+	for i := range j.controls {
+		w.marks[i] = j.controls[i].total
 	}
 	j.waiting = append(j.waiting, w)
 }
 
-// window returns the usable window of the load bucket or of the next higher one, nil when there is none: answers under a
-// higher load than the control's may be slower.
-func (j *Judge) window(now time.Time, load int) *control {
-	for i := load; i < Loads; i++ {
-		if c := &j.controls[i]; c.usable(now) {
-			return c
-		}
-	}
-	return nil
-}
-
-// compare returns the aspects in which an answer is bad against a window, and those that could be tested.
-func compare(c *control, s Sample) (bad, tested flags) {
-	bad[failure], tested[failure] = !s.OK, true
-	for a := first; a < aspects && s.OK; a++ {
-		if d := timeOf(a)(s); d > 0 {
-			bad[a], tested[a] = c.slow(d, timeOf(a))
-			bad[a] = bad[a] && tested[a]
-		}
-	}
-	return bad, tested
-}
-
 // settle judges the answers whose wait is over and reports whether there were any.
 func (j *Judge) settle(now time.Time) bool {
 	rest := j.waiting[:0]
@@ -158,54 +137,53 @@
 	return settled
 }
 
-// ready reports whether enough of the control's answers followed, in the window and in all, or the wait was long enough.
+// ready reports whether enough of the control's answers followed, under the same load and in all, or the wait was long
+// enough. Without any answers of the control, as at the last step, there is nothing to wait for.
 func (j *Judge) ready(now time.Time, w waiting) bool {
-	followed := j.all.total - w.all.mark
-	if now.Sub(w.at) >= longestWait || followed >= kept/2 {
+	followed := j.all.total - w.mark
+	if now.Sub(w.at) >= longestWait || now.Sub(j.all.last) >= longestWait || followed >= kept/2 {
 		return true
 	}
-	return followed >= neighbours && (w.window == nil || w.window.total-w.ref.mark >= enoughNeighbours)
+	return followed >= neighbours && j.controls[w.Load].total-w.marks[w.Load] >= enoughNeighbours
 }
 
 // judge counts one answer of the candidate for and against it.
 func (j *Judge) judge(w waiting) {
 	j.accepted.seen++
 	j.accepted.loads[w.Load]++
-	after := j.all.since(w.all.mark)
+	before, after := j.all.since(w.mark-neighbours), j.all.since(w.mark)
 	if after.n < enoughNeighbours {
-		j.count(failure, w, failuresAlone)
+		j.count(failure, w, !w.OK, failuresAlone)
 		j.alone(w)
 		return
 	}
-	rates := j.all.failureRate()
-	if w.window != nil {
-		rates = max(rates, w.window.failureRate())
-	}
-	j.count(failure, w, max(rates+failureMargin, w.all.before.rate(failure), after.rate(failure)))
-	if w.window == nil {
-		j.alone(w)
+	rate := max(j.all.failureRate(), j.controls[w.Load].failureRate()) + failureMargin
+	j.count(failure, w, !w.OK, max(rate, before.rate(failure), after.rate(failure)))
+	if r, ok := j.reference(w); ok {
+		j.latencies(w, r, before, after)
 		return
 	}
-	j.latencies(w, after)
+	j.alone(w)
 }
 
-// latencies counts the times of an answer. The neighbours in its own window tell most; where these are few, those under
-// other loads count too.
-func (j *Judge) latencies(w waiting, after counts) {
-	near := w.window.since(w.ref.mark)
-	for a := first; a < aspects; a++ {
-		null := max(slowShare, w.ref.before.rate(a), near.rate(a))
-		if near.n < enoughNeighbours {
-			null = max(null, w.all.before.rate(a), after.rate(a))
+// latencies counts the times of an answer. The neighbours in the window that it is compared with tell most of a
+// disturbance; where these are few, those under other loads count too.
+func (j *Judge) latencies(w waiting, r reference, before, after counts) {
+	near := r.since(r.mark - neighbours)
+	for a := first; a < aspects && w.OK; a++ {
+		null := max(slowShare, near.rate(a), r.after.rate(a))
+		if r.after.n < enoughNeighbours {
+			null = max(null, before.rate(a), after.rate(a))
 		}
-		if w.tested[a] {
-			j.count(a, w, null)
+		d := timeOf(a)(w.Sample)
+		if slow, ok := r.slow(time.Duration(float64(d)/r.allowance), timeOf(a)); ok && d > 0 {
+			j.count(a, w, slow, null)
 		}
 	}
 }
 
 // alone counts the times of an answer that no window compares with. Slow ones do not speak against the version, because a
-// disturbance of both versions or a higher load would look the same; twice the control's time is allowed.
+// disturbance of both versions would look the same; twice the control's time is allowed.
 func (j *Judge) alone(w waiting) {
 	for a := first; a < aspects && w.OK; a++ {
 		if d := timeOf(a)(w.Sample); d > 0 {
@@ -216,10 +194,10 @@
 }
 
 // count adds one aspect of an answer to the evidence against and for the version.
-func (j *Judge) count(a aspect, w waiting, null float64) {
+func (j *Judge) count(a aspect, w waiting, bad bool, null float64) {
 	null = min(null, maxNull)
-	j.evidence.add(a, w.Load, w.bad[a], null)
-	j.accepted.add(a, w.bad[a], null)
+	j.evidence.add(a, w.Load, bad, null)
+	j.accepted.add(a, bad, null)
 }
 
 // conclude derives the verdict from the evidence; a bad one is final.
--- a/mustardseam/rollout/judge_test.go
+++ b/mustardseam/rollout/judge_test.go
@@ -11,13 +11,14 @@
 const seeds = 200
 
 // TestGoodVersion guards against a good version that is taken back, although bursts slow both versions and make both
-// fail, or that is not done by its deadline. With alpha = 0.001 at most 0.2 false alarms are expected in 200 rollouts, and
+// fail and its servers may be busier, or that is not done by its deadline. With alpha = 0.001 at most 0.2 false alarms are expected in 200 rollouts, and
 // more than 1 has a probability below 2 %; at least 99 in 100 must be done in time.
 func TestGoodVersion(t *testing.T) {
 	t.Parallel()
 	alarms, late := 0, 0
 	for seed := range uint64(seeds) {
 		tr := newTraffic(seed, healthy)
+		tr.busier = int(seed % 4)
 		tr.run()
 		if tr.rec.State != Done {
 			alarms++
@@ -38,18 +39,20 @@
 	tests := []struct {
 		name   string
 		fault  func(at time.Duration, load int) (failures, slowdown float64)
+		busier int
 		canary bool
 	}{
-		{"fails at once", func(time.Duration, int) (float64, float64) { return 0.5, 1 }, true},
-		{"slow at once", func(time.Duration, int) (float64, float64) { return 0, 2 }, true},
-		{"fails later", func(at time.Duration, _ int) (float64, float64) { return after(at, 14*time.Minute, 0.5), 1 }, false},
-		{"slow later", func(at time.Duration, _ int) (float64, float64) { return 0, 1 + after(at, 16*time.Minute, 2) }, false},
+		{"fails at once", func(time.Duration, int) (float64, float64) { return 0.5, 1 }, 0, true},
+		{"slow at once", func(time.Duration, int) (float64, float64) { return 0, 2 }, 0, true},
+		{"slow at once and busier for it", func(time.Duration, int) (float64, float64) { return 0, 3 }, 3, true},
+		{"fails later", func(at time.Duration, _ int) (float64, float64) { return after(at, 14*time.Minute, 0.5), 1 }, 0, false},
+		{"slow later", func(at time.Duration, _ int) (float64, float64) { return 0, 1 + after(at, 16*time.Minute, 2) }, 0, false},
 		{"fails under load", func(_ time.Duration, load int) (float64, float64) {
 			if load >= 5 {
 				return 0.6, 1
 			}
 			return 0, 1
-		}, true},
+		}, 0, true},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -58,6 +61,7 @@
 			caught, beyond := 0, 0
 			for seed := range uint64(seeds) {
 				tr := newTraffic(seed, test.fault)
+				tr.busier = test.busier
 				tr.run()
 				canary, sent = append(canary, tr.canary), append(sent, tr.sent)
 				if tr.rec.State == TakenBack {
--- a/mustardseam/rollout/plan.go
+++ b/mustardseam/rollout/plan.go
@@ -8,12 +8,12 @@
 
 // stages are the shares after the canary and the parts of the time between start and deadline at which they begin. The
 // canary gets the most time, because its small share takes longest to give the evidence that the test asks for. The
-// last step begins at nine tenths, which leaves time for its own evidence and for late advances.
+// last step begins at 85 %, which leaves time for its own evidence and for late advances.
 var stages = []struct{ share, begin float64 }{
 	{0.05, 0.4},
 	{0.25, 0.6},
-	{0.50, 0.75},
-	{1, 0.9},
+	{0.50, 0.72},
+	{1, 0.85},
 }
 
 // Plan is the schedule of shares of a rollout; it is an immutable value.
--- a/mustardseam/rollout/traffic_test.go
+++ b/mustardseam/rollout/traffic_test.go
@@ -24,7 +24,7 @@
 	rate   float64 // Requests a second.
 	window time.Duration
 	fault  func(at time.Duration, load int) (failures, slowdown float64)
-	bursts bool
+	busier int // Load buckets by which the new version's servers are above the old one's.
 	now    time.Time
 	busy   time.Time // End of the disturbance.
 	judge  *Judge
@@ -36,7 +36,7 @@
 
 func newTraffic(seed uint64, fault func(time.Duration, int) (float64, float64)) *traffic {
 	t := &traffic{
-		rand: rand.New(rand.NewPCG(seed, 2)), rate: 20, window: 20 * time.Minute, fault: fault, bursts: true, now: start,
+		rand: rand.New(rand.NewPCG(seed, 2)), rate: 20, window: 20 * time.Minute, fault: fault, now: start,
 	}
 	t.rec = NewRecord(start, operator.Route{Name: "m", Version: "old", Rollout: &operator.Rollout{
 		ID: "r1", To: "new", CanaryShare: 0.01, Start: start, Deadline: start.Add(t.window),
@@ -70,7 +70,7 @@
 func (t *traffic) answer() Sample {
 	at := t.now.Sub(start)
 	load := t.load(at)
-	s := Sample{Version: "old", Load: load}
+	s := Sample{Version: "old"}
 	failures, slowdown := t.disturbance()
 	if float64(t.split[1]) < t.rec.Share*float64(t.split[0]+t.split[1]+1) {
 		s.Version = "new"
@@ -79,12 +79,13 @@
 		if t.rec.Step == 0 {
 			t.canary++
 		}
+		load = min(load+t.busier, Loads-1)
 		f, d := t.fault(at, load)
 		failures, slowdown = 1-(1-failures)*(1-f), slowdown*d
 	} else {
 		t.split[0]++
 	}
-	s.OK = t.rand.Float64() >= failures
+	s.Load, s.OK = load, t.rand.Float64() >= failures
 	slow := slowdown * (1 + 0.3*float64(load))
 	s.First = time.Duration(200e6 * slow * math.Exp(t.rand.NormFloat64()))
 	s.Between = time.Duration(30e6 * slow * math.Exp(0.25*t.rand.NormFloat64()))
@@ -100,7 +101,7 @@
 // disturbance returns the failure rate and the slowdown of both versions: every two minutes on average, 15 s in which
 // answers take three times as long and one in five fails.
 func (t *traffic) disturbance() (failures, slowdown float64) {
-	if t.bursts && t.now.After(t.busy) && t.rand.Float64() < 1/(120*t.rate) {
+	if t.now.After(t.busy) && t.rand.Float64() < 1/(120*t.rate) {
 		t.busy = t.now.Add(15 * time.Second)
 	}
 	if t.now.Before(t.busy) {
