Judge an answer at once when the old version's servers have another load

Change: 32 answers of the old version under any load end the wait. Conclusion: late rollouts remain where the canary's share gives fewer than about 25 answers in its part of the window.

--- a/mustardseam/rollout/judge.go
+++ b/mustardseam/rollout/judge.go
@@ -138,7 +138,8 @@
 }
 
 // ready reports whether enough of the control's answers followed, under the same load and in all, or the wait was long
-// enough. Without any answers of the control, as at the last step, there is nothing to wait for.
+// enough. When the control's servers have another load, half of the kept answers suffice. Without any answers of the
+// control, as at the last step, there is nothing to wait for.
 func (j *Judge) ready(now time.Time, w waiting) bool {
 	followed := j.all.total - w.mark
 	if now.Sub(w.at) >= longestWait || now.Sub(j.all.last) >= longestWait || followed >= kept/2 {
--- a/mustardseam/rollout/neighbours.go
+++ b/mustardseam/rollout/neighbours.go
@@ -5,7 +5,7 @@
 const neighbours = 8
 
 // kept is the number of answers whose flags are kept, so that the neighbours of one that waited are still known.
-const kept = 256
+const kept = 64
 
 // flags says in which aspects an answer was bad.
 type flags [aspects]bool
