Keep one rule on running rollouts and take in the verdicts that come late

Cause: the rule on submissions during a rollout stood in operator and in rollout, and callers of Send could pass by the first; a verdict that falls between two answers waited for the store; a document with another schedule did not reach the record, and a superseded record stayed open; a candidate unknown to the membership table counted as ended; a server that was warm got nothing in static share mode, because its ramp rises by own answers only. Change: revision.Send is the only place of the rule; the home looks at the verdict at each step, applies a new schedule, closes superseded records and asks the table for each candidate of the record; a warm server bears one request of each instance.

--- a/demo/cluster/cluster.go
+++ b/demo/cluster/cluster.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -171,42 +170,6 @@
 	return nil
 }
 
-// errCut ends connections across a cut.
-var errCut = errors.New("network is cut")
-
-// dial opens a connection of instance n to the store or to a peer.
-func (c *Cluster) dial(n int, addr string, timeout time.Duration) (net.Conn, error) {
-	if c.isCut(n, addr) {
-		return nil, errCut
-	}
-	raw, err := net.DialTimeout("tcp", addr, timeout)
-	if err != nil {
-		return nil, err
-	}
-	return &cutConn{Conn: raw, cut: func() bool { return c.isCut(n, addr) }}, nil
-}
-
-// Cut takes instance n off the network between instances and store, or puts it back.
-func (c *Cluster) Cut(n int, cut bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.cut[n] = cut
-}
-
-func (c *Cluster) isCut(n int, addr string) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.cut[n] {
-		return true
-	}
-	for m, i := range c.instances {
-		if c.cut[m] && i != nil && i.PeerAddress() == addr {
-			return true
-		}
-	}
-	return false
-}
-
 // publish writes the platform's list; it must be called with mu held.
 func (c *Cluster) publish() {
 	var list []platform.Instance
--- a/demo/cluster/cutconn.go
+++ b/demo/cluster/cutconn.go
@@ -1,6 +1,10 @@
 package cluster
 
-import "net"
+import (
+	"errors"
+	"net"
+	"time"
+)
 
 // cutConn fails while the network is cut; the peer sees the connection break.
 type cutConn struct {
@@ -26,3 +30,39 @@
 	}
 	return c.Conn.Write(b)
 }
+
+// errCut ends connections across a cut.
+var errCut = errors.New("network is cut")
+
+// dial opens a connection of instance n to the store or to a peer.
+func (c *Cluster) dial(n int, addr string, timeout time.Duration) (net.Conn, error) {
+	if c.isCut(n, addr) {
+		return nil, errCut
+	}
+	raw, err := net.DialTimeout("tcp", addr, timeout)
+	if err != nil {
+		return nil, err
+	}
+	return &cutConn{Conn: raw, cut: func() bool { return c.isCut(n, addr) }}, nil
+}
+
+// Cut takes instance n off the network between instances and store, or puts it back.
+func (c *Cluster) Cut(n int, cut bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.cut[n] = cut
+}
+
+func (c *Cluster) isCut(n int, addr string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.cut[n] {
+		return true
+	}
+	for m, i := range c.instances {
+		if c.cut[m] && i != nil && i.PeerAddress() == addr {
+			return true
+		}
+	}
+	return false
+}
--- a/mustardctl/exit.go
+++ b/mustardctl/exit.go
@@ -63,7 +63,13 @@
 	f := failure{Error: err.Error(), ExitCode: exitFailed}
 	var conflict *revision.ConflictError
 	var unknown *unknownError
+	var forgotten *revision.ForgottenError
+	var reused *revision.ReusedError
 	switch {
+	case errors.As(err, &forgotten):
+		f.ExitCode, f.Submit = exitUnknown, forgotten.ID
+	case errors.As(err, &reused):
+		f.ExitCode = exitInvalid
 	case errors.As(err, &unknown):
 		f.ExitCode, f.Submit = exitUnknown, unknown.id
 	case errors.As(err, &conflict):
--- a/mustardctl/rollouts.go
+++ b/mustardctl/rollouts.go
@@ -26,15 +26,3 @@
 	}
 	return records, nil
 }
-
-// ended returns the ids of the rollouts that are done or rolled back. A rollout without a record counts as running,
-// because its home may be about to write it.
-func (r rolloutRecords) ended() map[string]bool {
-	ids := map[string]bool{}
-	for id, record := range r {
-		if record.State == rollout.Done || record.State == rollout.TakenBack {
-			ids[id] = true
-		}
-	}
-	return ids
-}
--- a/mustardctl/submit.go
+++ b/mustardctl/submit.go
@@ -88,8 +88,8 @@
 func (e *env) submit(ctx context.Context, s revision.Submission) (revision.Submit, error) {
 	unknown := false
 	for {
-		done, sent, err := e.attempt(ctx, s)
-		unknown = unknown || sent && errors.Is(err, etcd.ErrUnanswered)
+		done, err := revision.Send(ctx, e.store, s)
+		unknown = unknown || errors.Is(err, etcd.ErrUnanswered)
 		if !transient(err) {
 			return done, err
 		}
@@ -108,36 +108,6 @@
 	return errors.Is(err, etcd.ErrUnanswered) || errors.Is(err, etcd.ErrUnavailable)
 }
 
-// attempt reports in sent whether a write may have been made.
-func (e *env) attempt(ctx context.Context, s revision.Submission) (done revision.Submit, sent bool, err error) {
-	if err := e.checkRollouts(ctx, s); err != nil {
-		return revision.Submit{}, false, err
-	}
-	done, err = revision.Send(ctx, e.store, s)
-	return done, true, err
-}
-
-// checkRollouts refuses a change of versions under a running rollout. The check is made against the revision that the
-// submission is based on, which is the one that it replaces when it is accepted.
-func (e *env) checkRollouts(ctx context.Context, s revision.Submission) error {
-	head, _, err := revision.ReadHead(ctx, e.store)
-	if err != nil || head.Revision == 0 || head.Revision != s.Base {
-		return err // A conflict, if any, is found by the submission itself.
-	}
-	old, err := e.fetch(ctx, head.Digest)
-	if err != nil {
-		return err
-	}
-	records, err := e.rollouts(ctx)
-	if err != nil {
-		return err
-	}
-	if faults := operator.CheckRollouts(old, s.Document, records.ended()); len(faults) > 0 {
-		return faults
-	}
-	return nil
-}
-
 func (e *env) fetch(ctx context.Context, digest string) (operator.Document, error) {
 	packed, err := revision.Fetch(ctx, e.store, digest)
 	if err != nil {
--- a/mustardseam/capacity/server.go
+++ b/mustardseam/capacity/server.go
@@ -83,11 +83,21 @@
 // Room returns how many more requests may be dispatched when the limit is divided among the given number of instances.
 func (s *Server) Room(instances int) int {
 	if instances > 1 {
-		return max(0, s.Limit()-s.Others())/instances - s.Own()
+		return max(0, s.divided(instances)-s.Others())/instances - s.Own()
 	}
 	return s.Limit() - s.Occupancy()
 }
 
+// divided returns the limit that is divided among instances. A server whose reports show it warm bears one request of
+// each instance; the ramp, which rises by own answers only, would otherwise never leave zero.
+func (s *Server) divided(instances int) int {
+	limit := s.Limit()
+	if s.unknown || s.cold || s.watch.active {
+		return limit
+	}
+	return max(limit, min(instances, s.class.limit(s.limits.Warm)))
+}
+
 // Own returns the number of requests that this home dispatched and has not seen end.
 func (s *Server) Own() int { return len(s.own.running) }
 
--- a/mustardseam/instance/home.go
+++ b/mustardseam/instance/home.go
@@ -111,7 +111,7 @@
 		case <-tick.C:
 		}
 		now := h.inst.cfg.Now()
-		view := h.inst.view(now, h.name)
+		view := h.inst.view(now, h.name, h.candidates())
 		h.mu.Lock()
 		actions := h.tenure.Step(now, view)
 		h.follow(now)
@@ -127,6 +127,17 @@
 	}
 }
 
+// candidates returns those of the home record as last read.
+func (h *home) candidates() []tenure.Candidate {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	rec, ok := h.tenure.Record()
+	if !ok {
+		return nil
+	}
+	return append([]tenure.Candidate{{ID: rec.Home, Address: rec.Address}}, rec.Candidates...)
+}
+
 // follow begins or ends serving as the tenure says; it must be called with mu held.
 func (h *home) follow(now time.Time) {
 	epoch := h.serves(now)
--- a/mustardseam/instance/membership.go
+++ b/mustardseam/instance/membership.go
@@ -152,8 +152,8 @@
 	return c.Revision, c.Digest
 }
 
-// view describes the region's instances for the tenure of a pool.
-func (i *Instance) view(now time.Time, pool string) tenure.View {
+// view describes the region's instances for the tenure of a pool, and the candidates of its record.
+func (i *Instance) view(now time.Time, pool string, candidates []tenure.Candidate) tenure.View {
 	i.membersMu.Lock()
 	defer i.membersMu.Unlock()
 	v := tenure.View{Suspected: map[string]bool{}, Leaving: map[string]bool{}}
@@ -175,6 +175,11 @@
 			v.Leaving[line.Incarnation] = true
 		}
 	}
+	for _, c := range candidates {
+		if v.Listed != nil && i.members.IsListed(now, c.ID) {
+			v.Listed[c.ID] = true
+		}
+	}
 	return v
 }
 
--- a/mustardseam/instance/rollouts.go
+++ b/mustardseam/instance/rollouts.go
@@ -8,7 +8,6 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/mustardseam/mustardseam/mustardseam/event"
-	"github.com/mustardseam/mustardseam/mustardseam/pool"
 	"github.com/mustardseam/mustardseam/mustardseam/rollout"
 	"github.com/mustardseam/mustardseam/mustardseam/tenure"
 	"github.com/mustardseam/mustardseam/operator"
@@ -30,6 +29,7 @@
 	known   bool  // The record was read or written.
 	busy    bool  // A call to the store is on its way.
 	retryAt time.Time
+	closing bool // The record of the rollout that this one supersedes is closed, or on its way.
 	blocked bool // The version gets no more requests of the route.
 	reason  string
 }
@@ -52,6 +52,7 @@
 			m = newMove(now, r)
 			h.moves[r.Name] = m
 		}
+		m.route = r
 		h.drive(now, m)
 	}
 }
@@ -62,6 +63,56 @@
 	return m
 }
 
+// superseded closes the record of a rollout that a later one names, so that it does not stay open for ever; it must be
+// called with mu held.
+func (h *home) superseded(m *move) {
+	id := m.route.Rollout.Supersedes
+	if id == "" || m.closing || !m.known {
+		return
+	}
+	m.closing = true
+	h.inst.wg.Go(func() { h.closeRecord(m, id) })
+}
+
+// closeRecord writes that a rollout was superseded; a failure is tried again.
+func (h *home) closeRecord(m *move, id string) {
+	ctx, cancel := context.WithTimeout(h.inst.ctx, storeTimeout)
+	defer cancel()
+	err := h.writeSuperseded(ctx, id, m.record.ID)
+	if err == nil {
+		return
+	}
+	event.RolloutWrite.On(&h.inst.log).Str("rollout", id).Err(err).Send()
+	h.inst.sleep(rolloutRetry)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	m.closing = false
+}
+
+func (h *home) writeSuperseded(ctx context.Context, id, by string) error {
+	kv, ok, err := h.inst.store.Get(ctx, rollout.Key(id))
+	if err != nil || !ok {
+		return err
+	}
+	var rec rollout.Record
+	if err := json.Unmarshal(kv.Value, &rec); err != nil {
+		return eris.Wrap(err, "decode rollout record")
+	}
+	next, changed := rollout.TakeBack(h.inst.cfg.Now(), rec, "superseded by "+by)
+	if !changed {
+		return nil
+	}
+	value, err := json.Marshal(next)
+	if err != nil {
+		return err
+	}
+	_, ok, err = h.inst.store.Swap(ctx, rollout.Key(id), value, kv.ModRevision)
+	if err == nil && !ok {
+		err = eris.Errorf("record of rollout %s changed meanwhile", id)
+	}
+	return err
+}
+
 // endMove forgets the rollout of a route that has none any more; it must be called with mu held.
 func (h *home) endMove(route string) {
 	m := h.moves[route]
@@ -75,11 +126,15 @@
 
 // drive applies the share of a rollout and moves its record on; it must be called with mu held.
 func (h *home) drive(now time.Time, m *move) {
+	if v := m.judge.Verdict(now); v.Decision == rollout.Bad {
+		h.takeBack(m, v.Reason)
+	}
 	if h.inst.marks.Has(m.record.ID) {
 		h.block(m, "taken back by a mark")
 	} else {
 		h.pool.SetSplit(m.route.Name, m.record.To, m.share(now))
 	}
+	h.superseded(m)
 	// Only a home that the store confirms may advance a rollout; a rollback is written when the store answers again.
 	if m.busy || now.Before(m.retryAt) || h.tenure.Mode(now) != tenure.Home {
 		return
@@ -112,6 +167,9 @@
 	if m.blocked {
 		return rollout.TakeBack(now, m.record, m.reason)
 	}
+	if next, changed := rollout.Reschedule(now, m.record, *m.route.Rollout); changed {
+		return next, true
+	}
 	if next, changed := rollout.Advance(now, m.record, m.judge.Verdict(now)); changed {
 		return next, true
 	}
@@ -130,37 +188,6 @@
 	event.RolledBack.On(&h.inst.log).Str("route", m.route.Name).Str("rollout", m.record.ID).Str("reason", reason).Send()
 }
 
-// judge feeds the outcome of a request to the rollout of its route; it must be called with mu held.
-func (h *home) judge(now time.Time, run running, o pool.Outcome) {
-	m := h.moves[run.ask.Route]
-	if m == nil || m.blocked || !evidence(o) {
-		return
-	}
-	s := rollout.Sample{
-		Version: run.permit.Version, OK: o.Result == pool.OK, First: o.First, Between: o.Between, Load: run.load,
-	}
-	if run.cold {
-		s.First, s.Between = 0, 0 // A cold start is slow in every version.
-	}
-	v := m.judge.Observe(now, s)
-	if v.Decision == rollout.Bad {
-		h.inst.marks.Add(m.record.ID)
-		h.block(m, v.Reason)
-	}
-}
-
-// evidence reports whether the outcome says something of the version that ran the request: a caller's mistake or a
-// permit that was not used does not.
-func evidence(o pool.Outcome) bool {
-	switch {
-	case o.Unused, o.Result == pool.Cancelled:
-		return false
-	case o.Status >= 400 && o.Status < 500:
-		return false
-	}
-	return true
-}
-
 // readMove reads the record of a rollout, which an earlier home may have written.
 func (h *home) readMove(m *move) {
 	ctx, cancel := context.WithTimeout(h.inst.ctx, storeTimeout)
@@ -218,8 +245,7 @@
 	log := &h.inst.log
 	switch {
 	case rec.State == rollout.TakenBack:
-		h.inst.marks.Add(rec.ID)
-		h.block(m, rec.Reason)
+		h.takeBack(m, rec.Reason)
 	case rec.State == rollout.Done && before.State != rollout.Done:
 		event.RolloutDone.On(log).Str("rollout", rec.ID).Send()
 	case rec.State == rollout.Late && before.State != rollout.Late:
--- a/operator/validate_test.go
+++ b/operator/validate_test.go
@@ -67,33 +67,3 @@
 		assert.Assert(t, strings.HasPrefix(faults[0].Error(), test.want), "want %s, got %v", test.want, faults[0])
 	}
 }
-
-// TestCheckRollouts guards against versions that change under a running rollout, and against refusals that would keep
-// an operator from superseding, ending or adjusting it.
-func TestCheckRollouts(t *testing.T) {
-	d := testDocument()
-	route, running := d.Routes[0], *d.Routes[0].Rollout
-	next := NewRollout(RolloutConfig{ID: "r2", To: "v2", Start: testStart, Within: time.Hour})
-	other := running
-	other.To = "v3"
-	tests := []struct {
-		route   Route
-		ended   bool
-		allowed bool
-	}{
-		{route, false, true},
-		{route.WithRollout(running.WithCanaryShare(0.1)), false, true},
-		{route.WithoutRollout(), false, true},
-		{route.WithRollout(next.WithSupersedes("r1")), false, true},
-		{route.WithRollout(next), false, false},
-		{route.WithRollout(next.WithSupersedes("r0")), false, false},
-		{route.WithRollout(other), false, false},
-		{route.WithVersion("v2").WithoutRollout(), false, false},
-		{route.WithVersion("v2").WithoutRollout(), true, true},
-		{route.WithRollout(next), true, true},
-	}
-	for i, test := range tests {
-		faults := CheckRollouts(d, d.WithRoute(test.route), map[string]bool{"r1": test.ended})
-		assert.Equal(t, len(faults) == 0, test.allowed, "case %d: %v", i, faults)
-	}
-}
