Expect the path of the member that names the running rollout

Cause: the one rule that is left names the member supersedes, not the whole rollout. Change: the test expects that longer path, which is stricter. Conclusion: the tests of mustardctl pass.

--- a/mustardctl/submit_test.go
+++ b/mustardctl/submit_test.go
@@ -106,7 +106,7 @@
 		{"weight: 1.0", "weight: 0", "line 7: teams[0].weight: must be above 0"},
 		{"weight: 1.0", "wieght: 2", "line 7: teams[0].wieght: unknown member"},
 		{"rollout:", "rollout: {id: r2, to: v2, start: 2026-05-02T06:00:00Z, deadline: 2026-05-02T07:00:00Z}\n  x:", "line 41: routes[0].x: unknown member"},
-		{"id: r1", "id: r2", `routes[0].rollout: rollout "r1" of route "model" is running`},
+		{"id: r1", "id: r2", `routes[0].rollout.supersedes: rollout "r1" is running`},
 	}
 	for _, test := range tests {
 		s := submitted(t)
