--- a/mustardseam/claim/decision.go
+++ b/mustardseam/claim/decision.go
@@ -33,6 +33,6 @@
 // The standings of a home.
 const (
 	ByStore   Standing = iota // Confirmed by the store.
-	ByConsent                 // Confirmed by the candidates while the store does not answer.
-	ByShare                   // Static share; keyed requests are refused.
+	ByConsent                 // Confirmed by the candidates, without a lapse, while the store does not answer.
+	ByShare                   // Static share, or by consent after a lapse; keyed requests are refused.
 )
--- a/mustardseam/claim/journal.go
+++ b/mustardseam/claim/journal.go
@@ -52,6 +52,9 @@
 		}
 	}
 	j.lastID = uint64(now.UnixNano())
+	if len(slots) == 0 {
+		j.through = now.UnixMilli() // Nothing was ever claimed.
+	}
 	j.noteGap(now, ready)
 	return nil
 }
@@ -128,7 +131,7 @@
 // without a stamp; its right to grant ended at most 2.2 s after the swap of the home record, and the clocks differ by
 // Drift and Skew. So the swap, which now follows, came more than Gap after the last stamp.
 func (j *Journal) noteGap(now, ready time.Time) {
-	if j.through == 0 || now.UnixMilli()-j.through <= j.cfg.Gap.Milliseconds() {
+	if now.UnixMilli()-j.through <= j.cfg.Gap.Milliseconds() {
 		return
 	}
 	j.addGap(gap{From: j.through / 1000, To: ready.Add(j.cfg.Skew).Unix()})
--- a/mustardseam/claim/rules_test.go
+++ b/mustardseam/claim/rules_test.go
@@ -108,6 +108,21 @@
 			s.run(time.Second)
 			s.expect(key, "b", Unknown)
 		}},
+		{"first home fails before its first stamp", func(s *shop) {
+			s.Journal = nil
+			clear(s.slots)
+			s.successor()
+			s.run(100 * time.Millisecond) // The fence only.
+			s.now = s.now.Add(2 * time.Second)
+			w, _ := s.Pending(s.now)
+			s.Lost(s.now, w.ID)
+			s.now = s.now.Add(11 * time.Second)
+			key := fmt.Sprintf("%d-x", s.now.Unix())
+			assert.Equal(s.t, s.claim(key, "a", ByConsent), Proceed)
+			s.successor()
+			s.run(time.Second)
+			s.expect(key, "b", Unknown)
+		}},
 		{"key of unknown age is claimed in memory", func(s *shop) {
 			s.outage()
 			assert.Equal(s.t, s.claim("x", "a", ByConsent), Unavailable)
--- a/mustardseam/tenure/doc.go
+++ b/mustardseam/tenure/doc.go
@@ -25,6 +25,9 @@
 // Before each grant the caller checks MayGrant(now), and limits its requests on each server according to Share(now). When
 // MayGrant turns false, the queue is handed back as "not home". A new home discards load reports made before Baseline.
 //
+// Keyed requests are claimed by standing claim.ByStore in mode Home, by claim.ByConsent in mode Consent while Unbroken
+// holds, and by claim.ByShare otherwise.
+//
 // A planned stop calls Stop (no grant from then on, and no later takeover), then announces the instance as leaving, keeps
 // the loop running, and calls Release while Holding is true and the grace period lasts. Release returns the record to
 // write once no permit can be started any more; its result is reported like that of a Swap.
--- a/mustardseam/tenure/right.go
+++ b/mustardseam/tenure/right.go
@@ -90,10 +90,18 @@
 	}
 	if t.lapsedLong(now) {
 		t.await(now, t.cfg.wait())
+		t.broken = true
+	}
+	if t.current(t.confirmed, now) {
+		t.broken = false
 	}
 	t.held = now
 }
 
+// Unbroken tells whether the right has not lapsed for long since the store last confirmed it. Only then may the home claim
+// keys in memory: during a lapse another home may have claimed the same keys in the store, and have ended.
+func (t *Tenure) Unbroken(now time.Time) bool { return t.Holding() && !t.broken && !t.lapsedLong(now) }
+
 // await holds grants back for d from now, and until no permit under a right that this instance consented to, or of its
 // own static share, can be started.
 func (t *Tenure) await(now time.Time, d time.Duration) {
--- a/mustardseam/tenure/rules_test.go
+++ b/mustardseam/tenure/rules_test.go
@@ -156,6 +156,16 @@
 			return given && first[Read] == 1 && kinds(l.pass(2 * time.Second))[Swap] == 0 && kinds(l.pass(time.Second))[Swap] == 1
 		}},
 		{"a home consents to nobody", func(l *lone) bool { l.home(); return !l.consents("b", 2) && !l.consents("b", 3) }},
+		{"an instance whose own swap may still take effect consents to no home", func(l *lone) bool {
+			l.Observed(l.now, l.now, at(1, "b"), 1, true)
+			l.view.Preferred, l.view.Suspected = l.view.Preferred[:1], map[string]bool{"b": true}
+			l.pass(100 * time.Millisecond)
+			l.Observed(l.now, l.now, at(1, "b"), 1, true)
+			l.pass(100 * time.Millisecond)
+			l.SwapLost(l.now)
+			l.Observed(l.now, l.now, at(1, "b"), 1, true)
+			return l.store.pending == nil && !l.consents("b", 1)
+		}},
 		{"an old epoch gets no consent", func(l *lone) bool { l.Observed(l.now, l.now, at(3, "b"), 3, true); return !l.consents("b", 2) }},
 		{"an instance without the record consents to one at a time", func(l *lone) bool {
 			return l.consents("b", 5) && !l.consents("c", 5) && l.consents("b", 5)
@@ -213,7 +223,7 @@
 			l.agree(5 * time.Second)
 			without := l.Mode(l.now)
 			l.Consented(l.now, l.now, "d")
-			return without == Lapsed && l.Mode(l.now) == Waiting
+			return without == Lapsed && l.Mode(l.now) == Waiting && !l.Unbroken(l.now)
 		}},
 		{"the consent of a candidate that stopped holds for good", func(l *lone) bool {
 			l.home()
@@ -222,7 +232,7 @@
 			l.pass(600 * time.Millisecond)
 			l.Consented(l.now, l.now, "b")
 			l.agree(10 * time.Second)
-			return l.Mode(l.now) == Consent
+			return l.Mode(l.now) == Consent && l.Unbroken(l.now)
 		}},
 		{"a released record is granted on after the permits of sharers", func(l *lone) bool {
 			l.Observed(l.now, l.now, at(1, "b"), 1, true)
--- a/mustardseam/tenure/tenure.go
+++ b/mustardseam/tenure/tenure.go
@@ -22,6 +22,7 @@
 	consents  map[string]time.Time // By incarnation, the start of the last round that it consented to.
 	asked     time.Time            // Start of the last round.
 	held      time.Time            // Last Step at which the right held.
+	broken    bool                 // Regained by consent after a long lapse.
 	grantFrom time.Time            // Earlier rights are void from then on.
 
 	staticFrom  time.Time // Static share may be granted from then on; zero without unanimity.
--- a/mustardseam/tenure/tenure_test.go
+++ b/mustardseam/tenure/tenure_test.go
@@ -51,6 +51,7 @@
 			"isolate":   func(t *rapid.T) { n, end := fault(t); n.isolate(end) },
 			"cut":       func(t *rapid.T) { n, end := fault(t); n.cutTill[rapid.IntRange(0, clusters-1).Draw(t, "peer")] = end },
 			"cut store": func(t *rapid.T) { n, end := fault(t); n.noStoreTill = end },
+			"stop":      func(t *rapid.T) { n, _ := fault(t); n.stop() },
 			"restart":   func(t *rapid.T) { n, _ := fault(t); w.start(n.slot) },
 			"down":      func(t *rapid.T) { w.down = rapid.Bool().Draw(t, "down") },
 			"slow":      func(t *rapid.T) { w.slow = rapid.Bool().Draw(t, "slow") },
@@ -92,93 +93,67 @@
 
 // Each case guards against the failure that it is named after, on top of a steady state with one home.
 func TestFailures(t *testing.T) {
+	is := func(m Mode) func(*world, *node) bool {
+		return func(_ *world, home *node) bool { return home.Mode(home.clock()) == m }
+	}
+	next := func(w *world, home *node) *node { return w.nodes[(home.slot+1)%clusters] }
 	cases := []struct {
 		name  string
 		fault func(w *world, home *node)
 		after time.Duration
-		check func(t *testing.T, w *world, home *node)
+		holds func(w *world, home *node) bool
 	}{
-		{
-			"right kept through a pause", func(_ *world, home *node) { home.pausedTill = home.w.now + 2500*time.Millisecond },
-			2500*time.Millisecond - tick,
-			func(t *testing.T, _ *world, home *node) { assert.Equal(t, home.Mode(home.clock()), Lapsed) },
-		},
+		{"right kept through a pause", func(w *world, home *node) { home.pausedTill = w.now + 2500*time.Millisecond }, 2480 * time.Millisecond, is(Lapsed)},
 		{
 			"old home grants after a takeover", func(w *world, home *node) { home.pausedTill = w.now + 10*time.Second }, 11 * time.Second,
-			func(t *testing.T, w *world, home *node) {
-				assert.Assert(t, w.current() != home)
-				assert.Assert(t, !home.MayGrant(home.clock()))
-				assert.Assert(t, w.home())
+			func(w *world, home *node) bool {
+				return w.current() != home && !home.MayGrant(home.clock()) && w.home()
 			},
 		},
-		{
-			"store outage ends the right", func(w *world, _ *node) { w.down = true }, 10 * time.Minute,
-			func(t *testing.T, _ *world, home *node) { assert.Equal(t, home.Mode(home.clock()), Consent) },
-		},
+		{"store outage ends the right", func(w *world, _ *node) { w.down = true }, 10 * time.Minute, is(Consent)},
 		{
 			"slow store ends the right", func(w *world, _ *node) { w.slow = true }, 30 * time.Second,
-			func(t *testing.T, _ *world, home *node) { assert.Assert(t, home.MayGrant(home.clock())) },
+			func(_ *world, home *node) bool { return home.MayGrant(home.clock()) },
 		},
-		{
-			"home cut from the store is deposed by candidates that consent", func(w *world, home *node) { home.noStoreTill = w.now + time.Minute },
-			30 * time.Second,
-			func(t *testing.T, _ *world, home *node) { assert.Equal(t, home.Mode(home.clock()), Consent) },
-		},
-		{
-			"candidate that ends in an outage stops the pool for good", func(w *world, home *node) {
-				w.down = true
-				w.start((home.slot + 1) % clusters)
-			},
-			10 * time.Second,
-			func(t *testing.T, _ *world, home *node) { assert.Equal(t, home.Mode(home.clock()), Consent) },
-		},
-		{
-			"no service when the home dies in an outage", func(w *world, home *node) {
-				w.down = true
-				w.run(3 * time.Second)
-				w.start(home.slot)
-			},
-			20 * time.Second,
-			func(t *testing.T, w *world, home *node) {
-				for _, n := range w.nodes {
-					if n.slot != home.slot {
-						assert.Equal(t, n.Mode(n.clock()), Static)
-						assert.Equal(t, n.Share(n.clock()), clusters)
-					}
+		{"home cut from the store is deposed", func(w *world, home *node) { home.noStoreTill = w.now + time.Hour }, time.Minute, is(Consent)},
+		{"candidate that ends in an outage stops the pool for good", func(w *world, home *node) {
+			w.down = true
+			w.start(next(w, home).slot)
+		}, 20 * time.Second, is(Consent)},
+		{"no service when the home dies in an outage, or none after it", func(w *world, home *node) {
+			w.down = true
+			w.run(3 * time.Second)
+			w.start(home.slot)
+		}, 20 * time.Second, func(w *world, _ *node) bool {
+			sharers := 0
+			for _, n := range w.nodes {
+				if n.Mode(n.clock()) == Static && n.Share(n.clock()) == clusters {
+					sharers++
 				}
-				w.down = false
-				w.run(recovery)
-				assert.Assert(t, w.home())
-			},
-		},
-		{
-			"static share of an instance that cannot know whether the home lives", func(w *world, home *node) {
-				n := w.nodes[(home.slot+1)%clusters]
-				n.isolate(w.now + time.Hour)
-				n.noStoreTill = w.now + time.Hour
-			},
-			time.Minute,
-			func(t *testing.T, w *world, home *node) {
-				assert.Equal(t, w.nodes[(home.slot+1)%clusters].Mode(time.Unix(0, 0)), Follower)
-				assert.Equal(t, home.Mode(home.clock()), Home)
-			},
-		},
-		{
-			"second pause soon after the first", func(w *world, home *node) {
-				home.pausedTill = w.now + 6*time.Second
-				w.run(7 * time.Second)
-				w.current().pausedTill = w.now + 6*time.Second
-			},
-			recovery,
-			func(t *testing.T, w *world, _ *node) { assert.Assert(t, w.home()) },
-		},
+			}
+			w.down = false
+			w.run(recovery)
+			return sharers == clusters-1 && w.home()
+		}},
+		{"static share beside a living home", func(w *world, home *node) {
+			next(w, home).isolate(w.now + time.Hour)
+			next(w, home).noStoreTill = w.now + time.Hour
+		}, time.Minute, func(w *world, home *node) bool {
+			n := next(w, home)
+			return n.Mode(n.clock()) == Follower && home.Mode(home.clock()) == Home
+		}},
+		{"second pause soon after the first", func(w *world, home *node) {
+			home.pausedTill = w.now + 6*time.Second
+			w.run(7 * time.Second)
+			w.current().pausedTill = w.now + 6*time.Second
+		}, recovery, func(w *world, _ *node) bool { return w.home() }},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			w, home := steady(7)
 			c.fault(w, home)
 			w.run(c.after)
-			c.check(t, w, home)
+			assert.Assert(t, c.holds(w, home))
 			assert.Assert(t, w.rights() <= 1.0001)
 		})
 	}
@@ -187,19 +162,14 @@
 // Guards against a planned stop that leaves the pool without a home for the time of a takeover after a death.
 func TestReleaseNeedsNoWait(t *testing.T) {
 	w, home := steady(7)
-	home.Stop(home.clock())
-	home.leaving = true
+	home.stop()
 	assert.Assert(t, !home.MayGrant(home.clock()))
 	_, _, ok := home.Release(home.clock())
 	assert.Assert(t, !ok, "a permit can still be started")
 	w.run(time.Second)
-	rec, last, ok := home.Release(home.clock())
-	assert.Assert(t, ok)
-	home.swapRecord(Action{Record: rec, Last: last}, home.clock())
 	for _, n := range w.nodes {
-		n.SeenEpoch(n.clock(), rec.Epoch)
+		n.SeenEpoch(n.clock(), w.rec.Epoch)
 	}
 	w.run(time.Second)
-	assert.Assert(t, w.current() != home)
-	assert.Assert(t, w.home())
+	assert.Assert(t, w.current() != home && w.home())
 }
--- a/mustardseam/tenure/view.go
+++ b/mustardseam/tenure/view.go
@@ -4,7 +4,7 @@
 type View struct {
 	// Listed holds the incarnations that the platform's list still shows. An incarnation that was replaced at its
 	// address is not shown. It is nil as long as no list was read. The lists of two instances must not differ by more
-	// than what happened in the last ExcuseAfter.
+	// than what happened in the last ExcuseAfter. An instance takes over only while its list shows itself.
 	Listed map[string]bool
 	// Suspected holds the incarnations that showed no progress for 1.5 s.
 	Suspected map[string]bool
--- a/mustardseam/tenure/world_test.go
+++ b/mustardseam/tenure/world_test.go
@@ -123,9 +123,21 @@
 	return false
 }
 
+// stop begins a planned stop.
+func (n *node) stop() {
+	if n.w.now >= n.pausedTill {
+		n.Stop(n.clock())
+		n.leaving = true
+	}
+}
+
 func (w *world) heal() {
 	w.down, w.slow, w.loseAnswer = false, false, false
-	for _, n := range w.nodes {
+	for i, n := range w.nodes {
+		if n.leaving {
+			w.start(i)
+		}
+		n = w.nodes[i]
 		n.pausedTill, n.noStoreTill, n.cutTill = 0, 0, [clusters]time.Duration{}
 	}
 }
@@ -169,6 +181,11 @@
 			}
 		}
 	}
+	if n.leaving {
+		if rec, last, ok := n.Release(n.clock()); ok {
+			n.swapRecord(Action{Record: rec, Last: last}, n.clock())
+		}
+	}
 	for _, a := range n.Step(n.clock(), n.view()) {
 		started := n.clock()
 		switch a.Kind {
