--- a/mustardseam/instance/home.go
+++ b/mustardseam/instance/home.go
@@ -15,6 +15,9 @@
 const (
 	// homeTick is the interval of the home's loop.
 	homeTick = 10 * time.Millisecond
+	// tenureStep is the interval of the tenure's steps, which need a view of all instances; 100 ms is the longest that
+	// package tenure allows.
+	tenureStep = 50 * time.Millisecond
 	// askLapse is the time after its last poll at which an ask is dropped; its entry instance polls far more often.
 	askLapse = 1500 * time.Millisecond
 )
@@ -26,7 +29,8 @@
 	kind    operator.PoolKind
 	stopped chan struct{}
 
-	outbox outbox
+	outbox  outbox
+	stepped time.Time // Of the last step of the tenure; only the loop reads and writes it.
 
 	mu      sync.Mutex // Guards all that follows.
 	pool    *pool.Pool
@@ -110,20 +114,32 @@
 			return
 		case <-tick.C:
 		}
-		now := h.inst.cfg.Now()
+		h.tick(h.inst.cfg.Now())
+	}
+}
+
+// tick steps the tenure when that is due, and decides while this instance serves.
+func (h *home) tick(now time.Time) {
+	var actions []tenure.Action
+	if now.Sub(h.stepped) >= tenureStep {
+		h.stepped = now
 		view := h.inst.view(now, h.name, h.candidates())
 		h.mu.Lock()
-		actions := h.tenure.Step(now, view)
-		h.follow(now)
+		actions = h.tenure.Step(now, view)
+		h.mu.Unlock()
+	}
+	h.mu.Lock()
+	h.follow(now)
+	if h.serving != 0 {
 		h.sweep(now)
 		h.decide(now)
 		h.driveJournal(now)
 		h.driveRollouts(now)
 		h.driveOrders(now)
-		h.mu.Unlock()
-		for _, a := range actions {
-			h.inst.wg.Go(func() { h.perform(a) })
-		}
+	}
+	h.mu.Unlock()
+	for _, a := range actions {
+		h.inst.wg.Go(func() { h.perform(a) })
 	}
 }
 
