Settle a swap that the caller never reports

Change: the fake store reports each call, and a Tenure counts a swap without a result as lost after 10 s. Conclusion: a lost result no longer stops the pool for good.

--- a/mustardseam/tenure/rules_test.go
+++ b/mustardseam/tenure/rules_test.go
@@ -114,6 +114,11 @@
 			after := kinds(l.pass(3 * time.Second))
 			return n[Swap] == 1 && after[Swap] == 0 && after[Read] > 0 && !l.MayGrant(l.now)
 		}},
+		{"a swap that the caller never reports is settled by reads", func(l *lone) bool {
+			l.Observed(l.now, l.now, Record{}, 0, false)
+			n := kinds(l.pass(time.Second))
+			return n[Swap] == 1 && kinds(l.pass(8 * time.Second))[Read] == 0 && kinds(l.pass(2 * time.Second))[Read] == 1
+		}},
 		{"a lost swap that took effect is waited for from its discovery", func(l *lone) bool {
 			l.Observed(l.now, l.now, Record{}, 0, false)
 			l.pass(time.Second)
--- a/mustardseam/tenure/store.go
+++ b/mustardseam/tenure/store.go
@@ -17,8 +17,9 @@
 	doubt     []Candidate // Candidates of a swap that may still take effect, until the mod revision passes last.
 }
 
-// readTimeout is the time, in grant rights, after which an unanswered Read is repeated, should the caller lose it.
-const readTimeout = 5
+// callTimeout is the time, in grant rights, after which a Read or Swap without any result counts as lost, should the
+// caller not report it.
+const callTimeout = 5
 
 // Observed takes the answer of a store read that was sent at started.
 func (t *Tenure) Observed(now, started time.Time, rec Record, mod int64, exists bool) {
@@ -108,7 +109,7 @@
 		return false
 	}
 	since := now.Sub(s.readAt)
-	if since < t.cfg.Renew || s.reading && since < readTimeout*t.cfg.GrantRight {
+	if since < t.cfg.Renew || s.reading && since < callTimeout*t.cfg.GrantRight {
 		return false
 	}
 	if s.unsettled || s.stale || t.Holding() {
--- a/mustardseam/tenure/tenure.go
+++ b/mustardseam/tenure/tenure.go
@@ -97,6 +97,9 @@
 func (t *Tenure) Step(now time.Time, v View) []Action {
 	t.notice(now, v)
 	t.hold(now)
+	if s := &t.store; s.pending != nil && !s.unsettled && now.Sub(s.sentAt) >= callTimeout*t.cfg.GrantRight {
+		t.SwapLost(now)
+	}
 	var actions []Action
 	if t.readDue(now, v) {
 		t.store.reading = true
--- a/mustardseam/tenure/world_test.go
+++ b/mustardseam/tenure/world_test.go
@@ -229,6 +229,9 @@
 	}
 	w.after(there, func() {
 		if w.down || unreachable && w.rnd.IntN(2) == 0 {
+			if !lost { // The store went down meanwhile.
+				w.after(timeout-there, func() { n.deliver(fail) })
+			}
 			return
 		}
 		answer := do()
