--- /dev/null
+++ b/mustardseam/engine/capacity_test.go
@@ -0,0 +1,80 @@
+package engine
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// wireConn counts the bytes of a connection in both directions.
+type wireConn struct {
+	net.Conn
+	n *atomic.Int64
+}
+
+func (c wireConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.n.Add(int64(n))
+	return n, err
+}
+
+func (c wireConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.n.Add(int64(n))
+	return n, err
+}
+
+type wireListener struct {
+	net.Listener
+	n atomic.Int64
+}
+
+func (l *wireListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	return wireConn{c, &l.n}, err
+}
+
+// BenchmarkReport measures the reading of a load report and of cache events over loopback, with the time of the
+// answering side and without the TCP and IP headers in the bytes.
+func BenchmarkReport(b *testing.B) {
+	for _, events := range []int{0, 16, 64} {
+		list := make([]string, events)
+		for i := range list {
+			list[i] = fmt.Sprintf(`{"number":%d,"block":%d,"evicted":false}`, 100_000+i, uint64(i+1)*0x9e3779b97f4a7c15)
+		}
+		body := "[" + strings.Join(list, ",") + "]"
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NilError(b, err)
+		l := &wireListener{Listener: ln}
+		s := &http.Server{ReadHeaderTimeout: time.Second, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == "/load" {
+				_, _ = io.WriteString(w, `{"sequence":123456,"age-ms":40,"running":16,"waiting":3,"cold":false,"version":"sizing-v12"}`)
+				return
+			}
+			_, _ = io.WriteString(w, body)
+		})}
+		go func() { _ = s.Serve(l) }()
+		c := New(Config{Poll: time.Second})
+		b.Run(fmt.Sprint("events=", events), func(b *testing.B) {
+			before := l.n.Load()
+			for range b.N {
+				if _, err := c.Load("s1", ln.Addr().String()); err != nil {
+					b.Fatal(err)
+				}
+				if _, _, err := c.CacheEvents("s1", ln.Addr().String(), 100_000); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportMetric(float64(l.n.Load()-before)/float64(b.N), "wire-B/op")
+		})
+		assert.NilError(b, s.Close())
+		c.Close()
+	}
+}
--- /dev/null
+++ b/mustardseam/member/capacity_test.go
@@ -0,0 +1,176 @@
+package member
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// region is a region in virtual time without losses: each instance sends a heartbeat to two random peers, to the first
+// four instances, which stand for the homes of four models, and to those that it suspects.
+type region struct {
+	now     time.Time
+	rand    *rand.Rand
+	tables  []*Table
+	byInc   map[string]*Table
+	beats   int
+	entries int
+	bytes   int
+	probes  int // Heartbeats to suspected instances.
+}
+
+const (
+	regionHomes  = 4
+	regionFanOut = 2
+	regionNews   = 16
+)
+
+func newRegion(n int) *region {
+	g := &region{now: start, rand: rand.New(rand.NewPCG(uint64(n), 1)), byInc: map[string]*Table{}}
+	var list []Entry
+	for i := range n {
+		m := Member{ID: fmt.Sprintf("entry-%03d", i), Address: fmt.Sprintf("10.20.%d.%d:7401", i/250, i%250), DataCentre: "centre-1", Revision: 2500}
+		m.Incarnation = NewIncarnation(m.ID, start, uint32(i)*2654435761)
+		t := New(Config{Self: m})
+		g.tables = append(g.tables, t)
+		g.byInc[m.Incarnation] = t
+		list = append(list, Entry{ID: m.ID, Address: m.Address, DataCentre: m.DataCentre})
+	}
+	for _, t := range g.tables {
+		for _, o := range g.tables {
+			o.Heard(start, t.self)
+		}
+		t.Listed(start, list)
+	}
+	return g
+}
+
+// step is one interval of 500 ms.
+func (g *region) step() {
+	g.now = g.now.Add(500 * time.Millisecond)
+	for _, t := range g.tables {
+		own, news := t.Beat(g.now), t.Delta(g.now, regionNews)
+		to := map[string]bool{}
+		suspects := t.Suspect(g.now)
+		g.probes += len(suspects)
+		for _, m := range append(t.Spread(g.rand, regionFanOut), suspects...) {
+			to[m.Incarnation] = true
+		}
+		for _, h := range g.tables[:regionHomes] {
+			to[h.self.Incarnation] = true
+		}
+		delete(to, own.Incarnation)
+		b, err := json.Marshal(append([]Member{own}, news...))
+		if err != nil {
+			panic(err)
+		}
+		for inc := range to {
+			peer := g.byInc[inc]
+			if peer == nil {
+				continue // Listed only.
+			}
+			g.beats++
+			g.entries += 1 + len(news)
+			g.bytes += len(b)
+			peer.Heard(g.now, own)
+			for _, m := range news {
+				peer.Heard(g.now, m)
+			}
+			t.Heard(g.now, peer.self)
+			t.Probed(g.now, inc, true)
+		}
+	}
+}
+
+// failed returns the number of failed members over all tables; each of them runs.
+func (g *region) failed() (n int) {
+	for _, t := range g.tables {
+		n += len(t.Failed(g.now))
+	}
+	return n
+}
+
+// BenchmarkRegion measures heartbeats of a whole region: messages sent, bytes of their entries and probes of live
+// members that are suspected, each per instance and interval of 500 ms, and the time per instance and interval.
+func BenchmarkRegion(b *testing.B) {
+	for _, n := range []int{8, 50, 350} {
+		b.Run(fmt.Sprint("members=", n), func(b *testing.B) {
+			g := newRegion(n)
+			for range 20 {
+				g.step()
+			}
+			g.beats, g.entries, g.bytes, g.probes = 0, 0, 0, 0
+			failed, steps := 0, max(1, min(b.N, 4000/n))
+			b.ResetTimer()
+			for range steps {
+				g.step()
+				b.StopTimer()
+				failed += g.failed()
+				b.StartTimer()
+			}
+			per := float64(steps * n)
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/per, "ns/instance")
+			b.ReportMetric(float64(g.beats)/per, "beats/instance")
+			b.ReportMetric(float64(g.probes)/per, "probes/instance")
+			b.ReportMetric(float64(g.bytes)/float64(g.beats), "entries-B/beat")
+			b.ReportMetric(float64(g.entries)/float64(g.beats), "entries/beat")
+			b.ReportMetric(float64(failed)/per, "failed/instance")
+			b.ReportMetric(0, "ns/op") // The number of steps is not b.N.
+		})
+	}
+}
+
+// BenchmarkTable measures the questions that the home's loop asks 100 times a second per pool, on every instance, and
+// one heartbeat with 16 entries as taken in.
+func BenchmarkTable(b *testing.B) {
+	for _, n := range []int{8, 50, 350} {
+		g := newRegion(n)
+		t := g.tables[0]
+		calls := []struct {
+			name string
+			call func(i int)
+		}{
+			{"live", func(int) { t.Live(g.now) }},
+			{"preferred", func(int) { t.Preferred(g.now, "models") }},
+			{"dump", func(int) { t.Dump(g.now) }},
+			{"view", func(int) { view(t, g.now) }},
+			{"heard", func(i int) {
+				for k := range min(n-1, regionNews) {
+					m := g.tables[1+(i+k)%(n-1)].self
+					m.Counter = uint64(i + 2)
+					t.Heard(g.now, m)
+				}
+			}},
+		}
+		for _, c := range calls {
+			b.Run(fmt.Sprintf("%s/members=%d", c.name, n), func(b *testing.B) {
+				b.ReportAllocs()
+				for i := range b.N {
+					c.call(i)
+				}
+			})
+		}
+	}
+}
+
+// view does what the home's loop of an instance does to describe the region to the tenure of a pool: the rendezvous
+// order, the state of each member, and the sets made of these.
+func view(t *Table, now time.Time) (listed, suspected, leaving map[string]bool) {
+	listed, suspected, leaving = map[string]bool{}, map[string]bool{}, map[string]bool{}
+	preferred := []Member{}
+	for _, m := range t.Preferred(now, "models") {
+		preferred = append(preferred, Member{ID: m.Incarnation, Address: m.Address})
+	}
+	for _, line := range t.Dump(now).Members {
+		listed[line.Incarnation] = line.Listed
+		if line.State != Alive {
+			suspected[line.Incarnation] = true
+		}
+		if line.Leaving {
+			leaving[line.Incarnation] = true
+		}
+	}
+	return listed, suspected, leaving
+}
