--- a/mustardseam/member/capacity_test.go
+++ b/mustardseam/member/capacity_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"runtime"
 	"testing"
 	"time"
 )
@@ -13,6 +14,7 @@
 type region struct {
 	now     time.Time
 	rand    *rand.Rand
+	news    int // Entries in a heartbeat besides the own one.
 	tables  []*Table
 	byInc   map[string]*Table
 	beats   int
@@ -24,11 +26,11 @@
 const (
 	regionHomes  = 4
 	regionFanOut = 2
-	regionNews   = 16
+	regionNews   = 16 // Entries in a heartbeat as the instances set it.
 )
 
-func newRegion(n int) *region {
-	g := &region{now: start, rand: rand.New(rand.NewPCG(uint64(n), 1)), byInc: map[string]*Table{}}
+func newRegion(n, news int) *region {
+	g := &region{now: start, news: news, rand: rand.New(rand.NewPCG(uint64(n), 1)), byInc: map[string]*Table{}}
 	var list []Entry
 	for i := range n {
 		m := Member{ID: fmt.Sprintf("entry-%03d", i), Address: fmt.Sprintf("10.20.%d.%d:7401", i/250, i%250), DataCentre: "centre-1", Revision: 2500}
@@ -51,7 +53,7 @@
 func (g *region) step() {
 	g.now = g.now.Add(500 * time.Millisecond)
 	for _, t := range g.tables {
-		own, news := t.Beat(g.now), t.Delta(g.now, regionNews)
+		own, news := t.Beat(g.now), t.Delta(g.now, g.news)
 		to := map[string]bool{}
 		suspects := t.Suspect(g.now)
 		g.probes += len(suspects)
@@ -95,9 +97,10 @@
 // BenchmarkRegion measures heartbeats of a whole region: messages sent, bytes of their entries and probes of live
 // members that are suspected, each per instance and interval of 500 ms, and the time per instance and interval.
 func BenchmarkRegion(b *testing.B) {
-	for _, n := range []int{8, 50, 350} {
-		b.Run(fmt.Sprint("members=", n), func(b *testing.B) {
-			g := newRegion(n)
+	for _, size := range []struct{ members, news int }{{8, regionNews}, {50, regionNews}, {50, 32}, {50, 49}, {350, regionNews}} {
+		n := size.members
+		b.Run(fmt.Sprintf("members=%d/news=%d", n, size.news), func(b *testing.B) {
+			g := newRegion(n, size.news)
 			for range 20 {
 				g.step()
 			}
@@ -122,11 +125,31 @@
 	}
 }
 
+// BenchmarkMemory measures the heap of a table, its share of the names included.
+func BenchmarkMemory(b *testing.B) {
+	for _, n := range []int{8, 50, 350} {
+		b.Run(fmt.Sprint("members=", n), func(b *testing.B) {
+			before := heapBytes()
+			g := newRegion(n, regionNews)
+			b.ReportMetric(float64(heapBytes()-before)/float64(n), "held-B/table")
+			runtime.KeepAlive(g)
+		})
+	}
+}
+
+func heapBytes() uint64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
+
 // BenchmarkTable measures the questions that the home's loop asks 100 times a second per pool, on every instance, and
 // one heartbeat with 16 entries as taken in.
 func BenchmarkTable(b *testing.B) {
 	for _, n := range []int{8, 50, 350} {
-		g := newRegion(n)
+		g := newRegion(n, regionNews)
 		t := g.tables[0]
 		calls := []struct {
 			name string
--- a/mustardseam/tenure/capacity_test.go
+++ b/mustardseam/tenure/capacity_test.go
@@ -42,3 +42,63 @@
 		}
 	}
 }
+
+// BenchmarkTakeover measures, in fake time over 100 seeds, how long a pool of four instances has no home that may grant:
+// after a planned hand-over, after the home was replaced at once, and after the home, alone or with the next in the
+// rendezvous order, stops showing life while it is still listed. The time until the first load report comes on top.
+func BenchmarkTakeover(b *testing.B) {
+	for _, loss := range []struct {
+		name string
+		do   func(w *world, n *node)
+	}{
+		{"handed-over", func(_ *world, n *node) {
+			n.leaving = true
+			n.Stop(n.clock())
+		}},
+		{"ended", func(w *world, n *node) { w.start(n.slot) }},
+		{"paused", func(w *world, n *node) { n.pausedTill = w.now + time.Hour }},
+		{"two-paused", func(w *world, n *node) {
+			n.pausedTill = w.now + time.Hour
+			for _, next := range w.nodes { // The view lists the preferred ones in the order of slots.
+				if next != n {
+					next.pausedTill = w.now + time.Hour
+					break
+				}
+			}
+		}},
+	} {
+		b.Run(loss.name, func(b *testing.B) {
+			const seeds = 100
+			var sum, most time.Duration
+			for seed := range uint64(seeds) {
+				w, n := steady(seed)
+				began := w.now
+				loss.do(w, n)
+				for !w.servedWithout(n) && w.now-began < time.Minute {
+					w.advance()
+					if !n.leaving {
+						continue
+					}
+					if rec, last, due := n.Release(n.clock()); due {
+						n.swapRecord(Action{Record: rec, Last: last}, n.clock())
+					}
+				}
+				sum += w.now - began
+				most = max(most, w.now-began)
+			}
+			b.ReportMetric(float64(sum.Milliseconds())/seeds, "mean-ms")
+			b.ReportMetric(float64(most.Milliseconds()), "most-ms")
+			b.ReportMetric(0, "ns/op") // The number of seeds is not b.N.
+		})
+	}
+}
+
+// servedWithout reports whether an instance other than n may grant as home.
+func (w *world) servedWithout(n *node) bool {
+	for _, m := range w.nodes {
+		if m != n && w.now >= m.pausedTill && m.MayGrant(m.clock()) && m.Share(m.clock()) == 1 {
+			return true
+		}
+	}
+	return false
+}
