Count a cold start as known once a report has shown it

Change: the stand-in notes when a report that shows the sudden cold start was read, and counts what comes later than a permit's start window after that; keys are scoped by claim.Key, homes announced by peers reach the tenure, and a home by consent claims in memory only while its right is unbroken. Conclusion: the check is about what the system can know; the bound stays 0.

--- a/demo/cluster/site.go
+++ b/demo/cluster/site.go
@@ -79,13 +79,16 @@
 	return []generation{{"gen-a", 4 * time.Millisecond, 16}, {"gen-b", 6 * time.Millisecond, 12}, {"gen-c", 9 * time.Millisecond, 8}}
 }
 
+// startWindow is the longest time that a permit may be on its way (design 2.1).
+const startWindow = 700 * time.Millisecond
+
 // engineConfig describes engine n of a site.
 func engineConfig(name string, n int, version string) (engine.Config, generation) {
 	g := generations()[n%len(generations())]
 	return engine.Config{
 		Name: name, Version: version, MaxBatch: g.batch, Step: g.step, PrefillTokens: 1024, CacheBlocks: 2048,
 		ColdFor: 4, ColdLimit: 2, ReportLag: 200 * time.Millisecond, EventLag: 200 * time.Millisecond,
-		ChecksFencing: n%2 == 0,
+		ChecksFencing: n%2 == 0, Notice: startWindow,
 	}, g
 }
 
--- a/demo/guarantees.go
+++ b/demo/guarantees.go
@@ -109,9 +109,9 @@
 	return g
 }
 
-// cold counts requests that a backend server in cold start got beyond what it bears. Requests that came while the
-// server's published load report still showed it warm, after it had turned cold without warning, are printed but not
-// counted: nobody could know (design 2.1, 3.3).
+// cold counts requests that a backend server in cold start got beyond what it bears. After a server has turned cold
+// without warning, requests that came before a read load report showed it, or within the start window of permits after
+// that, are printed but not counted: nobody could know (design 2.1, 3.3).
 func (r *demoRun) cold() guarantee {
 	g := guarantee{Number: 4}
 	unannounced := 0
--- a/mustardseam/instance/ask.go
+++ b/mustardseam/instance/ask.go
@@ -17,7 +17,6 @@
 type ask struct {
 	ask       pool.Ask
 	polled    time.Time
-	unclaimed bool // Its key is to be claimed before it is queued.
 	committed bool // It is in the queue, or was.
 	delivered bool // The decision went out at least once.
 	decided   bool
@@ -90,23 +89,15 @@
 		h.pool.Ask(now, a.ask)
 		return
 	}
-	standing := claim.ByStore
-	switch h.tenure.Mode(now) {
-	case tenure.Consent:
-		standing = claim.ByConsent
-	case tenure.Static:
-		standing = claim.ByShare
-	}
-	if h.journal == nil && standing != claim.ByShare {
-		a.unclaimed = true
+	standing := h.standing(now)
+	if h.journal == nil && standing == claim.ByShare {
+		a.settle(h.claimAnswer(claim.Decision{Result: claim.Unavailable}))
 		return
 	}
-	a.unclaimed = false
 	if h.journal == nil {
-		a.settle(h.claimAnswer(claim.Decision{Result: claim.Unavailable}))
-		return
+		return // The journal is being read; the next tick claims.
 	}
-	d := h.journal.Claim(now, scoped(a.ask), a.ask.ID, a.ask.From, standing)
+	d := h.journal.Claim(now, claim.Key(a.ask.Team, a.ask.Route, a.ask.Key), a.ask.ID, a.ask.From, standing)
 	switch d.Result {
 	case claim.Proceed:
 		a.committed = true
@@ -117,8 +108,18 @@
 	}
 }
 
-// scoped returns the key with the team and the route for which it is unique; a time in the key stays in front.
-func scoped(a pool.Ask) string { return a.Key + "|" + a.Team + "|" + a.Route }
+// standing says by what right this instance claims keys; it must be called with mu held.
+func (h *home) standing(now time.Time) claim.Standing {
+	switch h.tenure.Mode(now) {
+	case tenure.Home, tenure.Waiting:
+		return claim.ByStore
+	case tenure.Consent:
+		if h.tenure.Unbroken(now) {
+			return claim.ByConsent
+		}
+	}
+	return claim.ByShare
+}
 
 // claimAnswer turns the decision on a claim into an answer.
 func (h *home) claimAnswer(d claim.Decision) peer.AskAnswer {
--- a/mustardseam/instance/home.go
+++ b/mustardseam/instance/home.go
@@ -95,11 +95,11 @@
 	return h.tenure.HomeRef()
 }
 
-// seen takes in an epoch that another instance announced.
-func (h *home) seen(now time.Time, epoch uint64) {
+// seen takes in the home that another instance announced.
+func (h *home) seen(now time.Time, ref tenure.HomeRef) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.tenure.SeenEpoch(now, epoch)
+	h.tenure.SeenHome(now, ref)
 }
 
 // run drives the tenure, the journal and the decisions until the instance or the pool ends.
--- a/mustardseam/instance/membership.go
+++ b/mustardseam/instance/membership.go
@@ -135,7 +135,7 @@
 	i.marks.Merge(h.Marks)
 	for name, ref := range h.Homes {
 		if hm := (*i.homes.Load())[name]; hm != nil {
-			hm.seen(now, ref.Epoch)
+			hm.seen(now, tenure.HomeRef{Epoch: ref.Epoch, Home: ref.Home, Address: ref.Address})
 		}
 	}
 	if cur, _ := i.revision(); h.Revision > cur && h.From.Address != "" {
--- a/mustardseam/instance/settle.go
+++ b/mustardseam/instance/settle.go
@@ -14,8 +14,8 @@
 		return
 	}
 	for id, a := range h.asks {
-		if a.unclaimed && !a.decided {
-			h.admit(now, a)
+		if !a.committed && !a.decided {
+			h.admit(now, a) // A claim that waited for the journal, or that the journal could not take.
 		}
 		if now.Sub(a.polled) < askLapse {
 			continue
--- a/standin/engine/config.go
+++ b/standin/engine/config.go
@@ -16,6 +16,9 @@
 	EventLag      time.Duration // Age at which a cache event is published.
 	ChecksFencing bool          // Refuses an order with a token below the highest one seen.
 	Remember      int           // Ended streams kept for a resume, and cache events kept for a late reader.
+	// Notice is the time after the first answered load report that shows a sudden cold start in which requests beyond the
+	// cold limit still count as unannounced; permits that are on their way take that long.
+	Notice time.Duration
 }
 
 // withDefaults fills what was left out.
--- a/standin/engine/http.go
+++ b/standin/engine/http.go
@@ -28,7 +28,7 @@
 	app.Get("/load", func(c fiber.Ctx) error {
 		e.mu.Lock()
 		defer e.mu.Unlock()
-		return c.JSON(e.published())
+		return c.JSON(e.show())
 	})
 	app.Get("/cache-events", e.cacheEvents)
 	app.Post("/cancel/:id", e.cancel)
--- a/standin/engine/load.go
+++ b/standin/engine/load.go
@@ -40,3 +40,12 @@
 	l.AgeMS = time.Since(e.reports[0].at).Milliseconds()
 	return l
 }
+
+// show returns the published report and notes when it first shows a sudden cold start; it must be called with mu held.
+func (e *Engine) show() Load {
+	l := e.published()
+	if l.Cold && e.sudden && e.shownAt.IsZero() {
+		e.shownAt = time.Now()
+	}
+	return l
+}
