Return servers to service soon after refused connections end

Three good answers in a row were then needed, one at a time and of up to 3 s each, and the limit began again at one. Servers left probation 4.6 to 12 s after the fault had ended.

Ruled out: the queue alone. Its 150 requests take about 5 s more once the fleet is back, but they do not shrink before that.

Change: - A server that reports again after 3 s or more of silence is probed at once, at most once for each silence. This sends no further traffic to a server that stays away. - A probation whose failures were refusals of requests that were not run ends with one good answer, and the limit returns to half of what it was. A server that turned cold meanwhile keeps the cold limit. A probation with failures of requests that were run is as before.

--- a/mustardseam/capacity/probation.go
+++ b/mustardseam/capacity/probation.go
@@ -11,6 +11,8 @@
 	failuresInRow = 3
 	// failureShare of recent requests starts a probation.
 	failureShare = 0.5
+	// refusedShare of the failures at most may have run for a probation to count as one of refusals.
+	refusedShare = 0.1
 	// slowFactor times slower than the class starts a probation; the load of a batch alone makes less.
 	slowFactor = 2.5
 	// minSamples are needed for a verdict on a share or a speed.
@@ -23,6 +25,7 @@
 type probation struct {
 	active   bool
 	slow     bool // It was slow rather than failing.
+	refused  bool // Its failures were refusals, of requests that were not run.
 	since    time.Time
 	next     time.Time // Next probe.
 	interval time.Duration
@@ -30,6 +33,7 @@
 	row      int // Failures in a row.
 	samples  int
 	failures float64 // Average share of failures.
+	ran      float64 // Average share of failures of requests that may have run.
 	factor   float64 // Average slowness against the class.
 }
 
@@ -40,7 +44,7 @@
 		return p.probed(now, s, slow)
 	}
 	p.samples++
-	p.average(s.Failed, slow)
+	p.average(s, slow)
 	switch {
 	case p.row >= failuresInRow, p.samples >= minSamples && p.failures > failureShare:
 		p.enter(now, false)
@@ -50,15 +54,19 @@
 	return false
 }
 
-func (p *probation) average(failed bool, slow float64) {
-	v := 0.0
+func (p *probation) average(s Sample, slow float64) {
+	v, ran := 0.0, 0.0
 	p.row++
-	if failed {
-		v = 1
-	} else {
+	switch {
+	case !s.Failed:
 		p.row = 0
+	case s.NotRun:
+		v = 1
+	default:
+		v, ran = 1, 1
 	}
 	p.failures += gain * (v - p.failures)
+	p.ran += gain * (ran - p.ran)
 	if slow <= 0 {
 		return
 	}
@@ -69,7 +77,18 @@
 }
 
 func (p *probation) enter(now time.Time, slow bool) {
-	*p = probation{active: true, slow: slow, since: now, interval: firstProbe, next: now.Add(firstProbe), factor: p.factor}
+	*p = probation{
+		active: true, slow: slow, refused: !slow && p.ran < refusedShare*p.failures,
+		since: now, interval: firstProbe, next: now.Add(firstProbe), factor: p.factor,
+	}
+}
+
+// reachable makes a probe due, since a server that reports again after a silence may have recovered. The interval also
+// starts anew; at most one such probe is made for each silence.
+func (p *probation) reachable(now time.Time) {
+	if p.active && p.next.After(now) {
+		p.next, p.interval = now, firstProbe
+	}
 }
 
 // probed takes in the answer to a probe; those to requests from before the probation do not count.
@@ -79,6 +98,7 @@
 	}
 	if s.Failed || slow > slowFactor {
 		p.good = 0
+		p.refused = p.refused && s.Failed && s.NotRun
 		p.interval = min(2*p.interval, maxProbe)
 		p.next = now.Add(p.interval)
 		return false
@@ -88,7 +108,8 @@
 	}
 	p.good++
 	p.next = now
-	if p.good < probes {
+	// One answer shows that a server takes requests again. More are asked for where failures cost the work of a request.
+	if p.good < probes && !p.refused {
 		return false
 	}
 	*p = probation{factor: 1}
--- a/mustardseam/capacity/report.go
+++ b/mustardseam/capacity/report.go
@@ -6,13 +6,20 @@
 // arrived between two steps of the engine.
 const queuedReports = 3
 
+// silence without reports is taken as a sign that the server was unreachable; it is several periods of reports.
+const silence = 3 * time.Second
+
 // Report takes in a load report that arrives now; one that was already taken in, or is older, says nothing new.
 func (s *Server) Report(now time.Time, r Reading) {
 	restarted := s.reported && r.Sequence < s.last.Sequence
 	if s.reported && r.Sequence == s.last.Sequence || restarted && !r.Taken.After(s.last.Taken) {
 		return
 	}
+	if s.reported && now.Sub(s.heard) >= silence {
+		s.watch.reachable(now)
+	}
 	s.reported = true
+	s.heard = now
 	s.last = r
 	s.followCold(r, restarted)
 	s.queued++
--- a/mustardseam/capacity/sample.go
+++ b/mustardseam/capacity/sample.go
@@ -7,6 +7,7 @@
 	Granted  time.Time // When the request was dispatched.
 	OK       bool      // It was answered in full.
 	Failed   bool      // The backend server failed or refused it.
+	NotRun   bool      // It certainly was not run.
 	Cold     bool      // The backend server said that it is cold.
 	MayRun   bool      // The backend server may still be running it.
 	Uncached int       // Prompt tokens that were computed.
--- a/mustardseam/capacity/server.go
+++ b/mustardseam/capacity/server.go
@@ -12,7 +12,8 @@
 	unknown     bool        // No grant before a report taken after since.
 	since       time.Time   // Of the baseline.
 	reported    bool
-	queued      int // Reports in a row with requests waiting inside the server.
+	heard       time.Time // When the last report arrived.
+	queued      int       // Reports in a row with requests waiting inside the server.
 	last        Reading
 	held        Reading // Too fresh to lower others; no sequence when there is none.
 	cold        bool
@@ -141,6 +142,9 @@
 	mayBeSlow := s.class.Known() && 3*(s.class.slow+1) <= s.class.Servers
 	left := s.watch.observe(now, m, slow, mayBeSlow)
 	switch {
+	case left && before.refused:
+		// The refusals say nothing against the limit before them; a cold start has already lowered it.
+		s.ramp = max(1, s.ramp/2)
 	case left:
 		s.ramp = 1
 		if before.slow {
--- a/mustardseam/pool/done.go
+++ b/mustardseam/pool/done.go
@@ -61,6 +61,7 @@
 		Granted:  r.granted,
 		OK:       o.Result == OK,
 		Failed:   failed,
+		NotRun:   o.Result == NotRun,
 		Cold:     o.Cold,
 		MayRun:   o.Result == Cancelled || o.Result == Incomplete || o.Result == Unknown,
 		Uncached: max(0, o.Prompt-o.Cached),
