--- a/mustardseam/pool/done.go
+++ b/mustardseam/pool/done.go
@@ -61,6 +61,7 @@
 		Granted:  r.granted,
 		OK:       o.Result == OK,
 		Failed:   failed,
+		NotRun:   o.Result == NotRun,
 		Cold:     o.Cold,
 		Broke:    failed && (o.Result == Failed || o.Result == Incomplete),
 		MayRun:   o.Result == Cancelled || o.Result == Incomplete || o.Result == Unknown,
