--- a/mustardseam/instance/home.go
+++ b/mustardseam/instance/home.go
@@ -15,9 +15,9 @@
 const (
 	// homeTick is the interval of the home's loop.
 	homeTick = 10 * time.Millisecond
-	// tenureStep is the interval of the tenure's steps, which need a view of all instances; 100 ms is the longest that
-	// package tenure allows.
-	tenureStep = 50 * time.Millisecond
+	// tenureStep is the interval of the tenure's steps, the longest that package tenure allows, because each needs a view
+	// of all instances.
+	tenureStep = 100 * time.Millisecond
 	// askLapse is the time after its last poll at which an ask is dropped; its entry instance polls far more often.
 	askLapse = 1500 * time.Millisecond
 )
--- a/mustardseam/instance/perform.go
+++ b/mustardseam/instance/perform.go
@@ -20,6 +20,9 @@
 // storeTimeout bounds a call of the home to the store; it is well below the right to grant.
 const storeTimeout = 500 * time.Millisecond
 
+// listTimeout bounds the reading of the whole journal, tens of megabytes at most, during the wait after a takeover.
+const listTimeout = 2 * time.Second
+
 func (h *home) recordKey() string { return "homes/" + h.inst.cfg.Region + "/" + h.name }
 
 func (h *home) slotPrefix() string { return "claims/" + h.inst.cfg.Region + "/" + h.name + "/" }
@@ -138,7 +141,7 @@
 
 // loadJournal reads the slots of earlier homes.
 func (h *home) loadJournal(epoch uint64) {
-	ctx, cancel := context.WithTimeout(h.inst.ctx, storeTimeout)
+	ctx, cancel := context.WithTimeout(h.inst.ctx, listTimeout)
 	defer cancel()
 	list, err := h.inst.store.List(ctx, h.slotPrefix())
 	var slots []claim.Slot
--- a/mustardseam/member/view.go
+++ b/mustardseam/member/view.go
@@ -72,11 +72,24 @@
 
 // Preferred returns the live instances in rendezvous order for the home of a pool, the most preferred first.
 func (t *Table) Preferred(now time.Time, pool string) []Member {
-	list := t.Live(now)
-	slices.SortFunc(list, func(a, b Member) int {
-		return cmp.Or(cmp.Compare(weight(pool, b), weight(pool, a)), byIncarnation(a, b))
+	live := t.Live(now)
+	order := make([]weighted, len(live))
+	for i, m := range live {
+		order[i] = weighted{m, weight(pool, m)}
+	}
+	slices.SortFunc(order, func(a, b weighted) int {
+		return cmp.Or(cmp.Compare(b.weight, a.weight), byIncarnation(a.Member, b.Member))
 	})
-	return list
+	for i, w := range order {
+		live[i] = w.Member
+	}
+	return live
+}
+
+// weighted is a member with its rendezvous weight, which is hashed once and not in each comparison.
+type weighted struct {
+	Member
+	weight uint64
 }
 
 // filter returns the members of matching peers in the order of their incarnations.
--- a/operator/validate.go
+++ b/operator/validate.go
@@ -60,10 +60,12 @@
 }
 
 func (v *validation) unique(path string, names []string) {
+	seen := make(map[string]bool, len(names))
 	for i, name := range names {
-		if name != "" && slices.Contains(names[:i], name) {
+		if name != "" && seen[name] {
 			v.add(fmt.Sprintf("%s[%d].name", path, i), "%q is used twice", name)
 		}
+		seen[name] = true
 	}
 }
 
