Learn the prefill speed of a class by median regression

A speed was taken from each answer as tokens by time beyond half of the fixed part. An answer near that time gives a speed without bound, taken in at a gain of 0.2 against 0.02 for slow answers, and the fixed part grew to fit. Pending prompts then counted as computed at once, so that the picker piled prompts on the same server, and short prompts on busy healthy servers were judged slow and put them into probation.

Ruled out: learned limits that shrink from requests counted as waiting during a step.

Change: prefill speed and fixed part move by the sign of the error, by the weight of each in the answer. TestPrefillSpeed fails with the former rule.

--- a/mustardseam/capacity/class.go
+++ b/mustardseam/capacity/class.go
@@ -9,8 +9,9 @@
 	defaultBase = 20 * time.Millisecond
 	// defaultBetween is the time between tokens that is assumed before the first answer.
 	defaultBetween = 40 * time.Millisecond
-	// minUncached is the number of computed prompt tokens from which a time to first token tells the prefill speed.
-	minUncached = 64
+	// evenPrefill is the number of computed prompt tokens from which a time to first token tells more of the prefill
+	// speed than of the fixed part.
+	evenPrefill = 500
 	// medianStep is the relative step of the running medians. A median is used because a mean would follow the slow
 	// servers that it has to reveal.
 	medianStep = 0.03
@@ -68,22 +69,20 @@
 	return slow
 }
 
-// learnFirst splits the time to first token into prefill and a fixed part. The prefill speed follows fast answers
-// more than slow ones, because queueing only ever makes an answer look slower.
+// learnFirst splits the time to first token into prefill and a fixed part by median regression: each part moves by the
+// sign of the error and by its weight in the answer. Speeds of single answers are not averaged, because one that beats
+// the fixed part would show an unbounded speed.
 func (c *Class) learnFirst(s Sample) {
-	if s.Uncached >= minUncached {
-		rate := s.prefill() / max(1e-4, s.First.Seconds()-c.base/2)
-		gain := 0.02
-		if rate > c.prefill {
-			gain = 0.2
-		}
-		if c.answers < minEvidence {
-			gain = 0.3
-		}
-		c.prefill += gain * (min(rate, 4*c.prefill) - c.prefill)
+	weight := s.prefill() / (s.prefill() + evenPrefill)
+	rel := medianStep
+	if c.answers < minEvidence {
+		rel = 0.25
+	}
+	if s.First.Seconds() < c.base+s.prefill()/c.prefill {
+		rel = -rel
 	}
-	rest := s.First.Seconds() - s.prefill()/c.prefill
-	step(&c.base, max(1e-4, rest), c.answers)
+	c.prefill /= 1 + rel*weight
+	c.base = max(1e-4, c.base*(1+rel*(1-weight)))
 }
 
 // step moves a running median towards the value; the first values move it faster.
--- /dev/null
+++ b/mustardseam/capacity/class_test.go
@@ -0,0 +1,34 @@
+package capacity
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestPrefillSpeed guards against a learned prefill speed that runs away with answers that happen to be fast, and
+// against one that never comes back: the backlog of prompts at a server, by which servers are picked, is derived from
+// it. Waits inside the server vary the first token.
+func TestPrefillSpeed(t *testing.T) {
+	const speed, base = 8000.0, 0.03
+	for _, before := range []float64{defaultPrefill, 1000, 3e6} {
+		c := NewClass()
+		c.prefill = before
+		if before > speed {
+			c.base, c.answers = 0.27, minEvidence
+		}
+		rnd := rand.New(rand.NewPCG(1, 1))
+		for range 4000 {
+			prompt := 40 + rnd.IntN(3960)
+			first := base*2*rnd.Float64() + float64(prompt)/speed*(0.6+0.8*rnd.Float64())
+			if rnd.IntN(10) == 0 {
+				first += rnd.Float64()
+			}
+			c.observe(Sample{OK: true, Uncached: prompt, Output: 1, First: time.Duration(first * float64(time.Second))})
+		}
+		assert.Assert(t, c.Prefill() > speed/2 && c.Prefill() < speed*2, "prefill speed %.0f from %.0f", c.Prefill(), before)
+		assert.Assert(t, c.Base() < 100*time.Millisecond, "base %v from %.0f", c.Base(), before)
+	}
+}
