--- a/mustardseam/instance/perform.go
+++ b/mustardseam/instance/perform.go
@@ -139,6 +139,26 @@
 	}
 }
 
+const (
+	// storeShare is the time between two journal writes for each home of the whole system: all homes together make 200
+	// writes a second of the several hundred that the store takes.
+	storeShare       = 5 * time.Millisecond
+	minWriteInterval = 20 * time.Millisecond
+	maxWriteInterval = 100 * time.Millisecond
+)
+
+// writeInterval returns the least time between two writes of a journal, which keyed requests wait for. It grows with the
+// number of homes, one per region and pool.
+func (i *Instance) writeInterval() time.Duration {
+	d := i.holder.Current().Document
+	regions := map[string]bool{}
+	for _, dc := range d.DataCentres {
+		regions[dc.Region] = true
+	}
+	homes := time.Duration(len(regions) * len(d.Pools))
+	return min(max(homes*storeShare, minWriteInterval), maxWriteInterval)
+}
+
 // loadJournal reads the slots of earlier homes.
 func (h *home) loadJournal(epoch uint64) {
 	ctx, cancel := context.WithTimeout(h.inst.ctx, listTimeout)
@@ -162,7 +182,7 @@
 	if err != nil || h.serving != epoch {
 		return
 	}
-	j := claim.New(claim.Config{Epoch: epoch, Self: h.inst.cfg.Incarnation})
+	j := claim.New(claim.Config{Epoch: epoch, Self: h.inst.cfg.Incarnation, Interval: h.inst.writeInterval()})
 	if err := j.Load(h.inst.cfg.Now(), h.tenure.Baseline(), slots); err != nil {
 		event.JournalFailed.On(&h.inst.log).Str("pool", h.name).Err(err).Send()
 		return
