--- a/demo/main.go
+++ b/demo/main.go
@@ -4,7 +4,6 @@
 import (
 	"fmt"
 	"os"
-	"strings"
 	"time"
 
 	"github.com/alecthomas/kong"
@@ -100,6 +99,6 @@
 	body := fmt.Sprintf(`{"model":%q,"stream":true,"max_tokens":20,"messages":[{"role":"user","content":"hello"}]}`, site.Model)
 	fmt.Printf("curl -N -H 'Authorization: Bearer %s' http://%s/v1/chat/completions -d '%s'\n",
 		site.Teams[0].Key, c.Instance(0).CallerAddress(), body)
-	fmt.Println(strings.TrimSpace("\nEnd with an interrupt."))
+	fmt.Println("\nEnd with an interrupt.")
 	cluster.WaitForInterrupt()
 }
