--- a/mustardseam/instance/outbox.go
+++ b/mustardseam/instance/outbox.go
@@ -104,6 +104,7 @@
 	h.outbox.mu.Lock()
 	defer h.outbox.mu.Unlock()
 	h.outbox.outcomes = append(kept, h.outbox.outcomes...)
+	// Withdrawals alone are not repeated, because an ask that is no longer polled lapses at the home.
 	if len(kept) > 0 {
 		h.outbox.withdraw = append(withdraw, h.outbox.withdraw...)
 	}
