Count executions at the backend servers in one place

Cause: the demo and the harness of the failure tests each had the same loop over engines and services. Change: both call Cluster.Executions.

--- a/demo/cluster/harness_test.go
+++ b/demo/cluster/harness_test.go
@@ -90,7 +90,7 @@
 // sent is one request and its answer.
 type sent struct {
 	order    bool
-	id       string // As in executions.
+	id       string // As in Executions.
 	instance int
 	answer   Answer
 	err      error
@@ -176,7 +176,7 @@
 	t.Helper()
 	close(l.stop)
 	l.wg.Wait()
-	runs := l.cluster.executions()
+	runs := l.cluster.Executions()
 	success := map[string]bool{}
 	for _, s := range l.answers {
 		success[s.id] = success[s.id] || s.answer.Status == 200
@@ -192,19 +192,3 @@
 	}
 	return l.answers
 }
-
-// executions returns how often each piece of work ran at a backend server.
-func (c *Cluster) executions() map[string]int {
-	runs := map[string]int{}
-	for _, e := range c.Engines {
-		for tag, n := range e.Stats().PerTag {
-			runs["tag "+tag] += n
-		}
-	}
-	for _, s := range c.Orders {
-		for key, n := range s.Runs() {
-			runs["order "+key] += n
-		}
-	}
-	return runs
-}
--- a/demo/guarantees.go
+++ b/demo/guarantees.go
@@ -9,7 +9,7 @@
 
 // guarantees counts the violations of each point of design 1.2; it must be called with mu held.
 func (r *demoRun) guarantees() []guarantee {
-	runs := r.executions()
+	runs := r.cluster.Executions()
 	return []guarantee{
 		r.check(1, "a request is dispatched at most once", func(x result) (bool, bool) {
 			return !x.order, runs[x.id()] > 1
@@ -54,22 +54,6 @@
 	return "tag " + cluster.Tag(x.prompt)
 }
 
-// executions returns how often each piece of work ran at a backend server.
-func (r *demoRun) executions() map[string]int {
-	runs := map[string]int{}
-	for _, e := range r.cluster.Engines {
-		for tag, n := range e.Stats().PerTag {
-			runs["tag "+tag] += n
-		}
-	}
-	for _, s := range r.cluster.Orders {
-		for key, n := range s.Runs() {
-			runs["order "+key] += n
-		}
-	}
-	return runs
-}
-
 // check counts the results that a guarantee concerns and those that violate it.
 func (r *demoRun) check(number int, text string, test func(result) (concerned, violated bool)) guarantee {
 	g := guarantee{Number: number, Text: text}
