--- /dev/null
+++ b/mustardseam/entry/attempt.go
@@ -0,0 +1,40 @@
+package entry
+
+import (
+	"github.com/mustardseam/mustardseam/mustardseam/fleet"
+	"github.com/mustardseam/mustardseam/mustardseam/http1"
+	"github.com/mustardseam/mustardseam/mustardseam/place"
+)
+
+// attempt is a request on its way through the tries at backend servers.
+type attempt struct {
+	exchange *http1.Exchange
+	meta     Meta
+	view     *fleet.View
+	route    *fleet.Route
+	team     *fleet.Team // nil without one.
+	units    float64     // Taken from the quota of the team.
+	service  string
+	job      *place.Job
+	runs     int    // Backend servers that ran the request or may have.
+	sends    int    // Including refused ones.
+	last     string // Id of the latest event that the caller has.
+	server   string // Id of the latest backend server.
+	status   int    // That the caller got.
+	reason   string
+}
+
+// fate is how a try at a backend server ended.
+type fate int
+
+const (
+	answered fate = iota // The caller has its final answer.
+	again                // Another backend server may be tried.
+	finished             // Nothing more can be done; the reason says why.
+	left                 // The caller has gone.
+)
+
+// mayRepeat reports whether the request may go to another backend server.
+func (a *attempt) mayRepeat() bool {
+	return a.runs == 0 || a.route.Repeatable() && a.runs < max(1, a.route.Attempts)
+}
--- /dev/null
+++ b/mustardseam/entry/change.go
@@ -0,0 +1,32 @@
+package entry
+
+import (
+	"github.com/mustardseam/mustardseam/mustardseam/event"
+	"github.com/mustardseam/mustardseam/mustardseam/fleet"
+	"github.com/mustardseam/mustardseam/mustardseam/store"
+)
+
+// logChange writes what the instance has learned.
+func (i *Instance) logChange(item store.Item, c fleet.Change) {
+	l := event.Believed.On(i.log()).Str("key", item.Key).Int64("revision", item.Revision)
+	switch {
+	case c.Config != nil:
+		l.Int64("version", c.Config.Version).Int("routes", c.Config.Routes())
+	case c.Server != nil:
+		state := "ready"
+		if c.Server.Draining {
+			state = "draining"
+		}
+		l.Str("server", c.Server.ID).Str("service", c.Server.Service).Str("version", c.Server.Version).
+			Str("data-centre", c.Server.DataCentre).Str("state", state).Int64("born", c.Server.Born)
+	case c.Gone != "":
+		state := "gone"
+		if c.Lapse {
+			state = "lapsed"
+		}
+		l.Str("server", c.Gone).Str("state", state)
+	case c.Progress != nil:
+		l.Str("service", c.Service).Str("target", c.Progress.Target).Str("state", string(c.Progress.State))
+	}
+	l.Send()
+}
--- /dev/null
+++ b/mustardseam/entry/dump.go
@@ -0,0 +1,43 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/mustardseam/mustardseam/mustardseam/place"
+)
+
+// Dump is the state of an instance, for operators.
+type Dump struct {
+	Instance string             `json:"instance"`
+	Version  int64              `json:"configuration-version"`
+	Revision int64              `json:"store-revision"`
+	AgeMS    int64              `json:"store-age-ms"`
+	Hub      string             `json:"hub"`
+	Nodes    []string           `json:"instances"`
+	Active   int64              `json:"requests-active"`
+	Waiting  int                `json:"requests-waiting"`
+	Servers  []place.Inspection `json:"backend-servers"`
+	Stopping bool               `json:"stopping"`
+}
+
+// Dump returns the state of the instance.
+func (i *Instance) Dump() any {
+	v := i.view.Load()
+	d := Dump{
+		Instance: i.cfg.Name, Revision: v.Revision, AgeMS: i.storeAge(), Active: i.active.Load(),
+		Waiting: i.scheduler.Waiting(), Stopping: i.stopping.Load() != nil,
+	}
+	if v.Config != nil {
+		d.Version = v.Config.Version
+	}
+	i.gossip.mu.Lock()
+	d.Hub = i.gossip.hub
+	i.gossip.mu.Unlock()
+	i.scheduler.mu.Lock()
+	defer i.scheduler.mu.Unlock()
+	d.Nodes = i.scheduler.nodes
+	for _, s := range v.Servers {
+		d.Servers = append(d.Servers, i.scheduler.board.Inspect(time.Now(), s))
+	}
+	return d
+}
--- /dev/null
+++ b/mustardseam/entry/gossip.go
@@ -0,0 +1,238 @@
+package entry
+
+import (
+	"sync"
+	"time"
+
+	"github.com/mustardseam/mustardseam/mustardseam/event"
+	"github.com/mustardseam/mustardseam/mustardseam/fleet"
+	"github.com/mustardseam/mustardseam/mustardseam/hub"
+	"github.com/mustardseam/mustardseam/mustardseam/place"
+	"github.com/mustardseam/mustardseam/mustardseam/store"
+)
+
+const (
+	// relayAge is how old a hub's copy of the store may be for an instance to rely on it. The hub's long polls end after
+	// 1.5 s, so an older copy means that the hub does not reach the store.
+	relayAge = store.Wait + 500*time.Millisecond
+	// relaySilence is how long after the latest word of a hub an instance relies on it.
+	relaySilence = 700 * time.Millisecond
+	// hubPause is how long a hub that did not answer is passed over.
+	hubPause = 1500 * time.Millisecond
+	// catchUpItems bounds the items that an instance passes up to its hub.
+	catchUpItems = 64
+)
+
+// gossip exchanges reports with the other instances.
+type gossip struct {
+	i      *Instance
+	client *hub.Client
+
+	mu       sync.Mutex
+	table    *hub.Table
+	sequence int64
+	pending  map[string]float64 // Units that were learned and not reported; guarded by mu, as all that follow.
+	samples  []hub.Sample
+	hub      string // Name of the hub that answered last; empty when this instance is the hub.
+	hubRun   int64
+	hubKnown map[string]float64
+	hubItems int64 // Revision of the hub's copy.
+	heard    time.Time
+	heardAge time.Duration        // Of the hub's copy of the store when it was heard.
+	avoid    map[string]time.Time // Hubs that did not answer.
+	others   map[string]place.Load
+	nodes    int // Instances in the latest digest.
+}
+
+func newGossip(i *Instance) *gossip {
+	return &gossip{
+		i: i, client: hub.NewClient(), table: hub.NewTable(i.cfg.Name), pending: map[string]float64{},
+		avoid: map[string]time.Time{}, hubKnown: map[string]float64{},
+	}
+}
+
+// run reports until the instance ends.
+func (g *gossip) run() {
+	for g.i.ctx.Err() == nil {
+		now := time.Now()
+		if target, ok := g.target(now); ok {
+			g.report(target)
+		} else {
+			g.lead(now)
+		}
+		g.i.conduct(time.Now())
+		g.i.scheduler.Pump()
+		g.mu.Lock()
+		n := g.nodes
+		g.mu.Unlock()
+		g.i.sleep(hub.Interval(n))
+	}
+}
+
+// relayed reports whether a hub passes the changes of the store on.
+func (g *gossip) relayed() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := time.Now()
+	return g.hub != "" && now.Sub(g.heard) < relaySilence && g.heardAge+now.Sub(g.heard) < relayAge
+}
+
+// target returns the instance to report to, and false when this one is the hub.
+func (g *gossip) target(now time.Time) (fleet.Node, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	nodes := g.i.view.Load().Nodes
+	for _, n := range hub.Order(nodes) {
+		if n.Name == g.i.cfg.Name {
+			return n, false
+		}
+		if now.Sub(g.avoid[n.Name]) >= hubPause {
+			return n, true
+		}
+	}
+	if len(nodes) > 0 {
+		return fleet.Node{}, false
+	}
+	// Nothing is known of the others: a seed may hold a copy of the store.
+	for _, seed := range g.i.cfg.Seeds {
+		if seed != g.i.cfg.PeerAddr && now.Sub(g.avoid[seed]) >= hubPause {
+			return fleet.Node{Name: seed, Address: seed}, true
+		}
+	}
+	return fleet.Node{}, false
+}
+
+// lead does what the hub does for itself.
+func (g *gossip) lead(now time.Time) {
+	own, _, spent := g.i.scheduler.told(now)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.hub != "" {
+		g.hub = ""
+		event.HubChosen.On(g.i.log()).Str("hub", g.i.cfg.Name).Send()
+	}
+	clear(g.pending)
+	g.table.Spend(spent)
+	nodes := g.table.Nodes(now)
+	g.nodes = len(nodes)
+	g.table.Sweep(now)
+	g.i.scheduler.hear(now, hearing{
+		loads: g.table.Loads(now), paces: g.table.Paces(now), nodes: nodes, spent: nil, alone: len(nodes) == 1,
+	})
+	_ = own
+	g.i.judge(g.samples)
+	g.samples = nil
+}
+
+// report tells the hub what this instance knows and takes its answer in.
+func (g *gossip) report(to fleet.Node) {
+	now := time.Now()
+	own, paces, spent := g.i.scheduler.told(now)
+	g.mu.Lock()
+	for team, units := range spent {
+		g.pending[team] += units
+	}
+	g.table.Spend(spent)
+	g.sequence++
+	r := hub.Report{
+		Node: g.i.cfg.Name, Run: g.i.run1, Sequence: g.sequence, Revision: g.i.follower.Revision(), AgeMS: g.i.storeAge(),
+		Spent: g.pending, Loads: own, Paces: paces, Samples: g.samples, Stopping: g.i.stopping.Load() != nil,
+	}
+	if r.Revision > g.hubItems && to.Name == g.hub && g.hubItems > 0 {
+		if items, whole, _ := g.i.follower.After(g.hubItems); !whole && len(items) <= catchUpItems {
+			r.Items = items
+		}
+	}
+	g.pending, g.samples = map[string]float64{}, nil
+	g.mu.Unlock()
+	d, err := g.client.Report(to.Address, r)
+	if err != nil {
+		g.missed(to, r, err)
+		return
+	}
+	g.take(to, r, d)
+}
+
+// missed takes back what a report said that was not answered.
+func (g *gossip) missed(to fleet.Node, r hub.Report, err error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.avoid[to.Name] = time.Now()
+	for team, units := range r.Spent {
+		g.pending[team] += units
+	}
+	g.samples = append(r.Samples, g.samples...)
+	if g.hub == to.Name {
+		g.hub = ""
+	}
+	event.HubLost.On(g.i.log()).Str("hub", to.Name).Err(err).Send()
+}
+
+// take takes in the answer of the hub.
+func (g *gossip) take(to fleet.Node, r hub.Report, d hub.Digest) {
+	now := time.Now()
+	age := time.Duration(d.AgeMS) * time.Millisecond
+	if d.AgeMS >= 0 {
+		g.i.follower.Hear(d.Items, d.Whole, d.From, d.Revision, age)
+	}
+	g.mu.Lock()
+	spent := map[string]float64{}
+	if g.hubRun == d.Run {
+		for team, known := range d.Known {
+			spent[team] = max(0, known-g.hubKnown[team]-r.Spent[team])
+		}
+	}
+	if g.hub != d.Hub {
+		event.HubChosen.On(g.i.log()).Str("hub", d.Hub).Send()
+	}
+	g.hub, g.hubRun, g.hubKnown, g.hubItems = to.Name, d.Run, d.Known, d.Revision
+	g.heard, g.heardAge = now, age
+	if d.AgeMS < 0 {
+		g.heardAge = time.Hour
+	}
+	g.nodes = len(d.Nodes)
+	g.table.Spend(spent)
+	g.mu.Unlock()
+	others := map[string]place.Load{}
+	for id, l := range d.Loads {
+		others[id] = l.Minus(r.Loads[id])
+	}
+	g.i.scheduler.hear(now, hearing{loads: others, paces: d.Paces, nodes: d.Nodes, spent: spent})
+}
+
+// answer is the hub's part of a report.
+func (g *gossip) answer(r hub.Report) hub.Digest {
+	now := time.Now()
+	g.mu.Lock()
+	spent := g.table.Take(now, r)
+	leads := g.hub == ""
+	if !leads {
+		for team, units := range spent {
+			g.pending[team] += units
+		}
+		g.samples = append(g.samples, r.Samples...)
+	}
+	loads := g.table.Loads(now)
+	d := hub.Digest{
+		Hub: g.i.cfg.Name, Run: g.i.run1, Nodes: g.table.Nodes(now), Known: g.table.Known(), Paces: g.table.Paces(now),
+		Sick: g.table.Sick(now), From: r.Revision,
+	}
+	g.mu.Unlock()
+	if leads {
+		g.i.judge(r.Samples)
+	}
+	g.i.scheduler.spend(now, spent)
+	if len(r.Items) > 0 && r.AgeMS >= 0 {
+		g.i.follower.Hear(r.Items, false, g.i.follower.Revision(), r.Revision, time.Duration(r.AgeMS)*time.Millisecond)
+	}
+	for id, l := range g.i.scheduler.own() {
+		loads[id] = loads[id].Plus(l)
+	}
+	d.Loads = loads
+	d.Items, d.Whole, d.Revision = g.i.follower.After(r.Revision)
+	d.AgeMS = g.i.storeAge()
+	if d.AgeMS < 0 {
+		d.Items, d.Whole = nil, false
+	}
+	return d
+}
--- /dev/null
+++ b/mustardseam/entry/hearing.go
@@ -0,0 +1,49 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/mustardseam/mustardseam/mustardseam/place"
+)
+
+// hearing is what an instance hears from the others.
+type hearing struct {
+	loads map[string]place.Load // That they have sent, by id of the backend server.
+	paces map[string]float64    // Milliseconds from token to token.
+	nodes []string              // Instances that run, this one included.
+	spent map[string]float64    // Units that they admitted since the last word, by team.
+	alone bool                  // Nobody reported lately.
+}
+
+// told returns what the others are to know of this instance and counts the units as told.
+func (s *Scheduler) told(time.Time) (own map[string]place.Load, paces map[string]float64, spent map[string]float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.board.Own(), s.board.Paces(), s.quota.Spent()
+}
+
+// own returns what this instance has sent.
+func (s *Scheduler) own() map[string]place.Load {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.board.Own()
+}
+
+// hear takes in what the others said.
+func (s *Scheduler) hear(now time.Time, h hearing) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.board.SetOthers(h.loads)
+	s.board.Teach(h.paces)
+	s.nodes = h.nodes
+	if !h.alone {
+		s.quota.Hear(now, h.spent)
+	}
+}
+
+// spend takes in units that another instance admitted.
+func (s *Scheduler) spend(now time.Time, spent map[string]float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.quota.Hear(now, spent)
+}
--- /dev/null
+++ b/mustardseam/entry/metrics.go
@@ -0,0 +1,44 @@
+package entry
+
+import (
+	"io"
+	"strconv"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+// meters are the counters and histograms of an instance.
+type meters struct {
+	set      *metrics.Set
+	requests *metrics.Counter
+	retries  *metrics.Counter
+	resumed  *metrics.Counter
+	first    *metrics.Histogram // Seconds from the arrival to the first event.
+	total    *metrics.Histogram // Seconds from the arrival to the end.
+}
+
+func newMeters(i *Instance) *meters {
+	set := metrics.NewSet()
+	set.NewGauge("mustardseam_requests_active", func() float64 { return float64(i.active.Load()) })
+	set.NewGauge("mustardseam_requests_waiting", func() float64 { return float64(i.scheduler.Waiting()) })
+	set.NewGauge("mustardseam_log_lines_dropped", func() float64 { return float64(i.cfg.Log.Dropped()) })
+	set.NewGauge("mustardseam_store_revision", func() float64 { return float64(i.view.Load().Revision) })
+	set.NewGauge("mustardseam_backend_connections_opened", func() float64 { return float64(i.client.Dials()) })
+	return &meters{
+		set:      set,
+		requests: set.NewCounter("mustardseam_requests_total"),
+		retries:  set.NewCounter("mustardseam_retries_total"),
+		resumed:  set.NewCounter("mustardseam_streams_resumed_total"),
+		first:    set.NewHistogram("mustardseam_first_event_seconds"),
+		total:    set.NewHistogram("mustardseam_request_seconds"),
+	}
+}
+
+// done counts a request that has ended.
+func (m *meters) done(a *attempt) {
+	m.set.GetOrCreateCounter(`mustardseam_answers_total{status="` + strconv.Itoa(a.status) + `"}`).Inc()
+	m.total.UpdateDuration(a.exchange.Arrived)
+}
+
+// WriteMetrics writes the counters and histograms as text.
+func (i *Instance) WriteMetrics(w io.Writer) { i.metrics.set.WritePrometheus(w) }
--- /dev/null
+++ b/mustardseam/entry/stop.go
@@ -0,0 +1,54 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/mustardseam/mustardseam/mustardseam/event"
+)
+
+const (
+	// unlistTime is how long after the signal to stop callers may still be sent here: two checks, a second apart, and their
+	// way.
+	unlistTime = 2500 * time.Millisecond
+	// refuseBefore is how long before the end of the grace period new requests are refused as not run, since their answers
+	// could not be finished.
+	refuseBefore = 2500 * time.Millisecond
+	// exitBefore is kept from the grace period for the end of the process.
+	exitBefore = 300 * time.Millisecond
+	// stopPoll is how often a stop looks whether all callers have left.
+	stopPoll = 50 * time.Millisecond
+	// closeLog bounds the writing of the last log lines.
+	closeLog = 100 * time.Millisecond
+)
+
+// Stop ends the instance within the grace period: it asks to get no more callers, answers those that come all the same,
+// and ends when all have left.
+func (i *Instance) Stop() {
+	start := time.Now()
+	i.stopping.Store(&start)
+	event.Draining.On(i.log()).Int64("active", i.active.Load()).Send()
+	i.server.Drain()
+	i.sleep(unlistTime)
+	event.StopStep.On(i.log()).Str("step", "close idle connections").Int64("active", i.active.Load()).Send()
+	i.server.CloseIdle()
+	end := start.Add(i.cfg.Bounds.Grace - exitBefore)
+	for time.Now().Before(end) && (i.server.Open() > 0 || i.active.Load() > 0) {
+		i.sleep(stopPoll)
+	}
+	if n := i.active.Load(); n > 0 {
+		event.GraceOver.On(i.log()).Int64("active", n).Send()
+	}
+	i.server.Close()
+	i.cancel()
+	event.Stopped.On(i.log()).Send()
+	i.cfg.Log.Close(closeLog)
+}
+
+// tooLate reports whether a request that arrives now could not be finished before the end of the process.
+func (i *Instance) tooLate() bool {
+	start := i.stopping.Load()
+	return start != nil && time.Since(*start) > i.cfg.Bounds.Grace-refuseBefore
+}
+
+// Reload records that the settings were read again.
+func (i *Instance) Reload() { event.Reloaded.On(i.log()).Send() }
--- /dev/null
+++ b/mustardseam/entry/sweep.go
@@ -0,0 +1,15 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/mustardseam/mustardseam/mustardseam/fleet"
+)
+
+// sweep forgets accounts that are not used any more.
+func (s *Scheduler) sweep(now time.Time, listed func(fleet.Incarnation) bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.board.Sweep(now, listed)
+	s.cold.Sweep(now)
+}
--- /dev/null
+++ b/mustardseam/entry/try.go
@@ -0,0 +1,132 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/mustardseam/mustardseam/mustardseam/fleet"
+	"github.com/mustardseam/mustardseam/mustardseam/http1"
+	"github.com/mustardseam/mustardseam/mustardseam/place"
+)
+
+const (
+	// maxAnswer bounds the body of an answer that is not a stream, in bytes; it is held in memory until it is complete.
+	maxAnswer = 8 << 20
+	// onceIdle is the longest idle time of a connection that carries a request that may run only once: a backend server may
+	// close an idle connection as the request arrives, and the request would be lost.
+	onceIdle = time.Second
+)
+
+// try sends a request to the backend server of a grant and hands its answer on.
+func (i *Instance) try(ctx context.Context, a *attempt, g *Grant) fate {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	sent := time.Now()
+	a.sends++
+	w := i.watch(a, g, cancel)
+	defer w.stop()
+	resp, err := i.client.Do(ctx, i.call(a, g))
+	if err != nil {
+		return i.failed(ctx, a, g, err)
+	}
+	defer resp.Close()
+	verdict := i.cfg.Wire.Verdict(&resp.Header)
+	status := resp.Header.StatusCode()
+	switch {
+	case verdict == NotRun || verdict == Elsewhere:
+		_, _ = resp.Body(maxAnswer)
+		a.reason = "backend server did not run the request"
+		i.scheduler.Finish(g, place.Outcome{Refused: true})
+		return again
+	case verdict == Unsigned || len(resp.Header.Peek(fasthttp.HeaderContentEncoding)) > 0:
+		a.runs++
+		a.reason = "answer is not the backend server's"
+		i.scheduler.Finish(g, place.Outcome{Answered: true})
+		return again
+	}
+	if a.route.Kind == fleet.Stream && status/100 == 2 {
+		return i.stream(ctx, a, g, resp, sent, w)
+	}
+	return i.plain(ctx, a, g, resp, sent)
+}
+
+// call makes the request to the backend server of a grant.
+func (i *Instance) call(a *attempt, g *Grant) http1.Call {
+	left := time.Until(a.job.Deadline)
+	f := Forward{
+		Server: g.Server, Keyed: a.view.Config.Keyed(), Left: left - transferTime, LastEvent: a.last,
+		Resumed: a.last != a.meta.LastEvent,
+	}
+	if a.team != nil {
+		f.Team = a.team.Name
+	}
+	call := http1.Call{
+		Server: g.Server, Head: i.cfg.Wire.Forward(a.exchange.Header, f), Body: a.exchange.Body, Deadline: a.job.Deadline,
+		Own: func(h *fasthttp.ResponseHeader) bool { return i.cfg.Wire.Own(h, a.meta.ID) },
+	}
+	if !a.route.Repeatable() {
+		call.Idle = onceIdle
+	}
+	return call
+}
+
+// failed judges a request without an answer.
+func (i *Instance) failed(ctx context.Context, a *attempt, g *Grant, err error) fate {
+	a.reason = err.Error()
+	notSent := errors.Is(err, http1.ErrNotSent)
+	if !notSent {
+		a.runs++
+	}
+	switch cause := context.Cause(ctx); {
+	case errors.Is(cause, http1.ErrGone):
+		i.scheduler.Finish(g, place.Outcome{Left: true})
+		a.reason = "caller has gone"
+		return left
+	case errors.Is(cause, errTimeout) || !time.Now().Before(a.job.Deadline):
+		// Silence up to the end speaks against the backend server only if it answered nothing else meanwhile.
+		i.scheduler.Finish(g, place.Outcome{Left: true})
+		return finished
+	}
+	i.scheduler.Finish(g, place.Outcome{})
+	return again
+}
+
+// plain hands on an answer in one piece.
+func (i *Instance) plain(ctx context.Context, a *attempt, g *Grant, resp *http1.Response, sent time.Time) fate {
+	body, err := resp.Body(maxAnswer)
+	if err != nil {
+		return i.failed(ctx, a, g, err)
+	}
+	a.runs++
+	status := resp.Header.StatusCode()
+	ok := status < fasthttp.StatusInternalServerError
+	i.scheduler.Finish(g, place.Outcome{Answered: true, OK: ok, Total: time.Since(sent)})
+	i.sample(a, g, ok, time.Since(sent), 0)
+	if !ok && a.mayRepeat() && i.scheduler.Retry(a.service) {
+		// The retry is paid for here; run would ask for it again.
+		a.job.Tried = append(a.job.Tried, g.Server.Incarnation())
+		if i.repeatFailed(ctx, a) {
+			return answered
+		}
+	}
+	a.status = status
+	a.reason = "answered"
+	a.exchange.Reply(i.cfg.Wire.Answer(&resp.Header), body)
+	return answered
+}
+
+// repeatFailed tries another backend server after a failure that was answered; when that fails too, the caller gets the
+// first failure.
+func (i *Instance) repeatFailed(ctx context.Context, a *attempt) bool {
+	i.metrics.retries.Inc()
+	i.logRetry(a)
+	g, err := i.scheduler.Obtain(ctx, a.service, a.job)
+	if err != nil {
+		return false
+	}
+	a.server = g.Server.ID
+	return i.try(ctx, a, g) == answered
+}
--- a/mustardseam/event/line.go
+++ b/mustardseam/event/line.go
@@ -20,6 +20,18 @@
 	return l
 }
 
+// Int adds a number.
+func (l *Line) Int(key string, value int) *Line {
+	l.e.Int(key, value)
+	return l
+}
+
+// Int64 adds a number.
+func (l *Line) Int64(key string, value int64) *Line {
+	l.e.Int64(key, value)
+	return l
+}
+
 // Err adds an error with the step and the peer at which it arose.
 func (l *Line) Err(err error) *Line {
 	l.e.Err(err)
--- /dev/null
+++ b/mustardseam/http1/call.go
@@ -0,0 +1,19 @@
+package http1
+
+import (
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/mustardseam/mustardseam/mustardseam/fleet"
+)
+
+// Call is a request to a backend server.
+type Call struct {
+	Server   *fleet.Server
+	Head     RequestHead
+	Body     []byte
+	Deadline time.Time
+	Idle     time.Duration                         // Longest idle time of a connection that is used again; 0 for any.
+	Own      func(h *fasthttp.ResponseHeader) bool // Reports whether an answer is the one to this request.
+}
--- /dev/null
+++ b/mustardseam/hub/report.go
@@ -0,0 +1,48 @@
+package hub
+
+import (
+	"github.com/mustardseam/mustardseam/mustardseam/place"
+	"github.com/mustardseam/mustardseam/mustardseam/store"
+)
+
+// Report is what an instance tells the hub.
+type Report struct {
+	Node     string                `json:"node"`
+	Run      int64                 `json:"run"`      // Tells the runs of an instance apart.
+	Sequence int64                 `json:"sequence"` // Rises with each report of a run.
+	Revision int64                 `json:"revision"` // Of the copy of the store.
+	AgeMS    int64                 `json:"age-ms"`   // Of the copy of the store; -1 without one.
+	Items    []store.Item          `json:"items,omitempty"`
+	Spent    map[string]float64    `json:"spent,omitempty"` // Units by team since the latest report that was answered.
+	Loads    map[string]place.Load `json:"loads,omitempty"` // By id of the backend server.
+	Paces    map[string]float64    `json:"paces,omitempty"` // Milliseconds from token to token.
+	Sick     []string              `json:"sick,omitempty"`  // Ids of backend servers that failed contacts.
+	Samples  []Sample              `json:"samples,omitempty"`
+	Stopping bool                  `json:"stopping,omitempty"`
+}
+
+// Sample is the outcome of a request to a service with a rollout.
+type Sample struct {
+	Service string  `json:"service"`
+	Route   string  `json:"route"`
+	Version string  `json:"version"`
+	OK      bool    `json:"ok"`
+	FirstMS float64 `json:"first-ms"` // To the first event or byte, against what was predicted; in hundredths.
+	PaceMS  float64 `json:"pace-ms"`  // From token to token; 0 when unknown.
+}
+
+// Digest is what the hub answers.
+type Digest struct {
+	Hub      string                `json:"hub"`
+	Run      int64                 `json:"run"`
+	Nodes    []string              `json:"nodes"` // Instances that reported lately, the hub included.
+	Known    map[string]float64    `json:"known"` // Units by team, over all instances, since the hub's start.
+	Loads    map[string]place.Load `json:"loads"` // Over all instances.
+	Paces    map[string]float64    `json:"paces,omitempty"`
+	Sick     map[string]int        `json:"sick,omitempty"` // Instances that failed to reach a backend server.
+	From     int64                 `json:"from"`           // Revision that the items follow.
+	Revision int64                 `json:"revision"`
+	AgeMS    int64                 `json:"age-ms"`
+	Whole    bool                  `json:"whole"` // The items are all there are.
+	Items    []store.Item          `json:"items,omitempty"`
+}
--- /dev/null
+++ b/mustardseam/hub/server.go
@@ -0,0 +1,53 @@
+package hub
+
+import (
+	"encoding/json"
+	"net"
+	"time"
+
+	"github.com/gofiber/fiber/v3"
+	"github.com/rotisserie/eris"
+)
+
+// serverTime bounds reading and writing a message.
+const serverTime = 5 * time.Second
+
+// ServerConfig says where reports arrive and who answers them.
+type ServerConfig struct {
+	Listener net.Listener
+	Answer   func(r Report) Digest
+	Dump     func() any // State of the instance, for GET /state.
+}
+
+// Server answers reports.
+type Server struct {
+	app  *fiber.App
+	done chan struct{}
+	err  error // Valid after done is closed.
+}
+
+// NewServer starts to answer.
+func NewServer(cfg ServerConfig) *Server {
+	app := fiber.New(fiber.Config{
+		BodyLimit: maxBody, ReadTimeout: serverTime, WriteTimeout: serverTime, IdleTimeout: 2 * maxIdle,
+	})
+	app.Post(path, func(c fiber.Ctx) error {
+		var r Report
+		if err := json.Unmarshal(c.Body(), &r); err != nil || r.Node == "" {
+			return c.SendStatus(fiber.StatusBadRequest)
+		}
+		return c.JSON(cfg.Answer(r))
+	})
+	app.Get("/state", func(c fiber.Ctx) error { return c.JSON(cfg.Dump()) })
+	s := &Server{app: app, done: make(chan struct{})}
+	go func() {
+		defer close(s.done)
+		s.err = app.Listener(cfg.Listener, fiber.ListenConfig{DisableStartupMessage: true})
+	}()
+	return s
+}
+
+// Close ends the server.
+func (s *Server) Close() error {
+	return eris.Wrap(s.app.ShutdownWithTimeout(serverTime), "close the server of reports")
+}
--- /dev/null
+++ b/mustardseam/place/account.go
@@ -0,0 +1,69 @@
+package place
+
+import "time"
+
+const (
+	// smoothing is the weight of a new measurement in a moving average.
+	smoothing = 0.2
+	// failSmoothing is the weight of an outcome in the share of failures.
+	failSmoothing = 0.15
+	// firstPause is how long a backend server is avoided after the first failed contact; it doubles up to maxPause. Crashed
+	// ones are back after two to six seconds.
+	firstPause = 400 * time.Millisecond
+	maxPause   = 3 * time.Second
+)
+
+// account is what is known of one incarnation of a backend server.
+type account struct {
+	own      Load
+	others   Load
+	pace     average       // Milliseconds from token to token.
+	latency  average       // Milliseconds to the whole answer, for services without streams.
+	failures float64       // Share of answers that failed, 0 to 1.
+	misses   int           // Failed contacts in a row.
+	avoid    time.Time     // No request until then, except when there is no other choice.
+	pause    time.Duration // Of the latest avoidance.
+	answered time.Time     // Of the latest sign of life.
+	used     time.Time     // Of the latest dispatch.
+}
+
+func (a *account) load() Load { return a.own.Plus(a.others) }
+
+// miss takes in a contact that failed: no connection, a reset, or silence.
+func (a *account) miss(now time.Time) {
+	a.misses++
+	a.pause = min(max(firstPause, 2*a.pause), maxPause)
+	a.avoid = now.Add(a.pause)
+	a.failures += failSmoothing * (1 - a.failures)
+}
+
+// answer takes in an answer, good or failed.
+func (a *account) answer(now time.Time, ok bool) {
+	a.answered = now
+	if ok {
+		a.misses, a.pause, a.avoid = 0, 0, time.Time{}
+		a.failures -= failSmoothing * a.failures
+		return
+	}
+	a.failures += failSmoothing * (1 - a.failures)
+}
+
+// average is a moving average; its zero value has seen nothing.
+type average struct {
+	value float64
+	n     int
+}
+
+func (a *average) add(v float64) {
+	a.n++
+	w := max(smoothing, 1/float64(a.n))
+	a.value += w * (v - a.value)
+}
+
+// or returns the average, or another value when nothing was seen.
+func (a *average) or(v float64) float64 {
+	if a.n == 0 {
+		return v
+	}
+	return a.value
+}
--- /dev/null
+++ b/mustardseam/place/board.go
@@ -0,0 +1,320 @@
+package place
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/mustardseam/mustardseam/mustardseam/fleet"
+)
+
+// Values that hold until measurements replace them.
+const (
+	defaultPace    = 6.0  // Milliseconds from token to token.
+	defaultRead    = 40.0 // Prompt tokens read in a millisecond.
+	defaultLatency = 30.0 // Milliseconds of a plain service.
+	defaultService = 700. // Milliseconds that a request holds a slot of an engine.
+)
+
+const (
+	// firstTokenTime is what a request takes at an engine beside its prompt, in milliseconds.
+	firstTokenTime = 20.0
+	// chunk is the number of prompt tokens that an engine reads in one step beside the tokens of other requests.
+	chunk = 2048
+	// paceWeight is the weight of the time for the output against the time to the first event.
+	paceWeight = 0.25
+	// pausePenalty is added, in milliseconds, where the prompt would pause the streams beside it for longer than their
+	// callers hope.
+	pausePenalty = 400.0
+	// zonePenalty is added, in milliseconds, for a backend server in another data centre; bytes between them cost.
+	zonePenalty = 3.0
+	// failPenalty is added, in milliseconds, in proportion to the share of failures.
+	failPenalty = 4000.0
+	// similar is the part by which another choice may be worse and still be taken at random, so that instances that know the
+	// same do not all choose the same backend server.
+	similar = 0.12
+	// plainQueue is how many requests beyond its slots a plain service may have waiting; they are short.
+	plainQueue = 4
+	// retention is how long the account of an incarnation that is no longer listed is kept.
+	retention = time.Minute
+)
+
+// Board keeps the accounts of backend servers.
+type Board struct {
+	accounts map[fleet.Incarnation]*account
+	engines  map[string]*engineModel // By service.
+	random   func() float64
+}
+
+// engineModel is what the backend servers of a service have in common.
+type engineModel struct {
+	pace    average // Milliseconds from token to token, over all.
+	read    average // Prompt tokens in a millisecond at a backend server of average pace.
+	service average // Milliseconds that a request holds a slot.
+}
+
+// BoardConfig says how a board decides between like choices.
+type BoardConfig struct {
+	Random func() float64 // In [0, 1); the default source when nil.
+}
+
+// NewBoard returns a board without accounts.
+func NewBoard(cfg BoardConfig) *Board {
+	if cfg.Random == nil {
+		cfg.Random = rand.Float64
+	}
+	return &Board{accounts: map[fleet.Incarnation]*account{}, engines: map[string]*engineModel{}, random: cfg.Random}
+}
+
+// Choose returns the backend server for a job, or nil when none of the candidates has room. Deep is how far beyond its
+// slots a backend server may be filled.
+func (b *Board) Choose(now time.Time, svc *fleet.Service, servers []*fleet.Server, j *Job, deep int) *fleet.Server {
+	best, cost := b.cheapest(now, svc, servers, j, deep, false, nil)
+	if best == nil {
+		// All look sick or were tried: better a doubtful one than none.
+		best, cost = b.cheapest(now, svc, servers, j, deep, true, nil)
+	}
+	if best == nil {
+		return nil
+	}
+	if second, other := b.cheapest(now, svc, servers, j, deep, false, best); second != nil &&
+		other <= cost*(1+similar) && b.random() < 0.5 {
+		return second
+	}
+	return best
+}
+
+// cheapest returns the candidate with the least expected cost in milliseconds.
+func (b *Board) cheapest(now time.Time, svc *fleet.Service, servers []*fleet.Server, j *Job, deep int, any bool, not *fleet.Server,
+) (*fleet.Server, float64) {
+	var best *fleet.Server
+	least := 0.0
+	for _, s := range servers {
+		a := b.account(s)
+		if s == not || !b.room(a, svc, s, deep) {
+			continue
+		}
+		if !any && (j.tried(s.Incarnation()) || now.Before(a.avoid)) {
+			continue
+		}
+		if cost := b.cost(a, svc, s, j); best == nil || cost < least {
+			best, least = s, cost
+		}
+	}
+	return best, least
+}
+
+// room reports whether a backend server may get one more request.
+func (b *Board) room(a *account, svc *fleet.Service, s *fleet.Server, deep int) bool {
+	limit := max(1, s.Slots) + deep
+	if !svc.Engine {
+		limit += plainQueue
+	}
+	return a.load().Requests < limit
+}
+
+// cost predicts what a job takes at a backend server, in milliseconds: the wait for a slot, the reading of the prompts
+// before it and its own, and a part of its output.
+func (b *Board) cost(a *account, svc *fleet.Service, s *fleet.Server, j *Job) float64 {
+	m := b.model(svc.Name)
+	load := a.load()
+	cost := failPenalty * a.failures * a.failures
+	if s.DataCentre != j.DataCentre {
+		cost += zonePenalty
+	}
+	slots := max(1, s.Slots)
+	if !svc.Engine {
+		latency := a.latency.or(m.service.or(defaultLatency))
+		return cost + latency*(1+float64(load.Requests)/float64(slots))
+	}
+	speed := b.speed(a, m)
+	first := speed * (firstTokenTime + float64(load.Prompt+j.Prompt)/m.read.or(defaultRead))
+	if load.Requests >= slots {
+		first += speed * m.service.or(defaultService) * float64(load.Requests-slots+1) / float64(slots)
+	}
+	pace := a.pace.or(m.pace.or(defaultPace))
+	cost += first + paceWeight*pace*float64(j.Output)
+	if j.Gap > 0 && load.Requests > 0 && j.Prompt > chunk {
+		step := pace + speed*chunk/m.read.or(defaultRead)
+		if step*float64(max(1, svc.Stride)) > 0.8*float64(j.Gap.Milliseconds()) {
+			cost += pausePenalty
+		}
+	}
+	return cost
+}
+
+// First predicts the time to the first event of a job at a backend server.
+func (b *Board) First(svc *fleet.Service, s *fleet.Server, j *Job) time.Duration {
+	a, m := b.account(s), b.model(svc.Name)
+	if !svc.Engine {
+		return milliseconds(a.latency.or(m.service.or(defaultLatency)))
+	}
+	load := a.load()
+	first := b.speed(a, m) * (firstTokenTime + float64(load.Prompt+j.Prompt)/m.read.or(defaultRead))
+	if n := load.Requests - max(1, s.Slots) + 1; n > 0 {
+		first += b.speed(a, m) * m.service.or(defaultService) * float64(n) / float64(max(1, s.Slots))
+	}
+	return milliseconds(first)
+}
+
+// Start records that a job is sent to a backend server.
+func (b *Board) Start(now time.Time, s *fleet.Server, j *Job) {
+	a := b.account(s)
+	a.own.Requests++
+	a.own.Prompt += j.Prompt
+	a.used = now
+}
+
+// Began records the first event of a job; the prompt is read.
+func (b *Board) Began(now time.Time, svc *fleet.Service, s *fleet.Server, j *Job, first time.Duration) {
+	a, m := b.account(s), b.model(svc.Name)
+	a.own.Prompt = max(0, a.own.Prompt-j.Prompt)
+	a.answered = now
+	// Only a request that found a free slot and had something to read tells how fast prompts are read.
+	if ms := float64(first.Milliseconds()) - firstTokenTime; svc.Engine && j.Prompt > chunk/2 && a.load().Requests <= s.Slots && ms > 1 {
+		m.read.add(min(float64(j.Prompt+a.load().Prompt)*b.speed(a, m)/ms, 10*defaultRead))
+	}
+}
+
+// Outcome is how a job ended at a backend server.
+type Outcome struct {
+	Answered bool          // An answer came, good or not.
+	OK       bool          // The answer was a success and complete.
+	Refused  bool          // The backend server said that it did not run the job.
+	Left     bool          // The caller left or the deadline passed, which says nothing of the backend server.
+	First    bool          // The first event has come.
+	Total    time.Duration // From the sending to the end.
+	Pace     time.Duration // From token to token; 0 when unknown.
+}
+
+// Finish records the end of a job that was started.
+func (b *Board) Finish(now time.Time, svc *fleet.Service, s *fleet.Server, j *Job, o Outcome) {
+	a, m := b.account(s), b.model(svc.Name)
+	a.own.Requests = max(0, a.own.Requests-1)
+	if !o.First {
+		a.own.Prompt = max(0, a.own.Prompt-j.Prompt)
+	}
+	switch {
+	case o.Left:
+	case o.Refused:
+		a.answered = now
+	case o.Answered:
+		a.answer(now, o.OK)
+	default:
+		a.miss(now)
+	}
+	if !o.OK {
+		return
+	}
+	total := float64(o.Total.Microseconds()) / 1000
+	m.service.add(total)
+	if !svc.Engine {
+		a.latency.add(total)
+	}
+	if o.Pace > 0 {
+		ms := float64(o.Pace.Microseconds()) / 1000
+		a.pace.add(ms)
+		m.pace.add(ms)
+	}
+}
+
+// SetOthers replaces what the other instances have sent; backend servers that are not named have nothing from them.
+func (b *Board) SetOthers(others map[string]Load) {
+	for id, a := range b.accounts {
+		a.others = others[id.ID]
+	}
+}
+
+// Own returns what this instance has sent, by id of the backend server.
+func (b *Board) Own() map[string]Load {
+	own := map[string]Load{}
+	for id, a := range b.accounts {
+		if a.own != (Load{}) {
+			own[id.ID] = own[id.ID].Plus(a.own)
+		}
+	}
+	return own
+}
+
+// Paces returns the learned pace of backend servers by id, in milliseconds from token to token.
+func (b *Board) Paces() map[string]float64 {
+	paces := map[string]float64{}
+	for id, a := range b.accounts {
+		if a.pace.n > 0 {
+			paces[id.ID] = a.pace.value
+		}
+	}
+	return paces
+}
+
+// Teach sets the pace of backend servers of which nothing is known from measurements of other instances.
+func (b *Board) Teach(paces map[string]float64) {
+	for id, a := range b.accounts {
+		if ms, ok := paces[id.ID]; ok && a.pace.n == 0 && ms > 0 {
+			a.pace.value, a.pace.n = ms, 1
+		}
+	}
+}
+
+// Sweep forgets accounts that are not used any more.
+func (b *Board) Sweep(now time.Time, listed func(fleet.Incarnation) bool) {
+	for id, a := range b.accounts {
+		if !listed(id) && a.own.Requests == 0 && now.Sub(a.used) > retention {
+			delete(b.accounts, id)
+		}
+	}
+}
+
+// Answered returns when a backend server last showed a sign of life.
+func (b *Board) Answered(s *fleet.Server) time.Time { return b.account(s).answered }
+
+// Sick reports whether a backend server is avoided.
+func (b *Board) Sick(now time.Time, s *fleet.Server) bool { return now.Before(b.account(s).avoid) }
+
+// Inspection is what a board holds of a backend server.
+type Inspection struct {
+	ID       string  `json:"id"`
+	Service  string  `json:"service"`
+	Own      Load    `json:"own"`
+	Others   Load    `json:"others"`
+	PaceMS   float64 `json:"pace-ms"`
+	Failures float64 `json:"failures"`
+	Sick     bool    `json:"sick"`
+}
+
+// Inspect returns what is known of a backend server.
+func (b *Board) Inspect(now time.Time, s *fleet.Server) Inspection {
+	a := b.account(s)
+	return Inspection{
+		ID: s.ID, Service: s.Service, Own: a.own, Others: a.others, PaceMS: a.pace.value, Failures: a.failures,
+		Sick: now.Before(a.avoid),
+	}
+}
+
+// speed returns how much slower than the average a backend server is.
+func (b *Board) speed(a *account, m *engineModel) float64 {
+	if a.pace.n == 0 || m.pace.n == 0 || m.pace.value <= 0 {
+		return 1
+	}
+	return a.pace.value / m.pace.value
+}
+
+func (b *Board) account(s *fleet.Server) *account {
+	id := s.Incarnation()
+	a := b.accounts[id]
+	if a == nil {
+		a = &account{}
+		b.accounts[id] = a
+	}
+	return a
+}
+
+func (b *Board) model(service string) *engineModel {
+	m := b.engines[service]
+	if m == nil {
+		m = &engineModel{}
+		b.engines[service] = m
+	}
+	return m
+}
+
+func milliseconds(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
--- /dev/null
+++ b/mustardseam/place/job.go
@@ -0,0 +1,32 @@
+package place
+
+import (
+	"time"
+
+	"github.com/mustardseam/mustardseam/mustardseam/fleet"
+)
+
+// Job is what placing knows of a request.
+type Job struct {
+	Route      string
+	Team       string
+	Tier       int
+	DataCentre string // Of this instance.
+	Prompt     int    // Tokens to read.
+	Output     int    // Tokens to write, at most.
+	Gap        time.Duration
+	Objective  time.Time
+	Deadline   time.Time
+	Arrived    time.Time
+	Tried      []fleet.Incarnation // Backend servers that are not to be chosen again.
+}
+
+// tried reports whether a backend server has had the request.
+func (j *Job) tried(s fleet.Incarnation) bool {
+	for _, t := range j.Tried {
+		if t == s {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/mustardseam/place/queue.go
@@ -0,0 +1,116 @@
+package place
+
+import (
+	"sort"
+	"time"
+)
+
+// Waiting is a job in a queue.
+type Waiting struct {
+	Job   *Job
+	Until time.Time // It is refused when it has not been placed by then.
+	seq   uint64
+}
+
+// Queue holds the jobs of one service that wait for room, in the order in which they are to be placed: by tier; within a
+// tier those that can still meet their objective before the late ones, then teams with less running, then by arrival.
+type Queue struct {
+	waiting []*Waiting
+	next    uint64
+	placed  rate
+}
+
+// Len returns the number of waiting jobs.
+func (q *Queue) Len() int { return len(q.waiting) }
+
+// Add lets a job wait.
+func (q *Queue) Add(w *Waiting) {
+	q.next++
+	w.seq = q.next
+	q.waiting = append(q.waiting, w)
+}
+
+// Remove takes a job out; it is false when the job does not wait any more.
+func (q *Queue) Remove(w *Waiting) bool {
+	for i, other := range q.waiting {
+		if other == w {
+			q.waiting = append(q.waiting[:i], q.waiting[i+1:]...)
+			return true
+		}
+	}
+	return false
+}
+
+// Place offers the waiting jobs in order to try and removes those for which it is true. It stops at the first job that
+// finds no room when stop is true for it, because those behind it would find none either.
+func (q *Queue) Place(now time.Time, running func(team string) int, try func(*Waiting) (placed, stop bool)) {
+	if len(q.waiting) == 0 {
+		return
+	}
+	sort.Slice(q.waiting, func(i, j int) bool { return q.before(now, running, q.waiting[i], q.waiting[j]) })
+	rest := q.waiting[:0]
+	stopped := false
+	for _, w := range q.waiting {
+		if stopped {
+			rest = append(rest, w)
+			continue
+		}
+		placed, stop := try(w)
+		if !placed {
+			rest = append(rest, w)
+			stopped = stop
+			continue
+		}
+		q.placed.add(now)
+	}
+	clear(q.waiting[len(rest):])
+	q.waiting = rest
+}
+
+// Expired removes and returns the jobs whose wait is over.
+func (q *Queue) Expired(now time.Time) []*Waiting {
+	var out []*Waiting
+	rest := q.waiting[:0]
+	for _, w := range q.waiting {
+		if now.Before(w.Until) {
+			rest = append(rest, w)
+		} else {
+			out = append(out, w)
+		}
+	}
+	clear(q.waiting[len(rest):])
+	q.waiting = rest
+	return out
+}
+
+// Wait predicts how long a job of a tier would wait behind those of its own and higher tiers; it is 0 when nothing of
+// them waits, and false when nothing was placed lately that would tell.
+func (q *Queue) Wait(now time.Time, tier int) (time.Duration, bool) {
+	ahead := 0
+	for _, w := range q.waiting {
+		if w.Job.Tier <= tier {
+			ahead++
+		}
+	}
+	if ahead == 0 {
+		return 0, true
+	}
+	perSecond := q.placed.perSecond(now)
+	if perSecond <= 0 {
+		return 0, false
+	}
+	return time.Duration(float64(ahead) / perSecond * float64(time.Second)), true
+}
+
+func (q *Queue) before(now time.Time, running func(string) int, a, b *Waiting) bool {
+	if a.Job.Tier != b.Job.Tier {
+		return a.Job.Tier < b.Job.Tier
+	}
+	if la, lb := now.After(a.Job.Objective), now.After(b.Job.Objective); la != lb {
+		return lb
+	}
+	if ra, rb := running(a.Job.Team), running(b.Job.Team); ra != rb {
+		return ra < rb
+	}
+	return a.seq < b.seq
+}
--- /dev/null
+++ b/mustardseam/share/cold.go
@@ -0,0 +1,117 @@
+package share
+
+import (
+	"hash/fnv"
+	"time"
+
+	"github.com/mustardseam/mustardseam/mustardseam/fleet"
+)
+
+// ColdConfig bounds what cold backend servers get from all instances together.
+type ColdConfig struct {
+	Excess float64 // Times the rate that a cold backend server bears.
+	Slack  float64 // Requests in a second beyond that.
+}
+
+const (
+	// coldPart is the part of the bound that is used; the rest covers instances that see other members.
+	coldPart = 0.6
+	// leastShare is the fewest requests in a second that make it worth to let an instance use a cold backend server.
+	leastShare = 1.0
+)
+
+// Cold admits requests to cold backend servers; it is not safe for concurrent use.
+type Cold struct {
+	cfg     ColdConfig
+	servers map[fleet.Incarnation]*window
+}
+
+// NewCold returns a bound without accounts.
+func NewCold(cfg ColdConfig) *Cold {
+	return &Cold{cfg: cfg, servers: map[fleet.Incarnation]*window{}}
+}
+
+// Allowed returns how many requests an instance may send to a cold backend server in a second. The bound is dealt to as
+// many instances as get a useful share; which ones these are follows from hashes that all instances compute alike.
+func (c *Cold) Allowed(rate float64, s *fleet.Server, self string, nodes []string) int {
+	bound := coldPart * (rate*c.cfg.Excess + c.cfg.Slack)
+	holders := max(1, min(len(nodes), int(bound/leastShare)))
+	if rank(s.ID, self, nodes) >= holders {
+		return 0
+	}
+	return int(bound / float64(holders))
+}
+
+// Take takes one of allowed requests in a second to a cold backend server.
+func (c *Cold) Take(now time.Time, s *fleet.Server, allowed int) bool {
+	w := c.servers[s.Incarnation()]
+	if w == nil {
+		w = &window{}
+		c.servers[s.Incarnation()] = w
+	}
+	return w.take(now, allowed)
+}
+
+// Free reports whether a request could be taken.
+func (c *Cold) Free(now time.Time, s *fleet.Server, allowed int) bool {
+	w := c.servers[s.Incarnation()]
+	return allowed > 0 && (w == nil || w.used(now) < allowed)
+}
+
+// Sweep forgets backend servers that got nothing lately.
+func (c *Cold) Sweep(now time.Time) {
+	for id, w := range c.servers {
+		if w.used(now) == 0 {
+			delete(c.servers, id)
+		}
+	}
+}
+
+// rank returns the place of an instance in the order of hashes for a backend server.
+func rank(server, self string, nodes []string) int {
+	own := score(server, self)
+	n := 0
+	for _, node := range nodes {
+		if s := score(server, node); node != self && (s > own || s == own && node > self) {
+			n++
+		}
+	}
+	return n
+}
+
+// score is the weight of an instance for a key in rendezvous hashing (Thaler and Ravishankar, 1998).
+func score(key, node string) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(key))
+	_, _ = h.Write([]byte{0})
+	_, _ = h.Write([]byte(node))
+	x := h.Sum64()
+	// FNV mixes its last bytes badly; this is the finalizer of MurmurHash3.
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	return x
+}
+
+// window counts requests in a sliding window.
+type window struct {
+	times []time.Time
+}
+
+// span is a little more than the second in which requests to cold backend servers are counted, for the time on the way.
+const span = 1100 * time.Millisecond
+
+func (w *window) used(now time.Time) int {
+	for len(w.times) > 0 && now.Sub(w.times[0]) >= span {
+		w.times = w.times[1:]
+	}
+	return len(w.times)
+}
+
+func (w *window) take(now time.Time, limit int) bool {
+	if w.used(now) >= limit {
+		return false
+	}
+	w.times = append(w.times, now)
+	return true
+}
--- a/mustardseam/tcp/accepted.go
+++ b/mustardseam/tcp/accepted.go
@@ -39,6 +39,9 @@
 	return c.Conn.Write(b)
 }
 
+// NetConn returns the connection below, for options of the socket.
+func (c *accepted) NetConn() net.Conn { return c.Conn }
+
 // Close closes the connection.
 func (c *accepted) Close() error {
 	if c.closed.CompareAndSwap(false, true) {
