--- a/mustardseam/share/quota.go
+++ b/mustardseam/share/quota.go
@@ -7,11 +7,19 @@
 )
 
 const (
-	// quotaSlack is the part of the tolerance of a quota that an instance uses at once; the rest covers what the others use
-	// before it is heard of.
-	quotaSlack = 0.35
+	// quotaSlack is the part of the tolerance of a quota that is used. The rest covers what is on its way when the bound is
+	// reached.
+	quotaSlack = 0.85
 	// hearing is how long a word of the others counts; without one, an instance keeps to its standing share.
 	hearing = 1500 * time.Millisecond
+	// unheard is the time for which the use by others is assumed to have gone on since the latest word: two intervals
+	// between reports, one until the hub knows and one until this instance does.
+	unheard = 500 * time.Millisecond
+	// rateSmoothing is the weight of a measurement over rateSpan in the rate of the others' use.
+	rateSmoothing = 0.3
+	rateSpan      = 200 * time.Millisecond
+	// minHearing keeps words that arrive together from looking like a high rate.
+	minHearing = 20 * time.Millisecond
 )
 
 // QuotaConfig is the tolerance of quotas.
@@ -32,6 +40,7 @@
 type teamQuota struct {
 	bucket Bucket
 	spent  float64 // Units that this instance admitted and has not told.
+	others float64 // Units per second that the others admit.
 }
 
 // NewQuota returns a quota without accounts.
@@ -44,9 +53,9 @@
 		return true, 0
 	}
 	t := q.account(team.Name)
-	part := 1.0
+	part, reserve := 1.0, t.others*unheard.Seconds()
 	if now.Sub(q.heard) > hearing {
-		part = 1 / float64(max(1, instances))
+		part, reserve = 1/float64(max(1, instances)), 0
 	}
 	slack := q.cfg.Slack + q.cfg.Excess*(team.Rate*q.cfg.Window.Seconds()+team.Burst)
 	rate, burst := team.Rate*part, (team.Burst+quotaSlack*slack)*part
@@ -54,9 +63,12 @@
 		t.bucket.Resize(now, rate, burst)
 	}
 	// A request that is larger than the bucket would never be admitted; it may take the bucket when that is full.
-	if !t.bucket.Take(now, min(units, burst)) {
-		return false, t.bucket.Until(now, min(units, burst))
+	reserve = min(reserve, burst/2)
+	units = min(units, burst-reserve)
+	if t.bucket.Until(now, units+reserve) > 0 {
+		return false, t.bucket.Until(now, units+reserve)
 	}
+	t.bucket.Drain(now, units)
 	t.spent += units
 	return true, 0
 }
@@ -83,12 +95,17 @@
 
 // Hear takes in what the other instances have admitted since the last call, by team.
 func (q *Quota) Hear(now time.Time, others map[string]float64) {
+	passed := max(now.Sub(q.heard), minHearing).Seconds()
 	q.heard = now
 	for name, units := range others {
 		if units != 0 {
 			q.account(name).bucket.Drain(now, units)
 		}
 	}
+	for name, t := range q.teams {
+		w := min(1, rateSmoothing*passed/rateSpan.Seconds())
+		t.others += w * (others[name]/passed - t.others)
+	}
 }
 
 func (q *Quota) account(team string) *teamQuota {
--- a/mustardseam/store/follower.go
+++ b/mustardseam/store/follower.go
@@ -46,7 +46,7 @@
 
 	mu       sync.Mutex
 	copy     *Copy
-	fresh    time.Time // Of the start of the latest call that the store answered; guarded by mu.
+	fresh    time.Time // Of the latest answer of the store; guarded by mu.
 	lost     bool      // Guarded by mu.
 	returned time.Time // When the store answered again after an outage; guarded by mu.
 }
@@ -173,13 +173,13 @@
 func (f *Follower) list() error {
 	ctx, cancel := context.WithTimeout(f.ctx, listTime)
 	defer cancel()
-	start := time.Now()
+
 	items, revision, err := f.cfg.Client.List(ctx)
 	if err != nil {
 		return err
 	}
 	f.mu.Lock()
-	f.note(start)
+	f.note(time.Now())
 	f.tell(f.copy.Reset(items, revision), time.Now())
 	return nil
 }
@@ -195,21 +195,21 @@
 	}
 	ctx, cancel := context.WithTimeout(f.ctx, wait+answer)
 	defer cancel()
-	start := time.Now()
+
 	items, revision, err := f.cfg.Client.Watch(ctx, after, wait)
 	if err != nil {
 		return err
 	}
 	f.mu.Lock()
-	f.note(start)
+	f.note(time.Now())
 	f.tell(f.copy.Apply(items, revision), time.Now())
 	return nil
 }
 
-// note records that a call that began at a time was answered; mu is held.
-func (f *Follower) note(start time.Time) {
-	if start.After(f.fresh) {
-		f.fresh = start
+// note records that the store answered at a time; mu is held.
+func (f *Follower) note(at time.Time) {
+	if at.After(f.fresh) {
+		f.fresh = at
 	}
 }
 
