Give instances preferences of their own and shorten the time between reports

Change: a bias by hash of instance and replica, in proportion to the requests that an instance has not heard of; a replica that refused is passed over for 200 ms; reports every 120 ms, fewer where the hub has little processor; the quota's reserve follows the measured interval.

--- a/mustardseam/entry/gossip.go
+++ b/mustardseam/entry/gossip.go
@@ -55,7 +55,8 @@
 func (g *gossip) run() {
 	for g.i.ctx.Err() == nil {
 		now := time.Now()
-		if target, ok := g.target(now); ok {
+		target, ok := g.target(now)
+		if ok {
 			g.report(target)
 		} else {
 			g.lead(now)
@@ -65,7 +66,9 @@
 		g.mu.Lock()
 		n := g.nodes
 		g.mu.Unlock()
-		g.i.sleep(hub.Interval(n))
+		interval := hub.Interval(n, target.Cores)
+		g.i.scheduler.setLag(2 * interval)
+		g.i.sleep(interval - min(interval/2, time.Since(now)))
 	}
 }
 
@@ -91,15 +94,15 @@
 		}
 	}
 	if len(nodes) > 0 {
-		return fleet.Node{}, false
+		return fleet.Node{Cores: g.i.cfg.Cores}, false
 	}
 	// Nothing is known of the others: a seed may hold a copy of the store.
 	for _, seed := range g.i.cfg.Seeds {
 		if seed != g.i.cfg.PeerAddr && now.Sub(g.avoid[seed]) >= hubPause {
-			return fleet.Node{Name: seed, Address: seed}, true
+			return fleet.Node{Name: seed, Address: seed, Cores: g.i.cfg.Cores}, true
 		}
 	}
-	return fleet.Node{}, false
+	return fleet.Node{Cores: g.i.cfg.Cores}, false
 }
 
 // lead does what the hub does for itself.
--- a/mustardseam/entry/hearing.go
+++ b/mustardseam/entry/hearing.go
@@ -47,3 +47,25 @@
 	defer s.mu.Unlock()
 	s.quota.Hear(now, spent)
 }
+
+// setLag says how old the word of the others is when it arrives, on average.
+func (s *Scheduler) setLag(lag time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	servers := 0
+	v := s.cfg.view()
+	for _, srv := range v.Servers {
+		if v.Config == nil {
+			break
+		}
+		if svc := v.Config.Service(srv.Service); svc != nil && svc.Engine {
+			servers++
+		}
+	}
+	if servers == 0 {
+		return
+	}
+	others := s.starts.PerSecond(now) * float64(max(0, len(s.nodes)-1))
+	s.board.SetUnheard(others * lag.Seconds() / float64(servers))
+}
--- a/mustardseam/entry/scheduler.go
+++ b/mustardseam/entry/scheduler.go
@@ -44,6 +44,7 @@
 	cold      *share.Cold
 	nodes     []string // Instances that are believed to run, this one included.
 	pumping   bool
+	starts    place.Rate          // Requests that this instance sent to engines.
 	exposures map[string]exposure // By service.
 }
 
@@ -65,7 +66,7 @@
 
 func newScheduler(cfg schedulerConfig) *Scheduler {
 	return &Scheduler{
-		cfg: cfg, board: place.NewBoard(place.BoardConfig{}), queues: map[string]*place.Queue{},
+		cfg: cfg, board: place.NewBoard(place.BoardConfig{Self: cfg.node}), queues: map[string]*place.Queue{},
 		grants: map[*place.Waiting]chan<- *Grant{}, running: map[string]int{}, nodes: []string{cfg.node},
 		quota: share.NewQuota(cfg.bounds.Quota), budget: share.NewBudget(cfg.bounds.Budget),
 		cold: share.NewCold(cfg.bounds.Cold), exposures: map[string]exposure{},
@@ -311,6 +312,9 @@
 	}
 	g := &Grant{Server: srv, Service: svc, First: s.board.First(svc, srv, j), job: j}
 	s.board.Start(now, srv, j)
+	if svc.Engine {
+		s.starts.Add(now)
+	}
 	s.exposed(v, srv)
 	s.running[j.Team]++
 	return g
--- a/mustardseam/hub/interval.go
+++ b/mustardseam/hub/interval.go
@@ -3,14 +3,19 @@
 import "time"
 
 const (
-	// intervalBase and intervalPerNode make the time between reports grow with the fleet, so that a hub gets at most some
-	// 150 reports a second, which take about 4 % of a core.
-	intervalBase    = 120 * time.Millisecond
-	intervalPerNode = 6 * time.Millisecond
-	intervalMax     = time.Second
+	// leastInterval is the time between the reports of an instance in a small fleet.
+	leastInterval = 120 * time.Millisecond
+	// mostInterval bounds it in a large one.
+	mostInterval = time.Second
+	// reportsPerCore is the number of reports that a core answers in a second while a tenth of it is used for that.
+	reportsPerCore = 600.0
 )
 
-// Interval returns the time between the reports of an instance in a fleet of a size.
-func Interval(nodes int) time.Duration {
-	return min(intervalMax, intervalBase+time.Duration(nodes)*intervalPerNode)
+// Interval returns the time between the reports of an instance in a fleet of a size whose hub has a share of a core.
+func Interval(nodes int, cores float64) time.Duration {
+	if cores <= 0 {
+		return mostInterval
+	}
+	d := time.Duration(float64(nodes) / (reportsPerCore * cores) * float64(time.Second))
+	return max(leastInterval, min(mostInterval, d))
 }
--- a/mustardseam/place/account.go
+++ b/mustardseam/place/account.go
@@ -15,6 +15,8 @@
 
 // account is what is known of one incarnation of a backend server.
 type account struct {
+	bias     float64   // Of this instance against the backend server, in [0, 1).
+	full     time.Time // It refused for want of room; no request until then.
 	own      Load
 	others   Load
 	pace     average       // Milliseconds from token to token.
--- a/mustardseam/place/board.go
+++ b/mustardseam/place/board.go
@@ -1,6 +1,7 @@
 package place
 
 import (
+	"hash/fnv"
 	"math/rand/v2"
 	"time"
 
@@ -29,6 +30,12 @@
 	zonePenalty = 3.0
 	// failPenalty is added, in milliseconds, in proportion to the share of failures.
 	failPenalty = 4000.0
+	// unheardBias is the cost, in milliseconds, by which the preferences of instances differ when each backend server gets a
+	// request that an instance has not heard of. Without it all instances choose the same backend server from the same old
+	// word of the others and fill its queue.
+	unheardBias = 400.0
+	// fullPause is how long a backend server that refused a request for want of room is passed over.
+	fullPause = 200 * time.Millisecond
 	// similar is the part by which another choice may be worse and still be taken at random, so that instances that know the
 	// same do not all choose the same backend server.
 	similar = 0.12
@@ -43,6 +50,8 @@
 	accounts map[fleet.Incarnation]*account
 	engines  map[string]*engineModel // By service.
 	random   func() float64
+	self     string
+	unheard  float64
 }
 
 // engineModel is what the backend servers of a service have in common.
@@ -55,6 +64,7 @@
 // BoardConfig says how a board decides between like choices.
 type BoardConfig struct {
 	Random func() float64 // In [0, 1); the default source when nil.
+	Self   string         // Name of this instance, which makes its preferences its own.
 }
 
 // NewBoard returns a board without accounts.
@@ -62,7 +72,7 @@
 	if cfg.Random == nil {
 		cfg.Random = rand.Float64
 	}
-	return &Board{accounts: map[fleet.Incarnation]*account{}, engines: map[string]*engineModel{}, random: cfg.Random}
+	return &Board{accounts: map[fleet.Incarnation]*account{}, engines: map[string]*engineModel{}, random: cfg.Random, self: cfg.Self}
 }
 
 // Choose returns the backend server for a job, or nil when none of the candidates has room. Deep is how far beyond its
@@ -90,7 +100,7 @@
 	least := 0.0
 	for _, s := range servers {
 		a := b.account(s)
-		if s == not || !b.room(a, svc, s, deep) {
+		if s == not || now.Before(a.full) || !b.room(a, svc, s, deep) {
 			continue
 		}
 		if !any && (j.tried(s.Incarnation()) || now.Before(a.avoid)) {
@@ -117,7 +127,7 @@
 func (b *Board) cost(a *account, svc *fleet.Service, s *fleet.Server, j *Job) float64 {
 	m := b.model(svc.Name)
 	load := a.load()
-	cost := failPenalty * a.failures * a.failures
+	cost := failPenalty*a.failures*a.failures + unheardBias*min(1, b.unheard)*a.bias
 	if s.DataCentre != j.DataCentre {
 		cost += zonePenalty
 	}
@@ -197,6 +207,7 @@
 	case o.Left:
 	case o.Refused:
 		a.answered = now
+		a.full = now.Add(fullPause)
 	case o.Answered:
 		a.answer(now, o.OK)
 	default:
@@ -217,6 +228,9 @@
 	}
 }
 
+// SetUnheard says how many requests the others send to a backend server, on average, before this instance hears of them.
+func (b *Board) SetUnheard(n float64) { b.unheard = n }
+
 // SetOthers replaces what the other instances have sent; backend servers that are not named have nothing from them.
 func (b *Board) SetOthers(others map[string]Load) {
 	for id, a := range b.accounts {
@@ -302,7 +316,7 @@
 	id := s.Incarnation()
 	a := b.accounts[id]
 	if a == nil {
-		a = &account{}
+		a = &account{bias: bias(b.self, s.ID)}
 		b.accounts[id] = a
 	}
 	return a
@@ -317,4 +331,18 @@
 	return m
 }
 
+// bias returns a number in [0, 1) that differs between instances and between backend servers.
+func bias(self, server string) float64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(server))
+	_, _ = h.Write([]byte{0})
+	_, _ = h.Write([]byte(self))
+	// FNV mixes its last bytes badly; this is the finalizer of MurmurHash3.
+	x := h.Sum64()
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	return float64(x>>11) / (1 << 53)
+}
+
 func milliseconds(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
--- a/mustardseam/place/queue.go
+++ b/mustardseam/place/queue.go
@@ -17,7 +17,7 @@
 type Queue struct {
 	waiting []*Waiting
 	next    uint64
-	placed  rate
+	placed  Rate
 }
 
 // Len returns the number of waiting jobs.
@@ -61,7 +61,7 @@
 			stopped = stop
 			continue
 		}
-		q.placed.add(now)
+		q.placed.Add(now)
 	}
 	clear(q.waiting[len(rest):])
 	q.waiting = rest
@@ -95,7 +95,7 @@
 	if ahead == 0 {
 		return 0, true
 	}
-	perSecond := q.placed.perSecond(now)
+	perSecond := q.placed.PerSecond(now)
 	if perSecond <= 0 {
 		return 0, false
 	}
--- a/mustardseam/share/quota.go
+++ b/mustardseam/share/quota.go
@@ -9,14 +9,14 @@
 const (
 	// quotaSlack is the part of the tolerance of a quota that is used. The rest covers what is on its way when the bound is
 	// reached.
-	quotaSlack = 0.85
+	quotaSlack = 0.8
 	// hearing is how long a word of the others counts; without one, an instance keeps to its standing share.
 	hearing = 1500 * time.Millisecond
-	// unheard is the time for which the use by others is assumed to have gone on since the latest word: two intervals
-	// between reports, one until the hub knows and one until this instance does.
-	unheard = 500 * time.Millisecond
+	// unheardWords is the number of intervals between words for which the use by others is assumed to have gone on: one
+	// until the hub knows and one until this instance does.
+	unheardWords = 2
 	// rateSmoothing is the weight of a measurement over rateSpan in the rate of the others' use.
-	rateSmoothing = 0.3
+	rateSmoothing = 0.5
 	rateSpan      = 200 * time.Millisecond
 	// minHearing keeps words that arrive together from looking like a high rate.
 	minHearing = 20 * time.Millisecond
@@ -34,6 +34,8 @@
 	cfg   QuotaConfig
 	teams map[string]*teamQuota
 	heard time.Time
+	// interval is the smoothed time between words.
+	interval time.Duration
 }
 
 // teamQuota is the account of one team.
@@ -53,7 +55,7 @@
 		return true, 0
 	}
 	t := q.account(team.Name)
-	part, reserve := 1.0, t.others*unheard.Seconds()
+	part, reserve := 1.0, t.others*unheardWords*q.interval.Seconds()
 	if now.Sub(q.heard) > hearing {
 		part, reserve = 1/float64(max(1, instances)), 0
 	}
@@ -96,6 +98,9 @@
 // Hear takes in what the other instances have admitted since the last call, by team.
 func (q *Quota) Hear(now time.Time, others map[string]float64) {
 	passed := max(now.Sub(q.heard), minHearing).Seconds()
+	if !q.heard.IsZero() && passed < hearing.Seconds() {
+		q.interval += time.Duration(rateSmoothing * (passed*float64(time.Second) - float64(q.interval)))
+	}
 	q.heard = now
 	for name, units := range others {
 		if units != 0 {
