Admit by quota with what all instances are expected to ask for

Ruled out: a lost report; the sum of what was told matched. Change: instances tell what was asked as well as what was spent; where the level does not cover what all will ask until the next word, a request is admitted by chance. The former package of the instance list is named directory.

--- a/mustardseam/platform/client.go
+++ b/mustardseam/directory/client.go
@@ -1,4 +1,4 @@
-package platform
+package directory
 
 import (
 	"encoding/json"
--- a/mustardseam/platform/instance.go
+++ b/mustardseam/directory/instance.go
@@ -1,4 +1,4 @@
-package platform
+package directory
 
 // Instance is an entry of the platform's list.
 type Instance struct {
--- a/mustardseam/entry/gossip.go
+++ b/mustardseam/entry/gossip.go
@@ -8,6 +8,7 @@
 	"github.com/mustardseam/mustardseam/mustardseam/fleet"
 	"github.com/mustardseam/mustardseam/mustardseam/hub"
 	"github.com/mustardseam/mustardseam/mustardseam/place"
+	"github.com/mustardseam/mustardseam/mustardseam/share"
 	"github.com/mustardseam/mustardseam/mustardseam/store"
 )
 
@@ -31,11 +32,11 @@
 	mu       sync.Mutex
 	table    *hub.Table
 	sequence int64
-	pending  map[string]float64 // Units that were learned and not reported; guarded by mu, as all that follow.
+	pending  map[string]share.Use // Use that was learned and not reported; guarded by mu, as all that follow.
 	samples  []hub.Sample
 	hub      string // Name of the hub that answered last; empty when this instance is the hub.
 	hubRun   int64
-	hubKnown map[string]float64
+	hubKnown map[string]share.Use
 	hubItems int64 // Revision of the hub's copy.
 	heard    time.Time
 	heardAge time.Duration        // Of the hub's copy of the store when it was heard.
@@ -46,8 +47,8 @@
 
 func newGossip(i *Instance) *gossip {
 	return &gossip{
-		i: i, client: hub.NewClient(), table: hub.NewTable(i.cfg.Name), pending: map[string]float64{},
-		avoid: map[string]time.Time{}, hubKnown: map[string]float64{},
+		i: i, client: hub.NewClient(), table: hub.NewTable(i.cfg.Name), pending: map[string]share.Use{},
+		avoid: map[string]time.Time{}, hubKnown: map[string]share.Use{},
 	}
 }
 
@@ -107,7 +108,7 @@
 
 // lead does what the hub does for itself.
 func (g *gossip) lead(now time.Time) {
-	own, _, spent := g.i.scheduler.told(now)
+	_, _, used := g.i.scheduler.told()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.hub != "" {
@@ -115,38 +116,36 @@
 		event.HubChosen.On(g.i.log()).Str("hub", g.i.cfg.Name).Send()
 	}
 	clear(g.pending)
-	g.table.Spend(spent)
+	g.table.Use(used)
 	nodes := g.table.Nodes(now)
 	g.nodes = len(nodes)
 	g.table.Sweep(now)
 	g.i.scheduler.hear(now, hearing{
-		loads: g.table.Loads(now), paces: g.table.Paces(now), nodes: nodes, spent: nil, alone: len(nodes) == 1,
+		loads: g.table.Loads(now), paces: g.table.Paces(now), nodes: nodes,
 	})
-	_ = own
 	g.i.judge(g.samples)
 	g.samples = nil
 }
 
 // report tells the hub what this instance knows and takes its answer in.
 func (g *gossip) report(to fleet.Node) {
-	now := time.Now()
-	own, paces, spent := g.i.scheduler.told(now)
+	own, paces, used := g.i.scheduler.told()
 	g.mu.Lock()
-	for team, units := range spent {
-		g.pending[team] += units
+	for team, u := range used {
+		g.pending[team] = g.pending[team].Plus(u)
 	}
-	g.table.Spend(spent)
+	g.table.Use(used)
 	g.sequence++
 	r := hub.Report{
 		Node: g.i.cfg.Name, Run: g.i.run1, Sequence: g.sequence, Revision: g.i.follower.Revision(), AgeMS: g.i.storeAge(),
-		Spent: g.pending, Loads: own, Paces: paces, Samples: g.samples, Stopping: g.i.stopping.Load() != nil,
+		Used: g.pending, Loads: own, Paces: paces, Samples: g.samples, Stopping: g.i.stopping.Load() != nil,
 	}
 	if r.Revision > g.hubItems && to.Name == g.hub && g.hubItems > 0 {
 		if items, whole, _ := g.i.follower.After(g.hubItems); !whole && len(items) <= catchUpItems {
 			r.Items = items
 		}
 	}
-	g.pending, g.samples = map[string]float64{}, nil
+	g.pending, g.samples = map[string]share.Use{}, nil
 	g.mu.Unlock()
 	d, err := g.client.Report(to.Address, r)
 	if err != nil {
@@ -161,8 +160,8 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.avoid[to.Name] = time.Now()
-	for team, units := range r.Spent {
-		g.pending[team] += units
+	for team, u := range r.Used {
+		g.pending[team] = g.pending[team].Plus(u)
 	}
 	g.samples = append(r.Samples, g.samples...)
 	if g.hub == to.Name {
@@ -179,10 +178,10 @@
 		g.i.follower.Hear(d.Items, d.Whole, d.From, d.Revision, age)
 	}
 	g.mu.Lock()
-	spent := map[string]float64{}
+	used := map[string]share.Use{}
 	if g.hubRun == d.Run {
 		for team, known := range d.Known {
-			spent[team] = max(0, known-g.hubKnown[team]-r.Spent[team])
+			used[team] = known.Minus(g.hubKnown[team].Plus(r.Used[team]))
 		}
 	}
 	if g.hub != d.Hub {
@@ -194,24 +193,24 @@
 		g.heardAge = time.Hour
 	}
 	g.nodes = len(d.Nodes)
-	g.table.Spend(spent)
+	g.table.Use(used)
 	g.mu.Unlock()
 	others := map[string]place.Load{}
 	for id, l := range d.Loads {
 		others[id] = l.Minus(r.Loads[id])
 	}
-	g.i.scheduler.hear(now, hearing{loads: others, paces: d.Paces, nodes: d.Nodes, spent: spent})
+	g.i.scheduler.hear(now, hearing{loads: others, paces: d.Paces, nodes: d.Nodes, used: used})
 }
 
 // answer is the hub's part of a report.
 func (g *gossip) answer(r hub.Report) hub.Digest {
 	now := time.Now()
 	g.mu.Lock()
-	spent := g.table.Take(now, r)
+	used := g.table.Take(now, r)
 	leads := g.hub == ""
 	if !leads {
-		for team, units := range spent {
-			g.pending[team] += units
+		for team, u := range used {
+			g.pending[team] = g.pending[team].Plus(u)
 		}
 		g.samples = append(g.samples, r.Samples...)
 	}
@@ -224,7 +223,7 @@
 	if leads {
 		g.i.judge(r.Samples)
 	}
-	g.i.scheduler.spend(now, spent)
+	g.i.scheduler.use(now, used)
 	if len(r.Items) > 0 && r.AgeMS >= 0 {
 		g.i.follower.Hear(r.Items, false, g.i.follower.Revision(), r.Revision, time.Duration(r.AgeMS)*time.Millisecond)
 	}
--- a/mustardseam/entry/hearing.go
+++ b/mustardseam/entry/hearing.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/mustardseam/mustardseam/mustardseam/place"
+	"github.com/mustardseam/mustardseam/mustardseam/share"
 )
 
 // hearing is what an instance hears from the others.
@@ -11,15 +12,14 @@
 	loads map[string]place.Load // That they have sent, by id of the backend server.
 	paces map[string]float64    // Milliseconds from token to token.
 	nodes []string              // Instances that run, this one included.
-	spent map[string]float64    // Units that they admitted since the last word, by team.
-	alone bool                  // Nobody reported lately.
+	used  map[string]share.Use  // That went through them since the last word, by team.
 }
 
-// told returns what the others are to know of this instance and counts the units as told.
-func (s *Scheduler) told(time.Time) (own map[string]place.Load, paces map[string]float64, spent map[string]float64) {
+// told returns what the others are to know of this instance and counts the use as told.
+func (s *Scheduler) told() (own map[string]place.Load, paces map[string]float64, used map[string]share.Use) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.board.Own(), s.board.Paces(), s.quota.Spent()
+	return s.board.Own(), s.board.Paces(), s.quota.Told()
 }
 
 // own returns what this instance has sent.
@@ -36,16 +36,16 @@
 	s.board.SetOthers(h.loads)
 	s.board.Teach(h.paces)
 	s.nodes = h.nodes
-	if !h.alone {
-		s.quota.Hear(now, h.spent)
+	if h.used != nil {
+		s.quota.Hear(now, h.used)
 	}
 }
 
-// spend takes in units that another instance admitted.
-func (s *Scheduler) spend(now time.Time, spent map[string]float64) {
+// use takes in what went through another instance.
+func (s *Scheduler) use(now time.Time, used map[string]share.Use) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.quota.Hear(now, spent)
+	s.quota.Hear(now, used)
 }
 
 // setLag says how old the word of the others is when it arrives, on average.
--- a/mustardseam/event/catalogue.go
+++ b/mustardseam/event/catalogue.go
@@ -60,17 +60,17 @@
 
 // The events of an instance that shares nothing with the others but the store and reports.
 var (
-	Answered      = Event{7001, "request-answered", zerolog.InfoLevel, "request has ended"}
-	Retried       = Event{7002, "request-retried", zerolog.InfoLevel, "request goes to another backend server"}
-	Reloaded      = Event{7003, "settings-reloaded", zerolog.InfoLevel, "settings were read again"}
-	ReloadFailed  = Event{7004, "settings-reload-failed", zerolog.WarnLevel, "changed settings could not be read; the old ones stay in force"}
-	BadItem       = Event{7005, "store-item-invalid", zerolog.WarnLevel, "item of the store could not be read and names nothing to use"}
-	Believed      = Event{7006, "belief-changed", zerolog.InfoLevel, "instance learned of a change"}
-	HubChosen     = Event{7007, "hub-chosen", zerolog.InfoLevel, "instance reports to another hub"}
-	HubLost       = Event{7008, "hub-lost", zerolog.WarnLevel, "hub does not answer; the instance keeps to its standing shares"}
-	Registered    = Event{7009, "instance-registered", zerolog.InfoLevel, "instance is registered in the store"}
-	StoreRefused  = Event{7010, "store-write-failed", zerolog.WarnLevel, "item could not be written to the store and is tried again"}
-	StopStep      = Event{7011, "stop-progress", zerolog.InfoLevel, "planned stop goes on"}
+	Answered     = Event{7001, "request-answered", zerolog.InfoLevel, "request has ended"}
+	Retried      = Event{7002, "request-retried", zerolog.InfoLevel, "request goes to another backend server"}
+	Reloaded     = Event{7003, "settings-reloaded", zerolog.InfoLevel, "settings were read again"}
+	ReloadFailed = Event{7004, "settings-reload-failed", zerolog.WarnLevel, "changed settings could not be read; the old ones stay in force"}
+	BadItem      = Event{7005, "store-item-invalid", zerolog.WarnLevel, "item of the store could not be read and names nothing to use"}
+	Believed     = Event{7006, "belief-changed", zerolog.InfoLevel, "instance learned of a change"}
+	HubChosen    = Event{7007, "hub-chosen", zerolog.InfoLevel, "instance reports to another hub"}
+	HubLost      = Event{7008, "hub-lost", zerolog.WarnLevel, "hub does not answer; the instance keeps to its standing shares"}
+	Registered   = Event{7009, "instance-registered", zerolog.InfoLevel, "instance is registered in the store"}
+	StoreRefused = Event{7010, "store-write-failed", zerolog.WarnLevel, "item could not be written to the store and is tried again"}
+	StopStep     = Event{7011, "stop-progress", zerolog.InfoLevel, "planned stop goes on"}
 )
 
 // All returns every event in the order of the numbers.
--- a/mustardseam/hub/report.go
+++ b/mustardseam/hub/report.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/mustardseam/mustardseam/mustardseam/place"
+	"github.com/mustardseam/mustardseam/mustardseam/share"
 	"github.com/mustardseam/mustardseam/mustardseam/store"
 )
 
@@ -13,7 +14,7 @@
 	Revision int64                 `json:"revision"` // Of the copy of the store.
 	AgeMS    int64                 `json:"age-ms"`   // Of the copy of the store; -1 without one.
 	Items    []store.Item          `json:"items,omitempty"`
-	Spent    map[string]float64    `json:"spent,omitempty"` // Units by team since the latest report that was answered.
+	Used     map[string]share.Use  `json:"used,omitempty"`  // By team since the latest report that was answered.
 	Loads    map[string]place.Load `json:"loads,omitempty"` // By id of the backend server.
 	Paces    map[string]float64    `json:"paces,omitempty"` // Milliseconds from token to token.
 	Sick     []string              `json:"sick,omitempty"`  // Ids of backend servers that failed contacts.
@@ -36,7 +37,7 @@
 	Hub      string                `json:"hub"`
 	Run      int64                 `json:"run"`
 	Nodes    []string              `json:"nodes"` // Instances that reported lately, the hub included.
-	Known    map[string]float64    `json:"known"` // Units by team, over all instances, since the hub's start.
+	Known    map[string]share.Use  `json:"known"` // By team, over all instances, since the hub's start.
 	Loads    map[string]place.Load `json:"loads"` // Over all instances.
 	Paces    map[string]float64    `json:"paces,omitempty"`
 	Sick     map[string]int        `json:"sick,omitempty"` // Instances that failed to reach a backend server.
--- a/mustardseam/hub/table.go
+++ b/mustardseam/hub/table.go
@@ -1,10 +1,12 @@
 package hub
 
 import (
+	"maps"
 	"sort"
 	"time"
 
 	"github.com/mustardseam/mustardseam/mustardseam/place"
+	"github.com/mustardseam/mustardseam/mustardseam/share"
 )
 
 // current is how long a report counts. Several reports may be lost before an instance is taken for gone.
@@ -14,7 +16,7 @@
 type Table struct {
 	self  string
 	nodes map[string]*entry
-	known map[string]float64
+	known map[string]share.Use
 }
 
 // entry is the latest report of an instance.
@@ -25,11 +27,11 @@
 
 // NewTable returns the table of an instance that has got no report.
 func NewTable(self string) *Table {
-	return &Table{self: self, nodes: map[string]*entry{}, known: map[string]float64{}}
+	return &Table{self: self, nodes: map[string]*entry{}, known: map[string]share.Use{}}
 }
 
-// Take takes in a report and returns the units in it that were not known yet.
-func (t *Table) Take(now time.Time, r Report) map[string]float64 {
+// Take takes in a report and returns the use in it that was not known yet.
+func (t *Table) Take(now time.Time, r Report) map[string]share.Use {
 	e := t.nodes[r.Node]
 	if e != nil && e.report.Run == r.Run && e.report.Sequence >= r.Sequence {
 		// A repeat or a late one: what it says was taken in before or is outdated.
@@ -40,25 +42,19 @@
 	} else {
 		t.nodes[r.Node] = &entry{report: r, at: now}
 	}
-	t.Spend(r.Spent)
-	return r.Spent
+	t.Use(r.Used)
+	return r.Used
 }
 
-// Spend adds units that teams have used.
-func (t *Table) Spend(spent map[string]float64) {
-	for team, units := range spent {
-		t.known[team] += units
+// Use adds what teams have used.
+func (t *Table) Use(used map[string]share.Use) {
+	for team, u := range used {
+		t.known[team] = t.known[team].Plus(u)
 	}
 }
 
-// Known returns the units by team that were used as far as this instance knows.
-func (t *Table) Known() map[string]float64 {
-	known := make(map[string]float64, len(t.known))
-	for team, units := range t.known {
-		known[team] = units
-	}
-	return known
-}
+// Known returns the use by team as far as this instance knows.
+func (t *Table) Known() map[string]share.Use { return maps.Clone(t.known) }
 
 // Nodes returns the instances that reported lately and this one, in order of name.
 func (t *Table) Nodes(now time.Time) []string {
--- a/mustardseam/instance/instance.go
+++ b/mustardseam/instance/instance.go
@@ -13,12 +13,12 @@
 
 	"github.com/mustardseam/mustardseam/mustardseam/admin"
 	"github.com/mustardseam/mustardseam/mustardseam/caller"
+	"github.com/mustardseam/mustardseam/mustardseam/directory"
 	"github.com/mustardseam/mustardseam/mustardseam/engine"
 	"github.com/mustardseam/mustardseam/mustardseam/etcd"
 	"github.com/mustardseam/mustardseam/mustardseam/event"
 	"github.com/mustardseam/mustardseam/mustardseam/member"
 	"github.com/mustardseam/mustardseam/mustardseam/peer"
-	"github.com/mustardseam/mustardseam/mustardseam/platform"
 	"github.com/mustardseam/mustardseam/mustardseam/revision"
 	"github.com/mustardseam/mustardseam/mustardseam/rollout"
 	"github.com/mustardseam/mustardseam/mustardseam/service"
@@ -41,7 +41,7 @@
 	engines  *engine.Client
 	services *service.Client
 	peers    *peer.Client
-	platform *platform.Client
+	platform *directory.Client
 	replay   *replay
 	metrics  expvar.Map
 	sequence atomic.Uint64
@@ -77,7 +77,7 @@
 		store:    etcd.New(cfg.Store),
 		engines:  engine.New(engine.Config{Idle: engineIdle, Poll: enginePoll, LineBytes: cfg.LineBytes}),
 		services: service.New(),
-		platform: platform.New(cfg.PlatformAddress),
+		platform: directory.New(cfg.PlatformAddress),
 		replay:   newReplay(cfg.ReplayBytes),
 	}
 	i.metrics.Init()
--- a/mustardseam/place/board.go
+++ b/mustardseam/place/board.go
@@ -94,7 +94,7 @@
 }
 
 // cheapest returns the candidate with the least expected cost in milliseconds.
-func (b *Board) cheapest(now time.Time, svc *fleet.Service, servers []*fleet.Server, j *Job, deep int, any bool, not *fleet.Server,
+func (b *Board) cheapest(now time.Time, svc *fleet.Service, servers []*fleet.Server, j *Job, deep int, sick bool, not *fleet.Server,
 ) (*fleet.Server, float64) {
 	var best *fleet.Server
 	least := 0.0
@@ -103,7 +103,7 @@
 		if s == not || now.Before(a.full) || !b.room(a, svc, s, deep) {
 			continue
 		}
-		if !any && (j.tried(s.Incarnation()) || now.Before(a.avoid)) {
+		if !sick && (j.tried(s.Incarnation()) || now.Before(a.avoid)) {
 			continue
 		}
 		if cost := b.cost(a, svc, s, j); best == nil || cost < least {
--- /dev/null
+++ b/mustardseam/place/board_test.go
@@ -0,0 +1,168 @@
+package place
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/mustardseam/mustardseam/mustardseam/fleet"
+)
+
+var (
+	start  = time.Unix(1000, 0)
+	engine = &fleet.Service{Name: "pool", Engine: true, Stride: 4}
+	plain  = &fleet.Service{Name: "orders"}
+)
+
+func server(id string) *fleet.Server {
+	return &fleet.Server{ID: id, Service: "pool", DataCentre: "a", Slots: 4}
+}
+
+func job(prompt, output int) *Job {
+	return &Job{
+		DataCentre: "a", Prompt: prompt, Output: output, Gap: 500 * time.Millisecond, Arrived: start,
+		Objective: start.Add(time.Second), Deadline: start.Add(10 * time.Second),
+	}
+}
+
+// TestChoose guards against requests to backend servers that are full, slow, sick or were tried before.
+func TestChoose(t *testing.T) {
+	tests := []struct {
+		name    string
+		service *fleet.Service
+		prepare func(b *Board, s []*fleet.Server)
+		job     func() *Job
+		deep    int
+		want    string // Empty when there is no room.
+	}{
+		{"full", engine, func(b *Board, s []*fleet.Server) {
+			b.SetOthers(map[string]Load{"s0": {Requests: 4}})
+		}, func() *Job { return job(1000, 100) }, 0, "s1"},
+		{"all full", engine, func(b *Board, s []*fleet.Server) {
+			b.SetOthers(map[string]Load{"s0": {Requests: 4}, "s1": {Requests: 5}})
+		}, func() *Job { return job(1000, 100) }, 0, ""},
+		{"queue of the backend server", engine, func(b *Board, s []*fleet.Server) {
+			b.SetOthers(map[string]Load{"s0": {Requests: 4}, "s1": {Requests: 5}})
+		}, func() *Job { return job(1000, 100) }, 1, "s0"},
+		{"slow", engine, func(b *Board, s []*fleet.Server) {
+			b.Teach(map[string]float64{"s0": 20, "s1": 4})
+			b.model("pool").pace.add(8)
+		}, func() *Job { return job(1000, 100) }, 0, "s1"},
+		{"prompts ahead", engine, func(b *Board, s []*fleet.Server) {
+			b.SetOthers(map[string]Load{"s0": {Requests: 1, Prompt: 50000}, "s1": {Requests: 2}})
+		}, func() *Job { return job(1000, 100) }, 0, "s1"},
+		{"sick", engine, func(b *Board, s []*fleet.Server) {
+			j := job(10, 10)
+			b.Start(start, s[0], j)
+			b.Finish(start, engine, s[0], j, Outcome{})
+		}, func() *Job { return job(1000, 100) }, 0, "s1"},
+		{"all sick", plain, func(b *Board, s []*fleet.Server) {
+			for _, srv := range s {
+				j := job(0, 0)
+				b.Start(start, srv, j)
+				b.Finish(start, plain, srv, j, Outcome{})
+			}
+			b.SetOthers(map[string]Load{"s0": {Requests: 7}})
+		}, func() *Job { return job(0, 0) }, 0, "s1"},
+		{"refused", engine, func(b *Board, s []*fleet.Server) {
+			j := job(10, 10)
+			b.Start(start, s[0], j)
+			b.Finish(start, engine, s[0], j, Outcome{Refused: true})
+		}, func() *Job { return job(1000, 100) }, 0, "s1"},
+		{"tried", engine, func(*Board, []*fleet.Server) {}, func() *Job {
+			j := job(1000, 100)
+			j.Tried = []fleet.Incarnation{{ID: "s0"}}
+			return j
+		}, 0, "s1"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			b := NewBoard(BoardConfig{Random: func() float64 { return 1 }, Self: "n"})
+			servers := []*fleet.Server{server("s0"), server("s1")}
+			for _, s := range servers {
+				b.account(s)
+			}
+			test.prepare(b, servers)
+			got := b.Choose(start, test.service, servers, test.job(), test.deep)
+			if test.want == "" {
+				assert.Assert(t, got == nil)
+				return
+			}
+			assert.Equal(t, got.ID, test.want)
+		})
+	}
+}
+
+// TestPauseEnds guards against backend servers that stay avoided after they are back.
+func TestPauseEnds(t *testing.T) {
+	b := NewBoard(BoardConfig{Self: "n"})
+	s, j := server("s0"), job(10, 10)
+	for range 10 {
+		b.Start(start, s, j)
+		b.Finish(start, engine, s, j, Outcome{})
+	}
+	assert.Assert(t, b.Sick(start.Add(maxPause-time.Millisecond), s))
+	assert.Assert(t, !b.Sick(start.Add(maxPause), s))
+	b.Start(start, s, j)
+	b.Finish(start, engine, s, j, Outcome{Answered: true, OK: true})
+	assert.Assert(t, !b.Sick(start, s))
+}
+
+// TestHerd guards against instances that all choose the same backend servers from the same old word of the others: 60
+// instances place 220 requests on 140 idle backend servers before they hear of each other, and none may be overfilled.
+func TestHerd(t *testing.T) {
+	const nodes, count, requests = 60, 140, 220
+	servers := make([]*fleet.Server, count)
+	for i := range servers {
+		servers[i] = server(fmt.Sprintf("s%d", i))
+	}
+	got := map[string]int{}
+	boards := make([]*Board, nodes)
+	for i := range boards {
+		boards[i] = NewBoard(BoardConfig{Self: fmt.Sprintf("n%d", i), Random: func() float64 { return 1 }})
+		boards[i].SetUnheard(1.6)
+	}
+	for r := range requests {
+		b, j := boards[r%nodes], job(3700, 120)
+		s := b.Choose(start, engine, servers, j, 0)
+		b.Start(start, s, j)
+		got[s.ID]++
+	}
+	most := 0
+	for _, n := range got {
+		most = max(most, n)
+	}
+	assert.Assert(t, most <= 7, "%d requests at one backend server", most)
+	assert.Assert(t, len(got) >= count/2, "only %d backend servers were used", len(got))
+}
+
+// TestOwn guards against loads that are counted twice or not given back.
+func TestOwn(t *testing.T) {
+	b := NewBoard(BoardConfig{Self: "n"})
+	s, j := server("s0"), job(1000, 10)
+	b.Start(start, s, j)
+	b.Start(start, s, j)
+	assert.DeepEqual(t, b.Own(), map[string]Load{"s0": {Requests: 2, Prompt: 2000}})
+	b.Began(start, engine, s, j, 40*time.Millisecond)
+	assert.DeepEqual(t, b.Own(), map[string]Load{"s0": {Requests: 2, Prompt: 1000}})
+	b.Finish(start, engine, s, j, Outcome{Answered: true, OK: true, First: true})
+	b.Finish(start, engine, s, j, Outcome{Left: true})
+	assert.DeepEqual(t, b.Own(), map[string]Load{})
+}
+
+func benchmarkChoose(b *testing.B, count int) {
+	servers := make([]*fleet.Server, count)
+	board := NewBoard(BoardConfig{Self: "n"})
+	for i := range servers {
+		servers[i] = server(fmt.Sprintf("s%d", i))
+	}
+	j := job(3700, 120)
+	for b.Loop() {
+		board.Choose(start, engine, servers, j, 0)
+	}
+}
+
+func BenchmarkChoose140(b *testing.B)  { benchmarkChoose(b, 140) }
+func BenchmarkChoose2400(b *testing.B) { benchmarkChoose(b, 2400) }
--- /dev/null
+++ b/mustardseam/place/queue_test.go
@@ -0,0 +1,86 @@
+package place
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+func waitingJob(team string, tier int, objective time.Duration) *Waiting {
+	return &Waiting{
+		Job:   &Job{Team: team, Tier: tier, Arrived: start, Objective: start.Add(objective)},
+		Until: start.Add(time.Minute),
+	}
+}
+
+// TestQueueOrder guards against lower tiers, late requests and busy teams that go first.
+func TestQueueOrder(t *testing.T) {
+	tests := []struct {
+		name    string
+		waiting []*Waiting
+		want    []int
+	}{
+		{"tiers", []*Waiting{waitingJob("a", 2, time.Hour), waitingJob("a", 0, time.Hour), waitingJob("a", 1, time.Hour)}, []int{1, 2, 0}},
+		{"late", []*Waiting{waitingJob("a", 0, 0), waitingJob("a", 0, time.Hour)}, []int{1, 0}},
+		{"late of a higher tier", []*Waiting{waitingJob("a", 1, time.Hour), waitingJob("a", 0, 0)}, []int{1, 0}},
+		{"teams", []*Waiting{waitingJob("busy", 0, time.Hour), waitingJob("a", 0, time.Hour)}, []int{1, 0}},
+		{"arrival", []*Waiting{waitingJob("a", 0, time.Hour), waitingJob("a", 0, time.Hour)}, []int{0, 1}},
+	}
+	running := func(team string) int { return map[string]int{"busy": 3}[team] }
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			var q Queue
+			index := map[*Waiting]int{}
+			for i, w := range test.waiting {
+				q.Add(w)
+				index[w] = i
+			}
+			var got []int
+			q.Place(start.Add(time.Second), running, func(w *Waiting) (bool, bool) {
+				got = append(got, index[w])
+				return true, false
+			})
+			assert.DeepEqual(t, got, test.want)
+			assert.Equal(t, q.Len(), 0)
+		})
+	}
+}
+
+// TestQueueWait guards against a prediction that counts lower tiers or is made up when nothing is known.
+func TestQueueWait(t *testing.T) {
+	var q Queue
+	_, known := q.Wait(start, 0)
+	assert.Assert(t, known)
+	q.Add(waitingJob("a", 2, time.Hour))
+	wait, known := q.Wait(start, 0)
+	assert.Assert(t, known)
+	assert.Equal(t, wait, time.Duration(0))
+	_, known = q.Wait(start, 2)
+	assert.Assert(t, !known)
+	for range 8 {
+		q.Add(waitingJob("a", 1, time.Hour))
+	}
+	placed := 0
+	q.Place(start, func(string) int { return 0 }, func(*Waiting) (bool, bool) {
+		placed++
+		return placed <= 4, placed > 4
+	})
+	wait, known = q.Wait(start, 2)
+	assert.Assert(t, known)
+	assert.Equal(t, wait, 2500*time.Millisecond) // 5 wait and 2 a second were placed.
+}
+
+// TestQueueExpired guards against requests that wait for longer than they may.
+func TestQueueExpired(t *testing.T) {
+	var q Queue
+	early, late := waitingJob("a", 0, 0), waitingJob("a", 0, 0)
+	early.Until = start.Add(time.Second)
+	q.Add(early)
+	q.Add(late)
+	assert.DeepEqual(t, len(q.Expired(start)), 0)
+	out := q.Expired(start.Add(time.Second))
+	assert.Assert(t, len(out) == 1 && out[0] == early)
+	assert.Assert(t, q.Remove(late))
+	assert.Assert(t, !q.Remove(late))
+}
--- a/mustardseam/platform/doc.go
+++ /dev/null
@@ -1,2 +0,0 @@
-// Package platform is a client of the platform's lagging list of instances and of its weight store.
-package platform
--- a/mustardseam/share/quota.go
+++ b/mustardseam/share/quota.go
@@ -1,6 +1,7 @@
 package share
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"github.com/mustardseam/mustardseam/mustardseam/fleet"
@@ -10,6 +11,8 @@
 	// quotaSlack is the part of the tolerance of a quota that is used. The rest covers what is on its way when the bound is
 	// reached.
 	quotaSlack = 0.8
+	// manyAsks is the number of requests of a team within two intervals that make an instance judge from its own load.
+	manyAsks = 3
 	// hearing is how long a word of the others counts; without one, an instance keeps to its standing share.
 	hearing = 1500 * time.Millisecond
 	// unheardWords is the number of intervals between words for which the use by others is assumed to have gone on: one
@@ -24,9 +27,10 @@
 
 // QuotaConfig is the tolerance of quotas.
 type QuotaConfig struct {
-	Window time.Duration // Over which a quota is measured.
-	Excess float64       // Part of the quota that may be exceeded.
-	Slack  float64       // Units beyond that.
+	Window time.Duration  // Over which a quota is measured.
+	Excess float64        // Part of the quota that may be exceeded.
+	Slack  float64        // Units beyond that.
+	Random func() float64 // In [0, 1); the default source when nil.
 }
 
 // Quota admits the requests of teams within their limits; it is not safe for concurrent use.
@@ -40,24 +44,42 @@
 
 // teamQuota is the account of one team.
 type teamQuota struct {
-	bucket Bucket
-	spent  float64 // Units that this instance admitted and has not told.
-	others float64 // Units per second that the others admit.
+	bucket   Bucket
+	use      Use     // That this instance has not told.
+	told     Use     // That it told with its latest word.
+	asks     int     // Requests in use.
+	toldAsks int     // Requests in told.
+	others   float64 // Units per second that the others ask for.
 }
 
 // NewQuota returns a quota without accounts.
-func NewQuota(cfg QuotaConfig) *Quota { return &Quota{cfg: cfg, teams: map[string]*teamQuota{}} }
+func NewQuota(cfg QuotaConfig) *Quota {
+	if cfg.Random == nil {
+		cfg.Random = rand.Float64
+	}
+	return &Quota{cfg: cfg, teams: map[string]*teamQuota{}}
+}
 
-// Admit reports whether a request of some units is within the team's limit, else after how long it would be. Instances is
-// the number of instances that share the limit.
-func (q *Quota) Admit(now time.Time, team *fleet.Team, units float64, instances int) (ok bool, retry time.Duration) {
+// Admit reports whether a request of some units is within the team's limit, and takes them if so; else it returns after
+// how long it would be. Instances is the number of instances that share the limit.
+//
+// All instances know the same level, and what they take between two words adds up. So where the level does not cover what
+// all are expected to ask for until the next word, each request is admitted with the probability that makes up for it.
+func (q *Quota) Admit(now time.Time, team *fleet.Team, units float64, instances int) (bool, time.Duration) {
 	if team.Rate <= 0 {
 		return true, 0
 	}
 	t := q.account(team.Name)
-	part, reserve := 1.0, t.others*unheardWords*q.interval.Seconds()
+	t.use.Asked += units
+	t.asks++
+	n := float64(max(1, instances))
+	part, expected := 1.0, t.others*unheardWords*q.interval.Seconds()
+	if t.asks+t.toldAsks >= manyAsks {
+		// The callers of a team are spread over all instances, so a sudden load shows at each of them.
+		expected = max(expected, (t.use.Asked+t.told.Asked)*(n-1))
+	}
 	if now.Sub(q.heard) > hearing {
-		part, reserve = 1/float64(max(1, instances)), 0
+		part, expected = 1/n, 0
 	}
 	slack := q.cfg.Slack + q.cfg.Excess*(team.Rate*q.cfg.Window.Seconds()+team.Burst)
 	rate, burst := team.Rate*part, (team.Burst+quotaSlack*slack)*part
@@ -65,13 +87,15 @@
 		t.bucket.Resize(now, rate, burst)
 	}
 	// A request that is larger than the bucket would never be admitted; it may take the bucket when that is full.
-	reserve = min(reserve, burst/2)
-	units = min(units, burst-reserve)
-	if t.bucket.Until(now, units+reserve) > 0 {
-		return false, t.bucket.Until(now, units+reserve)
+	units = min(units, burst)
+	if wait := t.bucket.Until(now, units); wait > 0 {
+		return false, wait
+	}
+	if need := expected + units; t.bucket.level < need && q.cfg.Random() > t.bucket.level/need {
+		return false, t.bucket.Until(now, min(need, burst))
 	}
 	t.bucket.Drain(now, units)
-	t.spent += units
+	t.use.Spent += units
 	return true, 0
 }
 
@@ -79,37 +103,38 @@
 func (q *Quota) Return(now time.Time, team string, units float64) {
 	if t := q.teams[team]; t != nil && t.bucket.Rate > 0 {
 		t.bucket.Drain(now, -units)
-		t.spent -= units
+		t.use.Spent -= units
 	}
 }
 
-// Spent returns what this instance has admitted since the last call, by team.
-func (q *Quota) Spent() map[string]float64 {
-	spent := map[string]float64{}
+// Told returns the use through this instance since the last call, by team.
+func (q *Quota) Told() map[string]Use {
+	uses := map[string]Use{}
 	for name, t := range q.teams {
-		if t.spent != 0 {
-			spent[name] = t.spent
-			t.spent = 0
+		if t.use != (Use{}) {
+			uses[name] = t.use
 		}
+		t.told, t.use = t.use, Use{}
+		t.toldAsks, t.asks = t.asks, 0
 	}
-	return spent
+	return uses
 }
 
-// Hear takes in what the other instances have admitted since the last call, by team.
-func (q *Quota) Hear(now time.Time, others map[string]float64) {
+// Hear takes in the use through the other instances since the last call, by team.
+func (q *Quota) Hear(now time.Time, others map[string]Use) {
 	passed := max(now.Sub(q.heard), minHearing).Seconds()
 	if !q.heard.IsZero() && passed < hearing.Seconds() {
 		q.interval += time.Duration(rateSmoothing * (passed*float64(time.Second) - float64(q.interval)))
 	}
 	q.heard = now
-	for name, units := range others {
-		if units != 0 {
-			q.account(name).bucket.Drain(now, units)
+	for name, u := range others {
+		if u.Spent != 0 {
+			q.account(name).bucket.Drain(now, u.Spent)
 		}
 	}
 	for name, t := range q.teams {
 		w := min(1, rateSmoothing*passed/rateSpan.Seconds())
-		t.others += w * (others[name]/passed - t.others)
+		t.others += w * (others[name].Asked/passed - t.others)
 	}
 }
 
--- a/mustardseam/store/follower.go
+++ b/mustardseam/store/follower.go
@@ -18,9 +18,9 @@
 	slowAnswerTime = 2 * time.Second
 	// listTime bounds the reading of all items, which takes several pages.
 	listTime = 5 * time.Second
-	// retryMin and retryMax space the calls of an instance while the store fails; refused calls cost as much as others.
-	retryMin = 200 * time.Millisecond
-	retryMax = 1200 * time.Millisecond
+	// leastRetry and mostRetry space the calls of an instance while the store fails; refused calls cost as much as others.
+	leastRetry = 200 * time.Millisecond
+	mostRetry  = 1200 * time.Millisecond
 	// relayPoll is how often an instance that hears from others checks whether it still does.
 	relayPoll = 100 * time.Millisecond
 )
@@ -164,7 +164,7 @@
 		case f.ctx.Err() == nil:
 			failures++
 			f.missed(err)
-			wait := min(retryMin<<min(failures-1, 4), retryMax)
+			wait := min(leastRetry<<min(failures-1, 4), mostRetry)
 			f.sleep(wait/2 + rand.N(wait))
 		}
 	}
