Judge silence within the budget of retries and leave room for requests not heard of

Change: a try is cut only when its retry is paid for, and later for a first event; an instance keeps room at a replica for requests that it has not heard of, less where it prefers the replica.

--- a/mustardseam/entry/handler.go
+++ b/mustardseam/entry/handler.go
@@ -136,7 +136,7 @@
 				return
 			}
 			a.job.Tried = append(a.job.Tried, g.Server.Incarnation())
-			if !i.scheduler.Retry(a.service) {
+			if !a.paid && !i.scheduler.Retry(a.service) {
 				a.reason += "; no retry in the budget"
 				i.giveUp(a)
 				return
--- a/mustardseam/entry/try.go
+++ b/mustardseam/entry/try.go
@@ -27,7 +27,7 @@
 	sent := time.Now()
 	a.sends++
 	w := i.watch(a, g, cancel)
-	defer w.stop()
+	defer func() { a.paid = w.stop() }()
 	resp, err := i.client.Do(ctx, i.call(a, g))
 	if err != nil {
 		return i.failed(ctx, a, g, err)
@@ -105,6 +105,7 @@
 	ok := status < fasthttp.StatusInternalServerError
 	i.scheduler.Finish(g, place.Outcome{Answered: true, OK: ok, Total: time.Since(sent)})
 	i.sample(a, g, ok, time.Since(sent), 0)
+	a.reason = "backend server failed the request"
 	if !ok && a.mayRepeat() && i.scheduler.Retry(a.service) {
 		// The retry is paid for here; run would ask for it again.
 		a.job.Tried = append(a.job.Tried, g.Server.Incarnation())
--- a/mustardseam/entry/watch.go
+++ b/mustardseam/entry/watch.go
@@ -10,10 +10,11 @@
 )
 
 const (
-	// silenceLeast is the shortest silence after which a stream is sent elsewhere.
+	// silenceLeast is the shortest silence inside a stream after which it is sent elsewhere.
 	silenceLeast = 1200 * time.Millisecond
-	// silenceFactor is how many times the predicted wait a first event may take.
-	silenceFactor = 4
+	// firstLeast and firstFactor bound the wait for a first event: a backend server that works off its queue is not silent.
+	firstLeast  = 1800 * time.Millisecond
+	firstFactor = 5
 )
 
 // errSilent is the cause of the end of a try at a backend server that shows no sign of life.
@@ -25,11 +26,12 @@
 	timer  *time.Timer // Guarded by mu; nil when nothing is watched.
 	latest time.Time   // Of the latest sign of life; guarded by mu.
 	limit  time.Duration
+	paid   bool // The retry was taken from the budget; guarded by mu.
 }
 
 // watch starts to watch a try; only streams that may be repeated are watched.
 func (i *Instance) watch(a *attempt, g *Grant, cancel context.CancelCauseFunc) *watch {
-	w := &watch{latest: time.Now(), limit: max(silenceLeast, silenceFactor*g.First)}
+	w := &watch{latest: time.Now(), limit: max(firstLeast, firstFactor*g.First)}
 	if a.route.Kind != fleet.Stream || !a.route.Repeatable() || a.runs+1 >= max(1, a.route.Attempts) {
 		return w
 	}
@@ -50,6 +52,12 @@
 			w.timer.Reset(w.limit / 2)
 			return
 		}
+		if !i.scheduler.Retry(a.service) {
+			// Without a retry the request has nowhere to go; it may still be answered.
+			w.timer.Reset(w.limit / 2)
+			return
+		}
+		w.paid = true
 		cancel(errSilent)
 	}
 	w.mu.Lock()
@@ -66,11 +74,13 @@
 	w.limit = silenceLeast
 }
 
-func (w *watch) stop() {
+// stop ends the watch and reports whether the retry of the request was taken from the budget.
+func (w *watch) stop() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.timer != nil {
 		w.timer.Stop()
 		w.timer = nil
 	}
+	return w.paid
 }
--- a/mustardseam/place/board.go
+++ b/mustardseam/place/board.go
@@ -34,6 +34,9 @@
 	// request that an instance has not heard of. Without it all instances choose the same backend server from the same old
 	// word of the others and fill its queue.
 	unheardBias = 400.0
+	// unheardRoom is how many times the requests that an instance has not heard of are kept free, for the instance that
+	// prefers a backend server least; the mean over all instances is half of it.
+	unheardRoom = 2.0
 	// fullPause is how long a backend server that refused a request for want of room is passed over.
 	fullPause = 200 * time.Millisecond
 	// similar is the part by which another choice may be worse and still be taken at random, so that instances that know the
@@ -119,7 +122,13 @@
 	if !svc.Engine {
 		limit += plainQueue
 	}
-	return a.load().Requests < limit
+	// Others send as well before this instance hears of them; the less it prefers the backend server, the more of the room
+	// is left to those that do.
+	taken := float64(a.load().Requests)
+	if svc.Engine {
+		taken += unheardRoom * a.bias * b.unheard
+	}
+	return taken < float64(limit)
 }
 
 // cost predicts what a job takes at a backend server, in milliseconds: the wait for a slot, the reading of the prompts
