Begin quotas empty after a start and send again without budget what reached no one

Change: buckets begin empty, a started instance takes over what the hub's hold; a share for times without word stands beside the whole bucket; a send that reached no one is no repeat. TestQuotaSum/killed failed before (804000 units, bound 685000).

--- a/mustardseam/entry/attempt.go
+++ b/mustardseam/entry/attempt.go
@@ -18,7 +18,7 @@
 	job      *place.Job
 	runs     int    // Backend servers that ran the request or may have.
 	sends    int    // Including refused ones.
-	paid     bool   // The next retry was taken from the budget.
+	paid     bool   // The next retry was taken from the budget, or needs none because the latest try reached no one.
 	last     string // Id of the latest event that the caller has.
 	server   string // Id of the latest backend server.
 	status   int    // That the caller got.
--- a/mustardseam/entry/gossip.go
+++ b/mustardseam/entry/gossip.go
@@ -42,7 +42,8 @@
 	heardAge time.Duration        // Of the hub's copy of the store when it was heard.
 	avoid    map[string]time.Time // Hubs that did not answer.
 	others   map[string]place.Load
-	nodes    int // Instances in the latest digest.
+	joined   bool // A hub has told what was used before this instance started.
+	nodes    int  // Instances in the latest digest.
 }
 
 func newGossip(i *Instance) *gossip {
@@ -194,7 +195,12 @@
 	}
 	g.nodes = len(d.Nodes)
 	g.table.Use(used)
+	first := !g.joined
+	g.joined = true
 	g.mu.Unlock()
+	if first {
+		g.i.scheduler.adopt(now, d.Levels)
+	}
 	others := map[string]place.Load{}
 	for id, l := range d.Loads {
 		others[id] = l.Minus(r.Loads[id])
@@ -231,6 +237,9 @@
 		loads[id] = loads[id].Plus(l)
 	}
 	d.Loads = loads
+	if r.Sequence == 1 {
+		d.Levels = g.i.scheduler.levels(now)
+	}
 	d.Items, d.Whole, d.Revision = g.i.follower.After(r.Revision)
 	d.AgeMS = g.i.storeAge()
 	if d.AgeMS < 0 {
--- a/mustardseam/entry/hearing.go
+++ b/mustardseam/entry/hearing.go
@@ -48,6 +48,20 @@
 	s.quota.Hear(now, used)
 }
 
+// levels returns what the quotas hold.
+func (s *Scheduler) levels(now time.Time) map[string]float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.quota.Levels(now)
+}
+
+// adopt takes over what the quotas hold according to another instance.
+func (s *Scheduler) adopt(now time.Time, levels map[string]float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.quota.Adopt(now, levels)
+}
+
 // setLag says how old the word of the others is when it arrives, on average.
 func (s *Scheduler) setLag(lag time.Duration) {
 	s.mu.Lock()
--- a/mustardseam/entry/scheduler.go
+++ b/mustardseam/entry/scheduler.go
@@ -65,6 +65,7 @@
 }
 
 func newScheduler(cfg schedulerConfig) *Scheduler {
+	cfg.bounds.Quota.Start = time.Now()
 	return &Scheduler{
 		cfg: cfg, board: place.NewBoard(place.BoardConfig{Self: cfg.node}), queues: map[string]*place.Queue{},
 		grants: map[*place.Waiting]chan<- *Grant{}, running: map[string]int{}, nodes: []string{cfg.node},
--- a/mustardseam/entry/try.go
+++ b/mustardseam/entry/try.go
@@ -15,6 +15,8 @@
 const (
 	// maxAnswer bounds the body of an answer that is not a stream, in bytes; it is held in memory until it is complete.
 	maxAnswer = 8 << 20
+	// maxSends is the number of sends after which even those that reached no backend server count as repeats.
+	maxSends = 5
 	// onceIdle is the longest idle time of a connection that carries a request that may run only once: a backend server may
 	// close an idle connection as the request arrives, and the request would be lost.
 	onceIdle = time.Second
@@ -27,7 +29,8 @@
 	sent := time.Now()
 	a.sends++
 	w := i.watch(a, g, cancel)
-	defer func() { a.paid = w.stop() }()
+	a.paid = false
+	defer func() { a.paid = w.stop() || a.paid }()
 	resp, err := i.client.Do(ctx, i.call(a, g))
 	if err != nil {
 		return i.failed(ctx, a, g, err)
@@ -76,8 +79,10 @@
 // failed judges a request without an answer.
 func (i *Instance) failed(ctx context.Context, a *attempt, g *Grant, err error) fate {
 	a.reason = err.Error()
-	notSent := errors.Is(err, http1.ErrNotSent)
-	if !notSent {
+	if errors.Is(err, http1.ErrNotSent) {
+		// What never arrived does not count as a repeat; the number of sends keeps it from going on for ever.
+		a.paid = a.sends < maxSends
+	} else {
 		a.runs++
 	}
 	switch cause := context.Cause(ctx); {
--- a/mustardseam/hub/report.go
+++ b/mustardseam/hub/report.go
@@ -36,9 +36,10 @@
 type Digest struct {
 	Hub      string                `json:"hub"`
 	Run      int64                 `json:"run"`
-	Nodes    []string              `json:"nodes"` // Instances that reported lately, the hub included.
-	Known    map[string]share.Use  `json:"known"` // By team, over all instances, since the hub's start.
-	Loads    map[string]place.Load `json:"loads"` // Over all instances.
+	Nodes    []string              `json:"nodes"`            // Instances that reported lately, the hub included.
+	Known    map[string]share.Use  `json:"known"`            // By team, over all instances, since the hub's start.
+	Levels   map[string]float64    `json:"levels,omitempty"` // Of quotas, for an instance that has just started.
+	Loads    map[string]place.Load `json:"loads"`            // Over all instances.
 	Paces    map[string]float64    `json:"paces,omitempty"`
 	Sick     map[string]int        `json:"sick,omitempty"` // Instances that failed to reach a backend server.
 	From     int64                 `json:"from"`           // Revision that the items follow.
--- a/mustardseam/share/bucket.go
+++ b/mustardseam/share/bucket.go
@@ -11,6 +11,15 @@
 	at    time.Time
 }
 
+// Begin says what the bucket held at a time before its first use.
+func (b *Bucket) Begin(at time.Time, level float64) { b.at, b.level = at, level }
+
+// Level returns what the bucket holds.
+func (b *Bucket) Level(now time.Time) float64 {
+	b.fill(now)
+	return b.level
+}
+
 // Take takes n when the bucket holds them.
 func (b *Bucket) Take(now time.Time, n float64) bool {
 	b.fill(now)
@@ -38,9 +47,12 @@
 
 // Resize changes the rate and the burst; what the bucket holds is cut to the new burst.
 func (b *Bucket) Resize(now time.Time, rate, burst float64) {
-	if !b.at.IsZero() {
+	if b.Rate == rate && b.Burst == burst {
+		return
+	}
+	if !b.at.IsZero() && b.Burst > 0 {
 		b.fill(now)
-		b.level = min(b.level+max(0, burst-b.Burst), burst)
+		b.level = min(b.level, burst)
 	}
 	b.Rate, b.Burst = rate, burst
 }
--- a/mustardseam/share/budget.go
+++ b/mustardseam/share/budget.go
@@ -49,9 +49,7 @@
 	burst := max(minRetries, budgetPart*b.cfg.Extra/float64(max(1, instances)))
 	// A full bucket and its refill together stay within the share of one window.
 	rate := burst / 2 / max(1, b.cfg.Window.Seconds())
-	if s.extra.Rate != rate || s.extra.Burst != burst/2 {
-		s.extra.Resize(now, rate, max(minRetries, burst/2))
-	}
+	s.extra.Resize(now, rate, max(minRetries, burst/2))
 	return s.extra.Take(now, 1)
 }
 
--- a/mustardseam/share/quota.go
+++ b/mustardseam/share/quota.go
@@ -31,6 +31,7 @@
 	Excess float64        // Part of the quota that may be exceeded.
 	Slack  float64        // Units beyond that.
 	Random func() float64 // In [0, 1); the default source when nil.
+	Start  time.Time      // Of this instance. It does not know what teams used before, so their buckets begin empty.
 }
 
 // Quota admits the requests of teams within their limits; it is not safe for concurrent use.
@@ -38,13 +39,17 @@
 	cfg   QuotaConfig
 	teams map[string]*teamQuota
 	heard time.Time
+	// levels is what buckets held when another instance told, for teams that were not asked for here yet.
+	levels   map[string]float64
+	levelsAt time.Time
 	// interval is the smoothed time between words.
 	interval time.Duration
 }
 
 // teamQuota is the account of one team.
 type teamQuota struct {
-	bucket   Bucket
+	bucket   Bucket  // Of the whole limit, as far as this instance has heard.
+	standing Bucket  // Of the share that it may use when it hears nothing.
 	use      Use     // That this instance has not told.
 	told     Use     // That it told with its latest word.
 	asks     int     // Requests in use.
@@ -73,28 +78,29 @@
 	t.use.Asked += units
 	t.asks++
 	n := float64(max(1, instances))
-	part, expected := 1.0, t.others*unheardWords*q.interval.Seconds()
+	expected := t.others * unheardWords * q.interval.Seconds()
 	if t.asks+t.toldAsks >= manyAsks {
 		// The callers of a team are spread over all instances, so a sudden load shows at each of them.
 		expected = max(expected, (t.use.Asked+t.told.Asked)*(n-1))
 	}
-	if now.Sub(q.heard) > hearing {
-		part, expected = 1/n, 0
-	}
 	slack := q.cfg.Slack + q.cfg.Excess*(team.Rate*q.cfg.Window.Seconds()+team.Burst)
-	rate, burst := team.Rate*part, (team.Burst+quotaSlack*slack)*part
-	if rate != t.bucket.Rate || burst != t.bucket.Burst {
-		t.bucket.Resize(now, rate, burst)
+	burst := team.Burst + quotaSlack*slack
+	t.bucket.Resize(now, team.Rate, burst)
+	t.standing.Resize(now, team.Rate/n, burst/n)
+	bucket := &t.bucket
+	if now.Sub(q.heard) > hearing {
+		bucket, expected, burst = &t.standing, 0, burst/n
 	}
 	// A request that is larger than the bucket would never be admitted; it may take the bucket when that is full.
 	units = min(units, burst)
-	if wait := t.bucket.Until(now, units); wait > 0 {
+	if wait := bucket.Until(now, units); wait > 0 {
 		return false, wait
 	}
-	if need := expected + units; t.bucket.level < need && q.cfg.Random() > t.bucket.level/need {
-		return false, t.bucket.Until(now, min(need, burst))
+	if need := expected + units; bucket.level < need && q.cfg.Random() > bucket.level/need {
+		return false, bucket.Until(now, min(need, burst))
 	}
 	t.bucket.Drain(now, units)
+	t.standing.Drain(now, units)
 	t.use.Spent += units
 	return true, 0
 }
@@ -103,6 +109,7 @@
 func (q *Quota) Return(now time.Time, team string, units float64) {
 	if t := q.teams[team]; t != nil && t.bucket.Rate > 0 {
 		t.bucket.Drain(now, -units)
+		t.standing.Drain(now, -units)
 		t.use.Spent -= units
 	}
 }
@@ -138,10 +145,35 @@
 	}
 }
 
+// Levels returns what the buckets hold, for an instance that has just started.
+func (q *Quota) Levels(now time.Time) map[string]float64 {
+	levels := map[string]float64{}
+	for name, t := range q.teams {
+		if t.bucket.Rate > 0 {
+			levels[name] = t.bucket.Level(now)
+		}
+	}
+	return levels
+}
+
+// Adopt takes over what the buckets hold according to another instance.
+func (q *Quota) Adopt(now time.Time, levels map[string]float64) {
+	q.levels, q.levelsAt = levels, now
+	for name, level := range levels {
+		t := q.account(name)
+		t.bucket.Begin(now, level-t.use.Spent)
+	}
+}
+
 func (q *Quota) account(team string) *teamQuota {
 	t := q.teams[team]
 	if t == nil {
 		t = &teamQuota{}
+		t.bucket.Begin(q.cfg.Start, 0)
+		t.standing.Begin(q.cfg.Start, 0)
+		if level, ok := q.levels[team]; ok {
+			t.bucket.Begin(q.levelsAt, level)
+		}
 		q.teams[team] = t
 	}
 	return t
--- a/mustardseam/share/share_test.go
+++ b/mustardseam/share/share_test.go
@@ -25,16 +25,19 @@
 		nodes    int
 		interval time.Duration // Between words; 0 for none at all.
 		least    float64       // Part of the plain limit that must be used.
+		restart  bool          // All instances are killed after 6 s and know nothing of before.
 	}{
-		{"8 instances", 8, 120 * time.Millisecond, 1},
-		{"60 instances", 60, 200 * time.Millisecond, 1},
-		{"cut off", 8, 0, 0.9},
+		{"8 instances", 8, 120 * time.Millisecond, 1, false},
+		{"60 instances", 60, 200 * time.Millisecond, 1, false},
+		{"cut off", 8, 0, 0.9, false},
+		{"killed", 8, 120 * time.Millisecond, 0.9, true},
+		{"60 killed", 60, 200 * time.Millisecond, 0.9, true},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			nodes := make([]*Quota, test.nodes)
 			for i := range nodes {
-				nodes[i] = NewQuota(cfg)
+				nodes[i] = newQuotaAt(cfg, start)
 			}
 			const step = 10 * time.Millisecond
 			const units = 2000.0
@@ -43,6 +46,12 @@
 			due, next, told := 0.0, 0, make([]Use, test.nodes)
 			for n := range 1200 {
 				now := start.Add(time.Duration(n) * step)
+				if test.restart && n == 600 {
+					for i := range nodes {
+						nodes[i] = newQuotaAt(cfg, now)
+					}
+					clear(told)
+				}
 				sum := 0.0
 				for due += perStep; due >= 1; due-- {
 					if ok, _ := nodes[next%test.nodes].Admit(now, team, units, test.nodes); ok {
@@ -79,6 +88,12 @@
 	}
 }
 
+// newQuotaAt returns the quota of an instance that starts at a time.
+func newQuotaAt(cfg QuotaConfig, at time.Time) *Quota {
+	cfg.Start = at
+	return NewQuota(cfg)
+}
+
 // TestBudgetSum guards against a storm of retries over all instances while every request fails.
 func TestBudgetSum(t *testing.T) {
 	for _, n := range []int{1, 8, 60, 78} {
