Wait for full replicas instead of trying crashed ones, and pass on which are sick

Ruled out: too small a budget; the refused sends needed none. Tests: TestChoose/sick_beside_full, TestNoEcho.

--- a/mustardseam/entry/gossip.go
+++ b/mustardseam/entry/gossip.go
@@ -18,6 +18,8 @@
 	relayAge = store.Wait + 500*time.Millisecond
 	// relaySilence is how long after the latest word of a hub an instance relies on it.
 	relaySilence = 700 * time.Millisecond
+	// sickWord is how long an instance goes by the word of others on a backend server.
+	sickWord = 400 * time.Millisecond
 	// hubPause is how long a hub that did not answer is passed over.
 	hubPause = 1500 * time.Millisecond
 	// catchUpItems bounds the items that an instance passes up to its hub.
@@ -122,7 +124,7 @@
 	g.nodes = len(nodes)
 	g.table.Sweep(now)
 	g.i.scheduler.hear(now, hearing{
-		loads: g.table.Loads(now), paces: g.table.Paces(now), nodes: nodes,
+		loads: g.table.Loads(now), paces: g.table.Paces(now), nodes: nodes, sick: g.table.Sick(now), until: now.Add(sickWord),
 	})
 	g.i.judge(g.samples)
 	g.samples = nil
@@ -139,7 +141,7 @@
 	g.sequence++
 	r := hub.Report{
 		Node: g.i.cfg.Name, Run: g.i.run1, Sequence: g.sequence, Revision: g.i.follower.Revision(), AgeMS: g.i.storeAge(),
-		Used: g.pending, Loads: own, Paces: paces, Samples: g.samples, Stopping: g.i.stopping.Load() != nil,
+		Used: g.pending, Loads: own, Paces: paces, Samples: g.samples, Sick: g.i.scheduler.sick(time.Now()), Stopping: g.i.stopping.Load() != nil,
 	}
 	if r.Revision > g.hubItems && to.Name == g.hub && g.hubItems > 0 {
 		if items, whole, _ := g.i.follower.After(g.hubItems); !whole && len(items) <= catchUpItems {
@@ -205,7 +207,9 @@
 	for id, l := range d.Loads {
 		others[id] = l.Minus(r.Loads[id])
 	}
-	g.i.scheduler.hear(now, hearing{loads: others, paces: d.Paces, nodes: d.Nodes, used: used})
+	g.i.scheduler.hear(now, hearing{
+		loads: others, paces: d.Paces, nodes: d.Nodes, used: used, sick: d.Sick, until: now.Add(sickWord),
+	})
 }
 
 // answer is the hub's part of a report.
@@ -233,6 +237,9 @@
 	if len(r.Items) > 0 && r.AgeMS >= 0 {
 		g.i.follower.Hear(r.Items, false, g.i.follower.Revision(), r.Revision, time.Duration(r.AgeMS)*time.Millisecond)
 	}
+	for _, id := range g.i.scheduler.sick(now) {
+		d.Sick[id]++
+	}
 	for id, l := range g.i.scheduler.own() {
 		loads[id] = loads[id].Plus(l)
 	}
--- a/mustardseam/entry/hearing.go
+++ b/mustardseam/entry/hearing.go
@@ -11,6 +11,8 @@
 type hearing struct {
 	loads map[string]place.Load // That they have sent, by id of the backend server.
 	paces map[string]float64    // Milliseconds from token to token.
+	sick  map[string]int        // Instances that failed to reach a backend server, by its id.
+	until time.Time             // How long the word on sick ones holds.
 	nodes []string              // Instances that run, this one included.
 	used  map[string]share.Use  // That went through them since the last word, by team.
 }
@@ -22,6 +24,13 @@
 	return s.board.Own(), s.board.Paces(), s.quota.Told()
 }
 
+// sick returns the backend servers that this instance failed to reach.
+func (s *Scheduler) sick(now time.Time) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.board.SickIDs(now)
+}
+
 // own returns what this instance has sent.
 func (s *Scheduler) own() map[string]place.Load {
 	s.mu.Lock()
@@ -35,6 +44,7 @@
 	defer s.mu.Unlock()
 	s.board.SetOthers(h.loads)
 	s.board.Teach(h.paces)
+	s.board.HearSick(now, h.sick, h.until)
 	s.nodes = h.nodes
 	if h.used != nil {
 		s.quota.Hear(now, h.used)
--- a/mustardseam/place/account.go
+++ b/mustardseam/place/account.go
@@ -24,11 +24,15 @@
 	failures float64       // Share of answers that failed, 0 to 1.
 	misses   int           // Failed contacts in a row.
 	avoid    time.Time     // No request until then, except when there is no other choice.
+	word     time.Time     // Avoided until then by the word of others, which is not passed on as this instance's own.
 	pause    time.Duration // Of the latest avoidance.
 	answered time.Time     // Of the latest sign of life.
 	used     time.Time     // Of the latest dispatch.
 }
 
+// avoided reports whether the backend server should get no request.
+func (a *account) avoided(now time.Time) bool { return now.Before(a.avoid) || now.Before(a.word) }
+
 func (a *account) load() Load { return a.own.Plus(a.others) }
 
 // miss takes in a contact that failed: no connection, a reset, or silence.
@@ -43,7 +47,7 @@
 func (a *account) answer(now time.Time, ok bool) {
 	a.answered = now
 	if ok {
-		a.misses, a.pause, a.avoid = 0, 0, time.Time{}
+		a.misses, a.pause, a.avoid, a.word = 0, 0, time.Time{}, time.Time{}
 		a.failures -= failSmoothing * a.failures
 		return
 	}
--- a/mustardseam/place/board.go
+++ b/mustardseam/place/board.go
@@ -44,6 +44,8 @@
 	similar = 0.12
 	// plainQueue is how many requests beyond its slots a plain service may have waiting; they are short.
 	plainQueue = 4
+	// heardSick is how old the latest answer of a backend server must be for the word of other instances to count.
+	heardSick = 250 * time.Millisecond
 	// retention is how long the account of an incarnation that is no longer listed is kept.
 	retention = time.Minute
 )
@@ -81,23 +83,34 @@
 // Choose returns the backend server for a job, or nil when none of the candidates has room. Deep is how far beyond its
 // slots a backend server may be filled.
 func (b *Board) Choose(now time.Time, svc *fleet.Service, servers []*fleet.Server, j *Job, deep int) *fleet.Server {
-	best, cost := b.cheapest(now, svc, servers, j, deep, false, nil)
-	if best == nil {
-		// All look sick or were tried: better a doubtful one than none.
-		best, cost = b.cheapest(now, svc, servers, j, deep, true, nil)
+	fit := b.healthy(now, servers, j)
+	if len(fit) == 0 {
+		// All look sick or were tried: better a doubtful one than none. Where healthy ones are merely full, the job waits.
+		fit = servers
 	}
+	best, cost := b.cheapest(now, svc, fit, j, deep, nil)
 	if best == nil {
 		return nil
 	}
-	if second, other := b.cheapest(now, svc, servers, j, deep, false, best); second != nil &&
-		other <= cost*(1+similar) && b.random() < 0.5 {
+	if second, other := b.cheapest(now, svc, fit, j, deep, best); second != nil && other <= cost*(1+similar) && b.random() < 0.5 {
 		return second
 	}
 	return best
 }
 
+// healthy returns the backend servers that are not avoided and have not had the job.
+func (b *Board) healthy(now time.Time, servers []*fleet.Server, j *Job) []*fleet.Server {
+	fit := make([]*fleet.Server, 0, len(servers))
+	for _, s := range servers {
+		if !j.tried(s.Incarnation()) && !b.account(s).avoided(now) {
+			fit = append(fit, s)
+		}
+	}
+	return fit
+}
+
 // cheapest returns the candidate with the least expected cost in milliseconds.
-func (b *Board) cheapest(now time.Time, svc *fleet.Service, servers []*fleet.Server, j *Job, deep int, sick bool, not *fleet.Server,
+func (b *Board) cheapest(now time.Time, svc *fleet.Service, servers []*fleet.Server, j *Job, deep int, not *fleet.Server,
 ) (*fleet.Server, float64) {
 	var best *fleet.Server
 	least := 0.0
@@ -106,9 +119,6 @@
 		if s == not || now.Before(a.full) || !b.room(a, svc, s, deep) {
 			continue
 		}
-		if !sick && (j.tried(s.Incarnation()) || now.Before(a.avoid)) {
-			continue
-		}
 		if cost := b.cost(a, svc, s, j); best == nil || cost < least {
 			best, least = s, cost
 		}
@@ -290,8 +300,29 @@
 // Answered returns when a backend server last showed a sign of life.
 func (b *Board) Answered(s *fleet.Server) time.Time { return b.account(s).answered }
 
+// SickIDs returns the ids of backend servers that this instance failed to reach.
+func (b *Board) SickIDs(now time.Time) []string {
+	var ids []string
+	for id, a := range b.accounts {
+		if a.misses > 0 && now.Before(a.avoid) {
+			ids = append(ids, id.ID)
+		}
+	}
+	return ids
+}
+
+// HearSick takes in how many other instances failed to reach backend servers. One word is enough where this instance had
+// no answer lately; an instance that gets answers itself goes by these, since the fault may lie with the others.
+func (b *Board) HearSick(now time.Time, sick map[string]int, until time.Time) {
+	for id, a := range b.accounts {
+		if sick[id.ID] > 0 && now.Sub(a.answered) > heardSick {
+			a.word = until
+		}
+	}
+}
+
 // Sick reports whether a backend server is avoided.
-func (b *Board) Sick(now time.Time, s *fleet.Server) bool { return now.Before(b.account(s).avoid) }
+func (b *Board) Sick(now time.Time, s *fleet.Server) bool { return b.account(s).avoided(now) }
 
 // Inspection is what a board holds of a backend server.
 type Inspection struct {
@@ -309,7 +340,7 @@
 	a := b.account(s)
 	return Inspection{
 		ID: s.ID, Service: s.Service, Own: a.own, Others: a.others, PaceMS: a.pace.value, Failures: a.failures,
-		Sick: now.Before(a.avoid),
+		Sick: a.avoided(now),
 	}
 }
 
--- a/mustardseam/place/board_test.go
+++ b/mustardseam/place/board_test.go
@@ -66,6 +66,16 @@
 			}
 			b.SetOthers(map[string]Load{"s0": {Requests: 7}})
 		}, func() *Job { return job(0, 0) }, 0, "s1"},
+		{"sick beside full", engine, func(b *Board, s []*fleet.Server) {
+			// A crashed backend server is empty; requests must wait for the full one and not fail at this one.
+			j := job(10, 10)
+			b.Start(start, s[0], j)
+			b.Finish(start, engine, s[0], j, Outcome{})
+			b.SetOthers(map[string]Load{"s1": {Requests: 4}})
+		}, func() *Job { return job(1000, 100) }, 0, ""},
+		{"sick by word of others", engine, func(b *Board, _ []*fleet.Server) {
+			b.HearSick(start, map[string]int{"s0": 1}, start.Add(time.Second))
+		}, func() *Job { return job(1000, 100) }, 0, "s1"},
 		{"refused", engine, func(b *Board, s []*fleet.Server) {
 			j := job(10, 10)
 			b.Start(start, s[0], j)
@@ -110,6 +120,19 @@
 	assert.Assert(t, !b.Sick(start, s))
 }
 
+// TestNoEcho guards against instances that keep a backend server avoided by repeating each other's word.
+func TestNoEcho(t *testing.T) {
+	b := NewBoard(BoardConfig{Self: "n"})
+	s, j := server("s0"), job(10, 10)
+	b.Start(start, s, j)
+	b.Finish(start, engine, s, j, Outcome{})
+	assert.DeepEqual(t, b.SickIDs(start), []string{"s0"})
+	later := start.Add(firstPause)
+	b.HearSick(later, map[string]int{"s0": 1}, later.Add(time.Second))
+	assert.Assert(t, b.Sick(later, s))
+	assert.Equal(t, len(b.SickIDs(later)), 0)
+}
+
 // TestHerd guards against instances that all choose the same backend servers from the same old word of the others: 60
 // instances place 220 requests on 140 idle backend servers before they hear of each other, and none may be overfilled.
 func TestHerd(t *testing.T) {
