Use the tolerance of quotas over the window and log what made an answer late

Cause: hot teams were cut to their plain rate after a first burst, while the tolerance is meant for each window. A bucket with a higher rate and a smaller burst keeps the bound also across a restart. The log of a request gains the wait, the time to the first event and the longest pause.

--- a/mustardseam/entry/attempt.go
+++ b/mustardseam/entry/attempt.go
@@ -1,6 +1,8 @@
 package entry
 
 import (
+	"time"
+
 	"github.com/mustardseam/mustardseam/mustardseam/fleet"
 	"github.com/mustardseam/mustardseam/mustardseam/http1"
 	"github.com/mustardseam/mustardseam/mustardseam/place"
@@ -16,12 +18,16 @@
 	units    float64     // Taken from the quota of the team.
 	service  string
 	job      *place.Job
-	runs     int    // Backend servers that ran the request or may have.
-	sends    int    // Including refused ones.
-	paid     bool   // The next retry was taken from the budget, or needs none because the latest try reached no one.
-	last     string // Id of the latest event that the caller has.
-	server   string // Id of the latest backend server.
-	status   int    // That the caller got.
+	runs     int           // Backend servers that ran the request or may have.
+	sends    int           // Including refused ones.
+	paid     bool          // The next retry was taken from the budget, or needs none because the latest try reached no one.
+	last     string        // Id of the latest event that the caller has.
+	server   string        // Id of the latest backend server.
+	waited   time.Duration // From the arrival to the latest placing.
+	first    time.Duration // From the arrival to the first event.
+	event    time.Time     // Of the latest event.
+	pause    time.Duration // Longest between events.
+	status   int           // That the caller got.
 	reason   string
 }
 
--- a/mustardseam/entry/handler.go
+++ b/mustardseam/entry/handler.go
@@ -124,6 +124,7 @@
 			return
 		}
 		a.server = g.Server.ID
+		a.waited = time.Since(a.exchange.Arrived)
 		switch i.try(ctx, a, g) {
 		case answered, left:
 			return
--- a/mustardseam/entry/stream.go
+++ b/mustardseam/entry/stream.go
@@ -32,7 +32,13 @@
 				continue
 			}
 		}
-		latest = time.Now()
+		now := time.Now()
+		if a.exchange.Started() {
+			a.pause = max(a.pause, now.Sub(a.event))
+		} else {
+			a.first = now.Sub(a.exchange.Arrived)
+		}
+		latest, a.event = now, now
 		if n++; n == 1 {
 			first = latest
 			o.First = true
--- a/mustardseam/share/quota.go
+++ b/mustardseam/share/quota.go
@@ -8,9 +8,11 @@
 )
 
 const (
-	// quotaSlack is the part of the tolerance of a quota that is used. The rest covers what is on its way when the bound is
-	// reached.
-	quotaSlack = 0.8
+	// burstSlack and rateSlack are the parts of the tolerance of a quota that are used at once and over a window. The rest
+	// covers what is on its way when the bound is reached. A bucket keeps within both in any window, also across a restart
+	// that empties it.
+	burstSlack = 0.2
+	rateSlack  = 0.6
 	// manyAsks is the number of requests of a team within two intervals that make an instance judge from its own load.
 	manyAsks = 3
 	// hearing is how long a word of the others counts; without one, an instance keeps to its standing share.
@@ -84,9 +86,9 @@
 		expected = max(expected, (t.use.Asked+t.told.Asked)*(n-1))
 	}
 	slack := q.cfg.Slack + q.cfg.Excess*(team.Rate*q.cfg.Window.Seconds()+team.Burst)
-	burst := team.Burst + quotaSlack*slack
-	t.bucket.Resize(now, team.Rate, burst)
-	t.standing.Resize(now, team.Rate/n, burst/n)
+	rate, burst := team.Rate+rateSlack*slack/q.cfg.Window.Seconds(), team.Burst+burstSlack*slack
+	t.bucket.Resize(now, rate, burst)
+	t.standing.Resize(now, rate/n, burst/n)
 	bucket := &t.bucket
 	if now.Sub(q.heard) > hearing {
 		bucket, expected, burst = &t.standing, 0, burst/n
