Predict output by route, learn the pace during streams, keep connections for orders longer

Ruled out: the replicas' idle time (10 s stated). Change: the mean output of a route or the caller's hint counts; the pace is taken in after 3, 6, 12 and more events; an order may use a connection that was idle for less than half of what was found reset; a request that waited in vain comes back later.

--- a/mustardseam/entry/attempt.go
+++ b/mustardseam/entry/attempt.go
@@ -24,6 +24,8 @@
 	last     string        // Id of the latest event that the caller has.
 	server   string        // Id of the latest backend server.
 	waited   time.Duration // From the arrival to the latest placing.
+	expected time.Duration // Predicted from the latest placing to the first event.
+	load     place.Load    // Of the backend server when it was chosen, by all instances.
 	first    time.Duration // From the arrival to the first event.
 	event    time.Time     // Of the latest event.
 	pause    time.Duration // Longest between events.
--- a/mustardseam/entry/handler.go
+++ b/mustardseam/entry/handler.go
@@ -106,7 +106,7 @@
 	}
 	a.job = &place.Job{
 		Route: a.route.Name, Team: team, Tier: tier, DataCentre: i.cfg.DataCentre, Prompt: a.meta.Prompt, Output: a.meta.Output,
-		Gap: gap, Arrived: a.exchange.Arrived, Objective: a.exchange.Arrived.Add(objective), Deadline: a.exchange.Arrived.Add(limit),
+		Hint: a.meta.Hint, Gap: gap, Arrived: a.exchange.Arrived, Objective: a.exchange.Arrived.Add(objective), Deadline: a.exchange.Arrived.Add(limit),
 	}
 }
 
@@ -124,7 +124,7 @@
 			return
 		}
 		a.server = g.Server.ID
-		a.waited = time.Since(a.exchange.Arrived)
+		a.waited, a.expected, a.load = time.Since(a.exchange.Arrived), g.First, g.Load
 		switch i.try(ctx, a, g) {
 		case answered, left:
 			return
--- a/mustardseam/entry/log.go
+++ b/mustardseam/entry/log.go
@@ -17,7 +17,9 @@
 	}
 	event.Answered.On(i.log()).Str("request", a.meta.ID).Str("route", route).Str("team", team).Str("server", a.server).Int("status", a.status).
 		Str("reason", a.reason).Int("sends", a.sends).Int("runs", a.runs).Str("last-event", a.last).
-		Int64("wait-ms", a.waited.Milliseconds()).Int64("first-ms", a.first.Milliseconds()).
+		Int64("wait-ms", a.waited.Milliseconds()).Int64("expected-ms", a.expected.Milliseconds()).
+		Int("load", a.load.Requests).Int("load-prompt", a.load.Prompt).Int("prompt", a.meta.Prompt).Int("output", a.meta.Output).
+		Int64("first-ms", a.first.Milliseconds()).
 		Int64("pause-ms", a.pause.Milliseconds()).
 		Int64("ms", time.Since(a.exchange.Arrived).Milliseconds()).Int64("revision", a.view.Revision).
 		Int64("store-age-ms", i.storeAge()).Send()
--- a/mustardseam/entry/scheduler.go
+++ b/mustardseam/entry/scheduler.go
@@ -61,6 +61,7 @@
 	Server  *fleet.Server
 	Service *fleet.Service
 	First   time.Duration // Predicted time to the first event.
+	Load    place.Load    // Of the backend server before, by all instances.
 	job     *place.Job
 }
 
@@ -164,7 +165,7 @@
 	if !known || now.Add(wait).Before(until) {
 		return nil
 	}
-	return &Refusal{Reason: "too much waits already", After: s.bounded(now, j, wait/2)}
+	return &Refusal{Reason: "too much waits already", After: s.bounded(now, j, wait)}
 }
 
 // comeBack returns when a caller that waited in vain is to try again.
@@ -176,7 +177,8 @@
 	if !known {
 		wait = leastReturn
 	}
-	return s.bounded(now, j, wait/2)
+	// It has waited in vain, so the load is no short peak.
+	return s.bounded(now, j, max(wait, now.Sub(j.Arrived)))
 }
 
 // bounded keeps the time after which a caller comes back within what callers follow.
@@ -201,6 +203,13 @@
 	s.board.Began(time.Now(), g.Service, g.Server, g.job, first)
 }
 
+// Paced records the pace of a stream that goes on.
+func (s *Scheduler) Paced(g *Grant, pace time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.board.Paced(g.Service, g.Server, pace)
+}
+
 // Finish records the end of a request at a backend server and places those that wait.
 func (s *Scheduler) Finish(g *Grant, o place.Outcome) {
 	s.mu.Lock()
@@ -311,7 +320,7 @@
 	if srv.Cold(now) && svc.ColdRate > 0 {
 		s.cold.Take(now, srv, s.cold.Allowed(svc.ColdRate, srv, s.cfg.node, s.nodes))
 	}
-	g := &Grant{Server: srv, Service: svc, First: s.board.First(svc, srv, j), job: j}
+	g := &Grant{Server: srv, Service: svc, First: s.board.First(svc, srv, j), Load: s.board.Load(srv), job: j}
 	s.board.Start(now, srv, j)
 	if svc.Engine {
 		s.starts.Add(now)
--- a/mustardseam/entry/stream.go
+++ b/mustardseam/entry/stream.go
@@ -11,6 +11,10 @@
 	"github.com/mustardseam/mustardseam/mustardseam/place"
 )
 
+// paceAfter lists the numbers of events after which the pace of a stream is taken in, since a long one ends too late to
+// tell others that its backend server is slow.
+var paceAfter = map[int]bool{3: true, 6: true, 12: true, 24: true, 48: true, 96: true, 192: true}
+
 // stream hands on the events of an answer. Where the request was sent before, the events go on after the last one that
 // the caller has.
 func (i *Instance) stream(ctx context.Context, a *attempt, g *Grant, resp *http1.Response, sent time.Time, w *watch) fate {
@@ -44,6 +48,9 @@
 			o.First = true
 			i.scheduler.Began(g, first.Sub(sent))
 		}
+		if paceAfter[n] && g.Service.Stride > 0 {
+			i.scheduler.Paced(g, latest.Sub(first)/time.Duration((n-1)*g.Service.Stride))
+		}
 		w.seen(latest)
 		if !a.exchange.Started() {
 			a.status = resp.Header.StatusCode()
@@ -71,6 +78,7 @@
 	a.exchange.End()
 	a.reason = "answered"
 	o.OK, o.Total = true, time.Since(sent)
+	o.Output = n * g.Service.Stride
 	if n > 1 && g.Service.Stride > 0 {
 		o.Pace = latest.Sub(first) / time.Duration((n-1)*g.Service.Stride)
 	}
--- a/mustardseam/entry/try.go
+++ b/mustardseam/entry/try.go
@@ -17,9 +17,6 @@
 	maxAnswer = 8 << 20
 	// maxSends is the number of sends after which even those that reached no backend server count as repeats.
 	maxSends = 5
-	// onceIdle is the longest idle time of a connection that carries a request that may run only once: a backend server may
-	// close an idle connection as the request arrives, and the request would be lost.
-	onceIdle = time.Second
 )
 
 // try sends a request to the backend server of a grant and hands its answer on.
@@ -68,10 +65,8 @@
 	}
 	call := http1.Call{
 		Server: g.Server, Head: i.cfg.Wire.Forward(a.exchange.Header, f), Body: a.exchange.Body, Deadline: a.job.Deadline,
-		Own: func(h *fasthttp.ResponseHeader) bool { return i.cfg.Wire.Own(h, a.meta.ID) },
-	}
-	if !a.route.Repeatable() {
-		call.Idle = onceIdle
+		Once: !a.route.Repeatable(),
+		Own:  func(h *fasthttp.ResponseHeader) bool { return i.cfg.Wire.Own(h, a.meta.ID) },
 	}
 	return call
 }
--- a/mustardseam/entry/wire.go
+++ b/mustardseam/entry/wire.go
@@ -41,6 +41,7 @@
 	Deadline  time.Duration // How long the caller waits; 0 when it does not say.
 	Prompt    int           // Tokens.
 	Output    int           // Tokens, at most.
+	Hint      int           // Output that the caller expects; 0 when it does not say.
 	Counted   bool          // The numbers of tokens were given.
 	LastEvent string        // Id of the latest event that the caller has; empty without one.
 }
--- a/mustardseam/http1/call.go
+++ b/mustardseam/http1/call.go
@@ -14,6 +14,6 @@
 	Head     RequestHead
 	Body     []byte
 	Deadline time.Time
-	Idle     time.Duration                         // Longest idle time of a connection that is used again; 0 for any.
+	Once     bool                                  // The request may run only once.
 	Own      func(h *fasthttp.ResponseHeader) bool // Reports whether an answer is the one to this request.
 }
--- a/mustardseam/http1/client.go
+++ b/mustardseam/http1/client.go
@@ -23,6 +23,12 @@
 	idleDefault = 4 * time.Second
 	// idleMargin is kept from the time that a backend server states, so that a request does not cross its close.
 	idleMargin = 500 * time.Millisecond
+	// staleDefault is the idle time after which connections are taken to be reset until one is found.
+	staleDefault = 12 * time.Second
+	// leastStale keeps connections in use that were idle for a moment.
+	leastStale = 100 * time.Millisecond
+	// resetTime is the time within which the reset of a stale connection comes back.
+	resetTime = 50 * time.Millisecond
 	// maxIdle bounds the idle connections to one backend server.
 	maxIdle = 32
 )
@@ -33,13 +39,15 @@
 	dialer net.Dialer
 	mu     sync.Mutex
 	idle   map[fleet.Incarnation][]*clientConn // Latest used last; guarded by mu.
+	stale  time.Duration                       // Least idle time after which a connection was found reset; guarded by mu.
 	dials  int                                 // Guarded by mu.
 }
 
 // NewClient returns a client without connections.
 func NewClient() *Client {
 	return &Client{
-		idle: map[fleet.Incarnation][]*clientConn{},
+		stale: staleDefault,
+		idle:  map[fleet.Incarnation][]*clientConn{},
 		dialer: net.Dialer{
 			Timeout:         dialTimeout,
 			KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 3},
@@ -65,6 +73,7 @@
 		return nil, eris.Wrapf(ErrNotSent, "connect to backend server %s: %v", call.Server.ID, err)
 	}
 	stop := context.AfterFunc(ctx, cc.interrupt)
+	sent := time.Now()
 	if err := cc.send(call); err != nil {
 		stop()
 		cc.close()
@@ -72,6 +81,9 @@
 	}
 	r, err := cc.receive(call)
 	if err != nil {
+		if cc.reused && ctx.Err() == nil && time.Since(sent) < resetTime {
+			c.foundStale(sent.Sub(cc.since))
+		}
 		stop()
 		cc.close()
 		return nil, err
@@ -80,6 +92,13 @@
 	return r, nil
 }
 
+// foundStale takes in that a connection was reset when it was used after an idle time.
+func (c *Client) foundStale(idle time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.stale = min(c.stale, max(idle, leastStale))
+}
+
 // Sweep closes idle connections that are too old and those to backend servers that keep reports as gone.
 func (c *Client) Sweep(now time.Time, keep func(fleet.Incarnation) bool) {
 	c.mu.Lock()
@@ -111,7 +130,7 @@
 // connection returns an idle connection that is still open, or a new one.
 func (c *Client) connection(ctx context.Context, call Call) (*clientConn, error) {
 	for {
-		cc := c.take(call.Server.Incarnation(), call.Idle)
+		cc := c.take(call.Server.Incarnation(), call.Once)
 		if cc == nil {
 			break
 		}
@@ -133,8 +152,9 @@
 	return newClientConn(raw), nil
 }
 
-// take removes the connection that was used last, if it has been idle for at most the given time.
-func (c *Client) take(server fleet.Incarnation, idle time.Duration) *clientConn {
+// take removes the connection that was used last. One for a request that may run only once must not have been idle for
+// nearly as long as others that were found reset.
+func (c *Client) take(server fleet.Incarnation, once bool) *clientConn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	conns := c.idle[server]
@@ -143,7 +163,7 @@
 	}
 	cc := conns[len(conns)-1]
 	now := time.Now()
-	if !now.Before(cc.expires) || idle > 0 && now.Sub(cc.since) > idle {
+	if !now.Before(cc.expires) || once && now.Sub(cc.since) > c.stale/2 {
 		return nil
 	}
 	c.idle[server] = conns[:len(conns)-1]
--- a/mustardseam/place/board.go
+++ b/mustardseam/place/board.go
@@ -10,10 +10,11 @@
 
 // Values that hold until measurements replace them.
 const (
-	defaultPace    = 6.0  // Milliseconds from token to token.
-	defaultRead    = 40.0 // Prompt tokens read in a millisecond.
-	defaultLatency = 30.0 // Milliseconds of a plain service.
-	defaultService = 700. // Milliseconds that a request holds a slot of an engine.
+	defaultPace    = 6.0   // Milliseconds from token to token.
+	defaultRead    = 40.0  // Prompt tokens read in a millisecond.
+	defaultLatency = 30.0  // Milliseconds of a plain service.
+	defaultOutput  = 100.0 // Tokens that a request writes.
+	defaultService = 700.  // Milliseconds that a request holds a slot of an engine.
 )
 
 const (
@@ -22,7 +23,7 @@
 	// chunk is the number of prompt tokens that an engine reads in one step beside the tokens of other requests.
 	chunk = 2048
 	// paceWeight is the weight of the time for the output against the time to the first event.
-	paceWeight = 0.25
+	paceWeight = 1
 	// pausePenalty is added, in milliseconds, where the prompt would pause the streams beside it for longer than their
 	// callers hope.
 	pausePenalty = 400.0
@@ -54,6 +55,7 @@
 type Board struct {
 	accounts map[fleet.Incarnation]*account
 	engines  map[string]*engineModel // By service.
+	outputs  map[string]average      // Tokens that requests write, by route.
 	random   func() float64
 	self     string
 	unheard  float64
@@ -77,7 +79,7 @@
 	if cfg.Random == nil {
 		cfg.Random = rand.Float64
 	}
-	return &Board{accounts: map[fleet.Incarnation]*account{}, engines: map[string]*engineModel{}, random: cfg.Random, self: cfg.Self}
+	return &Board{accounts: map[fleet.Incarnation]*account{}, engines: map[string]*engineModel{}, outputs: map[string]average{}, random: cfg.Random, self: cfg.Self}
 }
 
 // Choose returns the backend server for a job, or nil when none of the candidates has room. Deep is how far beyond its
@@ -161,7 +163,7 @@
 		first += speed * m.service.or(defaultService) * float64(load.Requests-slots+1) / float64(slots)
 	}
 	pace := a.pace.or(m.pace.or(defaultPace))
-	cost += first + paceWeight*pace*float64(j.Output)
+	cost += first + paceWeight*pace*b.output(j)
 	if j.Gap > 0 && load.Requests > 0 && j.Prompt > chunk {
 		step := pace + speed*chunk/m.read.or(defaultRead)
 		if step*float64(max(1, svc.Stride)) > 0.8*float64(j.Gap.Milliseconds()) {
@@ -185,6 +187,9 @@
 	return milliseconds(first)
 }
 
+// Load returns what all instances have sent to a backend server as far as this one knows.
+func (b *Board) Load(s *fleet.Server) Load { return b.account(s).load() }
+
 // Start records that a job is sent to a backend server.
 func (b *Board) Start(now time.Time, s *fleet.Server, j *Job) {
 	a := b.account(s)
@@ -213,6 +218,7 @@
 	First    bool          // The first event has come.
 	Total    time.Duration // From the sending to the end.
 	Pace     time.Duration // From token to token; 0 when unknown.
+	Output   int           // Tokens that were written.
 }
 
 // Finish records the end of a job that was started.
@@ -241,10 +247,30 @@
 		a.latency.add(total)
 	}
 	if o.Pace > 0 {
-		ms := float64(o.Pace.Microseconds()) / 1000
-		a.pace.add(ms)
-		m.pace.add(ms)
+		b.Paced(svc, s, o.Pace)
+	}
+	if o.Output > 0 {
+		out := b.outputs[j.Route]
+		out.add(float64(o.Output))
+		b.outputs[j.Route] = out
+	}
+}
+
+// Paced records the pace of a stream, from token to token.
+func (b *Board) Paced(svc *fleet.Service, s *fleet.Server, pace time.Duration) {
+	ms := float64(pace.Microseconds()) / 1000
+	b.account(s).pace.add(ms)
+	b.model(svc.Name).pace.add(ms)
+}
+
+// output predicts the tokens that a job writes. What its caller allows at most is far above what most need, so the mean
+// of its route counts, and what the caller expects where it says so.
+func (b *Board) output(j *Job) float64 {
+	if j.Hint > 0 {
+		return float64(min(j.Hint, max(j.Output, 1)))
 	}
+	out := b.outputs[j.Route]
+	return min(out.or(defaultOutput), float64(max(j.Output, 1)))
 }
 
 // SetUnheard says how many requests the others send to a backend server, on average, before this instance hears of them.
--- a/mustardseam/place/job.go
+++ b/mustardseam/place/job.go
@@ -14,6 +14,7 @@
 	DataCentre string // Of this instance.
 	Prompt     int    // Tokens to read.
 	Output     int    // Tokens to write, at most.
+	Hint       int    // Tokens to write, as the caller expects; 0 when it does not say.
 	Gap        time.Duration
 	Objective  time.Time
 	Deadline   time.Time
