--- a/mustardseam/entry/stop.go
+++ b/mustardseam/entry/stop.go
@@ -28,10 +28,11 @@
 	i.stopping.Store(&start)
 	event.Draining.On(i.log()).Int64("active", i.active.Load()).Send()
 	i.server.Drain()
-	i.sleep(unlistTime)
+	grace := i.cfg.Bounds.Grace
+	i.sleep(min(unlistTime, grace/2))
 	event.StopStep.On(i.log()).Str("step", "close idle connections").Int64("active", i.active.Load()).Send()
 	i.server.CloseIdle()
-	end := start.Add(i.cfg.Bounds.Grace - exitBefore)
+	end := start.Add(grace - min(exitBefore, grace/4))
 	for time.Now().Before(end) && (i.server.Open() > 0 || i.active.Load() > 0) {
 		i.sleep(stopPoll)
 	}
@@ -40,6 +41,10 @@
 	}
 	i.server.Close()
 	i.cancel()
+	i.follower.Stop()
+	if err := i.peers.Close(); err != nil {
+		event.ListenFailed.On(i.log()).Err(err).Send()
+	}
 	event.Stopped.On(i.log()).Send()
 	i.cfg.Log.Close(closeLog)
 }
@@ -47,8 +52,12 @@
 // tooLate reports whether a request that arrives now could not be finished before the end of the process.
 func (i *Instance) tooLate() bool {
 	start := i.stopping.Load()
-	return start != nil && time.Since(*start) > i.cfg.Bounds.Grace-refuseBefore
+	grace := i.cfg.Bounds.Grace
+	return start != nil && time.Since(*start) > grace-min(refuseBefore, grace/3)
 }
 
 // Reload records that the settings were read again.
 func (i *Instance) Reload() { event.Reloaded.On(i.log()).Send() }
+
+// Active returns the number of requests that are being answered.
+func (i *Instance) Active() int { return int(i.active.Load()) }
--- a/mustardseam/hub/server.go
+++ b/mustardseam/hub/server.go
@@ -1,7 +1,9 @@
 package hub
 
 import (
+	"context"
 	"encoding/json"
+	"errors"
 	"net"
 	"time"
 
@@ -9,8 +11,12 @@
 	"github.com/rotisserie/eris"
 )
 
-// serverTime bounds reading and writing a message.
-const serverTime = 5 * time.Second
+const (
+	// serverTime bounds reading and writing a message.
+	serverTime = 5 * time.Second
+	// closeTime bounds the wait for the messages in flight when the server ends.
+	closeTime = 200 * time.Millisecond
+)
 
 // ServerConfig says where reports arrive and who answers them.
 type ServerConfig struct {
@@ -49,5 +55,10 @@
 
 // Close ends the server.
 func (s *Server) Close() error {
-	return eris.Wrap(s.app.ShutdownWithTimeout(serverTime), "close the server of reports")
+	err := s.app.ShutdownWithTimeout(closeTime)
+	if errors.Is(err, context.DeadlineExceeded) {
+		// Idle connections of the others are still open; they end with the process.
+		return nil
+	}
+	return eris.Wrap(err, "close the server of reports")
 }
--- a/mustardseam/store/follower.go
+++ b/mustardseam/store/follower.go
@@ -62,11 +62,11 @@
 	return f
 }
 
-// Stop ends the follower.
-func (f *Follower) Stop() {
-	f.cancel()
-	<-f.done
-}
+// Stop ends the follower; a call that waits may take until its timeout.
+func (f *Follower) Stop() { f.cancel() }
+
+// Done is closed when the follower has ended.
+func (f *Follower) Done() <-chan struct{} { return f.done }
 
 // Age returns how old the copy may be, judging by the latest answer of the store, and false before the first one.
 func (f *Follower) Age(now time.Time) (time.Duration, bool) {
