Conduct rollouts from the hub and keep instances that know no other from missing changes

Cause: TestPeersPassOn failed once (20 s without the change): the store was cut from an instance before it had learned of the other, so it took itself for the only one and asked nobody. Ruled out: the change itself; the other instance had it. Change: an instance that knows no other and does not reach the store asks the seeds; instances rely only on a hub that the store answers itself.

--- a/mustardseam/entry/change.go
+++ b/mustardseam/entry/change.go
@@ -30,3 +30,10 @@
 	}
 	l.Send()
 }
+
+// Forget removes an instance from what this one believes, until the store or another instance names it again.
+func (i *Instance) Forget(node string) {
+	i.changing.Lock()
+	defer i.changing.Unlock()
+	i.view.Store(i.view.Load().With(fleet.Change{Node: &fleet.Node{Name: node}, Removed: true}))
+}
--- a/mustardseam/entry/gossip.go
+++ b/mustardseam/entry/gossip.go
@@ -13,8 +13,9 @@
 )
 
 const (
-	// relayAge is how old a hub's copy of the store may be for an instance to rely on it. The hub's long polls end after
-	// 1.5 s, so an older copy means that the hub does not reach the store.
+	// relayAge is how long ago the store may have answered a hub for an instance to rely on it. The hub's long polls end
+	// after 1.5 s, so a longer time means that the hub does not reach the store. What a hub heard from others does not count:
+	// two instances could rely on each other.
 	relayAge = store.Wait + 500*time.Millisecond
 	// relaySilence is how long after the latest word of a hub an instance relies on it.
 	relaySilence = 700 * time.Millisecond
@@ -22,6 +23,8 @@
 	sickWord = 400 * time.Millisecond
 	// hubPause is how long a hub that did not answer is passed over.
 	hubPause = 1500 * time.Millisecond
+	// maxSamples bounds the outcomes that wait for a report.
+	maxSamples = 512
 	// catchUpItems bounds the items that an instance passes up to its hub.
 	catchUpItems = 64
 )
@@ -41,7 +44,7 @@
 	hubKnown map[string]share.Use
 	hubItems int64 // Revision of the hub's copy.
 	heard    time.Time
-	heardAge time.Duration        // Of the hub's copy of the store when it was heard.
+	heardAge time.Duration        // Since the store answered the hub itself, when it was heard.
 	avoid    map[string]time.Time // Hubs that did not answer.
 	others   map[string]place.Load
 	joined   bool // A hub has told what was used before this instance started.
@@ -65,7 +68,6 @@
 		} else {
 			g.lead(now)
 		}
-		g.i.conduct(time.Now())
 		g.i.scheduler.Pump()
 		g.mu.Lock()
 		n := g.nodes
@@ -84,6 +86,21 @@
 	return g.hub != "" && now.Sub(g.heard) < relaySilence && g.heardAge+now.Sub(g.heard) < relayAge
 }
 
+// leads reports whether this instance is the hub.
+func (g *gossip) leads() bool {
+	target, ok := g.target(time.Now())
+	return !ok && target.Cores > 0 && len(g.i.view.Load().Nodes) > 0
+}
+
+// sampled keeps the outcome of a request for the next report.
+func (g *gossip) sampled(s hub.Sample) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if len(g.samples) < maxSamples {
+		g.samples = append(g.samples, s)
+	}
+}
+
 // target returns the instance to report to, and false when this one is the hub.
 func (g *gossip) target(now time.Time) (fleet.Node, bool) {
 	g.mu.Lock()
@@ -91,16 +108,19 @@
 	nodes := g.i.view.Load().Nodes
 	for _, n := range hub.Order(nodes) {
 		if n.Name == g.i.cfg.Name {
+			if len(nodes) == 1 && g.i.outOfDate(now) {
+				break
+			}
 			return n, false
 		}
 		if now.Sub(g.avoid[n.Name]) >= hubPause {
 			return n, true
 		}
 	}
-	if len(nodes) > 0 {
+	if len(nodes) > 1 {
 		return fleet.Node{Cores: g.i.cfg.Cores}, false
 	}
-	// Nothing is known of the others: a seed may hold a copy of the store.
+	// Nothing is known of the others and the store does not answer: a seed may hold a copy.
 	for _, seed := range g.i.cfg.Seeds {
 		if seed != g.i.cfg.PeerAddr && now.Sub(g.avoid[seed]) >= hubPause {
 			return fleet.Node{Name: seed, Address: seed, Cores: g.i.cfg.Cores}, true
@@ -126,8 +146,9 @@
 	g.i.scheduler.hear(now, hearing{
 		loads: g.table.Loads(now), paces: g.table.Paces(now), nodes: nodes, sick: g.table.Sick(now), until: now.Add(sickWord),
 	})
-	g.i.judge(g.samples)
+	samples := g.samples
 	g.samples = nil
+	g.i.rollouts.observe(samples)
 }
 
 // report tells the hub what this instance knows and takes its answer in.
@@ -140,7 +161,7 @@
 	g.table.Use(used)
 	g.sequence++
 	r := hub.Report{
-		Node: g.i.cfg.Name, Run: g.i.run1, Sequence: g.sequence, Revision: g.i.follower.Revision(), AgeMS: g.i.storeAge(),
+		Node: g.i.cfg.Name, Run: g.i.run, Sequence: g.sequence, Revision: g.i.follower.Revision(), AgeMS: g.i.storeAge(),
 		Used: g.pending, Loads: own, Paces: paces, Samples: g.samples, Sick: g.i.scheduler.sick(time.Now()), Stopping: g.i.stopping.Load() != nil,
 	}
 	if r.Revision > g.hubItems && to.Name == g.hub && g.hubItems > 0 {
@@ -191,8 +212,8 @@
 		event.HubChosen.On(g.i.log()).Str("hub", d.Hub).Send()
 	}
 	g.hub, g.hubRun, g.hubKnown, g.hubItems = to.Name, d.Run, d.Known, d.Revision
-	g.heard, g.heardAge = now, age
-	if d.AgeMS < 0 {
+	g.heard, g.heardAge = now, time.Duration(d.DirectMS)*time.Millisecond
+	if d.DirectMS < 0 {
 		g.heardAge = time.Hour
 	}
 	g.nodes = len(d.Nodes)
@@ -226,12 +247,12 @@
 	}
 	loads := g.table.Loads(now)
 	d := hub.Digest{
-		Hub: g.i.cfg.Name, Run: g.i.run1, Nodes: g.table.Nodes(now), Known: g.table.Known(), Paces: g.table.Paces(now),
+		Hub: g.i.cfg.Name, Run: g.i.run, Nodes: g.table.Nodes(now), Known: g.table.Known(), Paces: g.table.Paces(now),
 		Sick: g.table.Sick(now), From: r.Revision,
 	}
 	g.mu.Unlock()
 	if leads {
-		g.i.judge(r.Samples)
+		g.i.rollouts.observe(r.Samples)
 	}
 	g.i.scheduler.use(now, used)
 	if len(r.Items) > 0 && r.AgeMS >= 0 {
@@ -248,7 +269,10 @@
 		d.Levels = g.i.scheduler.levels(now)
 	}
 	d.Items, d.Whole, d.Revision = g.i.follower.After(r.Revision)
-	d.AgeMS = g.i.storeAge()
+	d.AgeMS, d.DirectMS = g.i.storeAge(), -1
+	if age, ok := g.i.follower.DirectAge(now); ok {
+		d.DirectMS = age.Milliseconds()
+	}
 	if d.AgeMS < 0 {
 		d.Items, d.Whole = nil, false
 	}
--- a/mustardseam/entry/handler.go
+++ b/mustardseam/entry/handler.go
@@ -72,7 +72,7 @@
 	ctx, cancel := context.WithDeadlineCause(a.exchange.Context, a.job.Deadline, errTimeout)
 	defer cancel()
 	i.scheduler.First(a.service)
-	i.run(ctx, a)
+	i.attempt(ctx, a)
 	if a.team != nil && a.runs == 0 {
 		i.scheduler.Return(a.team, a.units)
 	}
@@ -110,8 +110,8 @@
 	}
 }
 
-// run tries backend servers until the caller has an answer or nothing more can be done.
-func (i *Instance) run(ctx context.Context, a *attempt) {
+// attempt tries backend servers until the caller has an answer or nothing more can be done.
+func (i *Instance) attempt(ctx context.Context, a *attempt) {
 	for {
 		g, err := i.scheduler.Obtain(ctx, a.service, a.job)
 		if err != nil {
--- a/mustardseam/entry/hearing.go
+++ b/mustardseam/entry/hearing.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/mustardseam/mustardseam/mustardseam/fleet"
 	"github.com/mustardseam/mustardseam/mustardseam/place"
 	"github.com/mustardseam/mustardseam/mustardseam/share"
 )
@@ -93,3 +94,24 @@
 	others := s.starts.PerSecond(now) * float64(max(0, len(s.nodes)-1))
 	s.board.SetUnheard(others * lag.Seconds() / float64(servers))
 }
+
+// onOld returns how many requests all instances have at backend servers of a service with another version than the target.
+func (s *Scheduler) onOld(v *fleet.View, service, target string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for _, srv := range v.Of(service) {
+		if srv.Version != target {
+			n += s.board.Load(srv).Requests
+		}
+	}
+	return n
+}
+
+// Usual returns the time to the first event that is usual for the request of a grant, at any backend server of its
+// service.
+func (s *Scheduler) Usual(g *Grant) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.board.Usual(g.Service, g.job)
+}
--- a/mustardseam/entry/instance.go
+++ b/mustardseam/entry/instance.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 	"github.com/sourcegraph/conc"
 
+	"github.com/mustardseam/mustardseam/mustardseam/conduct"
 	"github.com/mustardseam/mustardseam/mustardseam/event"
 	"github.com/mustardseam/mustardseam/mustardseam/fleet"
 	"github.com/mustardseam/mustardseam/mustardseam/http1"
@@ -50,7 +51,7 @@
 	cfg       Config
 	logger    zerolog.Logger
 	random    func() float64
-	run1      int64 // Tells the runs of this instance apart.
+	run       int64 // Tells the runs of this instance apart.
 	view      atomic.Pointer[fleet.View]
 	changing  sync.Mutex // Held while the view is replaced.
 	follower  *store.Follower
@@ -59,6 +60,7 @@
 	server    *http1.Server
 	peers     *hub.Server
 	gossip    *gossip
+	rollouts  *rollouts
 	metrics   *meters
 	active    atomic.Int64
 	stopping  atomic.Pointer[time.Time] // When the stop began; nil before.
@@ -71,7 +73,7 @@
 func New(cfg Config) *Instance {
 	ctx, cancel := context.WithCancel(context.Background())
 	i := &Instance{
-		cfg: cfg, ctx: ctx, cancel: cancel, client: http1.NewClient(), random: rand.Float64, run1: rand.Int64(),
+		cfg: cfg, ctx: ctx, cancel: cancel, client: http1.NewClient(), random: rand.Float64, run: rand.Int64(),
 		logger: zerolog.New(cfg.Log).Level(cfg.Level).With().Timestamp().Str("instance", cfg.Name).Logger(),
 	}
 	i.view.Store(fleet.NewView())
@@ -80,6 +82,7 @@
 	})
 	i.metrics = newMeters(i)
 	i.gossip = newGossip(i)
+	i.rollouts = &rollouts{i: i, conductors: map[string]*conduct.Conductor{}}
 	i.follower = store.NewFollower(store.FollowerConfig{
 		Client: cfg.Store, Relayed: i.gossip.relayed, Changed: i.changed,
 		Reached: func() { event.StoreBack.On(i.log()).Send() },
@@ -90,6 +93,7 @@
 		Listener: cfg.Callers, Connections: cfg.Conns, Limits: i.limits, Handle: i.handle, Log: i.logger,
 	})
 	i.tasks.Go(i.gossip.run)
+	i.tasks.Go(i.rollouts.run)
 	i.tasks.Go(i.register)
 	i.tasks.Go(i.sweep)
 	event.Started.On(i.log()).Str("data-centre", cfg.DataCentre).Send()
--- a/mustardseam/entry/log.go
+++ b/mustardseam/entry/log.go
@@ -39,3 +39,9 @@
 	}
 	return age.Milliseconds()
 }
+
+// outOfDate reports whether the copy of the store may miss changes.
+func (i *Instance) outOfDate(now time.Time) bool {
+	age, ok := i.follower.Age(now)
+	return !ok || age > relayAge
+}
--- a/mustardseam/hub/report.go
+++ b/mustardseam/hub/report.go
@@ -28,8 +28,8 @@
 	Route   string  `json:"route"`
 	Version string  `json:"version"`
 	OK      bool    `json:"ok"`
-	FirstMS float64 `json:"first-ms"` // To the first event or byte, against what was predicted; in hundredths.
-	PaceMS  float64 `json:"pace-ms"`  // From token to token; 0 when unknown.
+	First   float64 `json:"first"` // Time to the first event or byte in hundredths of what is usual; 0 when unknown.
+	Pace    float64 `json:"pace"`  // From token to token, in hundredths of a millisecond; 0 when unknown.
 }
 
 // Digest is what the hub answers.
@@ -45,6 +45,7 @@
 	From     int64                 `json:"from"`           // Revision that the items follow.
 	Revision int64                 `json:"revision"`
 	AgeMS    int64                 `json:"age-ms"`
-	Whole    bool                  `json:"whole"` // The items are all there are.
+	DirectMS int64                 `json:"direct-ms"` // Since the store answered the hub itself; -1 if never.
+	Whole    bool                  `json:"whole"`     // The items are all there are.
 	Items    []store.Item          `json:"items,omitempty"`
 }
--- a/mustardseam/place/board.go
+++ b/mustardseam/place/board.go
@@ -190,6 +190,15 @@
 // Load returns what all instances have sent to a backend server as far as this one knows.
 func (b *Board) Load(s *fleet.Server) Load { return b.account(s).load() }
 
+// Usual predicts the time to the first event of a job at an idle backend server of average pace.
+func (b *Board) Usual(svc *fleet.Service, j *Job) time.Duration {
+	m := b.model(svc.Name)
+	if !svc.Engine {
+		return milliseconds(m.service.or(defaultLatency))
+	}
+	return milliseconds(firstTokenTime + float64(j.Prompt)/m.read.or(defaultRead))
+}
+
 // Start records that a job is sent to a backend server.
 func (b *Board) Start(now time.Time, s *fleet.Server, j *Job) {
 	a := b.account(s)
--- a/mustardseam/store/follower.go
+++ b/mustardseam/store/follower.go
@@ -47,6 +47,7 @@
 	mu       sync.Mutex
 	copy     *Copy
 	fresh    time.Time // Of the latest answer of the store; guarded by mu.
+	direct   time.Time // Of the latest answer of the store to this instance; guarded by mu.
 	lost     bool      // Guarded by mu.
 	returned time.Time // When the store answered again after an outage; guarded by mu.
 }
@@ -75,6 +76,13 @@
 	return now.Sub(f.fresh), !f.fresh.IsZero()
 }
 
+// DirectAge returns how long ago the store answered this instance itself, and false before the first time.
+func (f *Follower) DirectAge(now time.Time) (time.Duration, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return now.Sub(f.direct), !f.direct.IsZero()
+}
+
 // Revision returns the revision of the copy.
 func (f *Follower) Revision() int64 {
 	f.mu.Lock()
@@ -211,6 +219,7 @@
 	if at.After(f.fresh) {
 		f.fresh = at
 	}
+	f.direct = at
 }
 
 func (f *Follower) reached() {
