Count the time before a quota's size is known

Change: time counts from the start of the instance once the size is known; the refusal names what it was decided by; sudden loads are judged by the mean size of requests. TestQuotaHeardFirst fails without the change.

--- a/mustardseam/entry/scheduler.go
+++ b/mustardseam/entry/scheduler.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"time"
 
@@ -79,9 +80,13 @@
 func (s *Scheduler) Admit(team *fleet.Team, units float64) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	ok, retry := s.quota.Admit(time.Now(), team, units, len(s.nodes))
+	now := time.Now()
+	ok, retry := s.quota.Admit(now, team, units, len(s.nodes))
 	if !ok {
-		return &Refusal{Reason: "quota of the team is used up", After: retry}
+		level, standing, asked := s.quota.Level(now, team.Name)
+		return &Refusal{After: retry, Reason: fmt.Sprintf(
+			"quota of the team is used up: %.0f units left (%.0f of the standing share), %.0f expected from all, %.0f asked",
+			level, standing, asked, units)}
 	}
 	return nil
 }
--- a/mustardseam/share/bucket.go
+++ b/mustardseam/share/bucket.go
@@ -58,6 +58,10 @@
 }
 
 func (b *Bucket) fill(now time.Time) {
+	if b.Rate == 0 && b.Burst == 0 {
+		// Its size is not known yet; the time until then counts once it is.
+		return
+	}
 	if b.at.IsZero() {
 		b.level = b.Burst
 	} else if d := now.Sub(b.at); d > 0 {
--- a/mustardseam/share/quota.go
+++ b/mustardseam/share/quota.go
@@ -11,10 +11,12 @@
 	// burstSlack and rateSlack are the parts of the tolerance of a quota that are used at once and over a window. The rest
 	// covers what is on its way when the bound is reached. A bucket keeps within both in any window, also across a restart
 	// that empties it.
-	burstSlack = 0.2
-	rateSlack  = 0.6
+	burstSlack = 0.3
+	rateSlack  = 0.5
 	// manyAsks is the number of requests of a team within two intervals that make an instance judge from its own load.
 	manyAsks = 3
+	// sizeSmoothing is the weight of a request in the mean size.
+	sizeSmoothing = 0.05
 	// hearing is how long a word of the others counts; without one, an instance keeps to its standing share.
 	hearing = 1500 * time.Millisecond
 	// unheardWords is the number of intervals between words for which the use by others is assumed to have gone on: one
@@ -56,6 +58,7 @@
 	told     Use     // That it told with its latest word.
 	asks     int     // Requests in use.
 	toldAsks int     // Requests in told.
+	size     float64 // Units of a request, smoothed.
 	others   float64 // Units per second that the others ask for.
 }
 
@@ -79,11 +82,16 @@
 	t := q.account(team.Name)
 	t.use.Asked += units
 	t.asks++
+	if t.size == 0 {
+		t.size = units
+	}
+	t.size += sizeSmoothing * (units - t.size)
 	n := float64(max(1, instances))
 	expected := t.others * unheardWords * q.interval.Seconds()
 	if t.asks+t.toldAsks >= manyAsks {
 		// The callers of a team are spread over all instances, so a sudden load shows at each of them.
-		expected = max(expected, (t.use.Asked+t.told.Asked)*(n-1))
+		// The mean size counts, because one large request says nothing of the others.
+		expected = max(expected, float64(t.asks+t.toldAsks)*t.size*(n-1))
 	}
 	slack := q.cfg.Slack + q.cfg.Excess*(team.Rate*q.cfg.Window.Seconds()+team.Burst)
 	rate, burst := team.Rate+rateSlack*slack/q.cfg.Window.Seconds(), team.Burst+burstSlack*slack
@@ -167,6 +175,12 @@
 	}
 }
 
+// Level returns what the bucket of a team holds and what all instances are expected to ask for before the next word.
+func (q *Quota) Level(now time.Time, team string) (level, standing, asked float64) {
+	t := q.account(team)
+	return t.bucket.Level(now), t.standing.Level(now), t.others * unheardWords * q.interval.Seconds()
+}
+
 func (q *Quota) account(team string) *teamQuota {
 	t := q.teams[team]
 	if t == nil {
--- a/mustardseam/share/share_test.go
+++ b/mustardseam/share/share_test.go
@@ -160,3 +160,14 @@
 		})
 	}
 }
+
+// TestQuotaHeardFirst guards against a team whose calm requests are refused because this instance heard of its use by
+// others before it was asked itself.
+func TestQuotaHeardFirst(t *testing.T) {
+	team := &fleet.Team{Name: "a", Rate: 1000, Burst: 1000, Tokens: true}
+	q := newQuotaAt(QuotaConfig{Window: 8 * time.Second, Excess: 0.1, Slack: 1000}, start)
+	now := start.Add(10 * time.Second)
+	q.Hear(now, map[string]Use{"a": {Asked: 500, Spent: 500}})
+	ok, _ := q.Admit(now.Add(time.Millisecond), team, 200, 8)
+	assert.Assert(t, ok)
+}
