Put changed settings into force without a restart

Cause: SIGHUP only left a log line, and settings that change without a signal were not read. Tests: TestSettings, TestReload.

--- a/mustardseam/entry/conduct.go
+++ b/mustardseam/entry/conduct.go
@@ -88,7 +88,7 @@
 func (r *rollouts) conductor(service string) *conduct.Conductor {
 	c := r.conductors[service]
 	if c == nil {
-		c = conduct.New(r.i.cfg.Bounds.ExposedShare)
+		c = conduct.New(r.i.bounds.Load().ExposedShare)
 		r.conductors[service] = c
 	}
 	return c
--- a/mustardseam/entry/instance.go
+++ b/mustardseam/entry/instance.go
@@ -63,6 +63,7 @@
 	rollouts  *rollouts
 	metrics   *meters
 	active    atomic.Int64
+	bounds    atomic.Pointer[Bounds]
 	stopping  atomic.Pointer[time.Time] // When the stop began; nil before.
 	ctx       context.Context
 	cancel    context.CancelFunc
@@ -77,6 +78,7 @@
 		logger: zerolog.New(cfg.Log).Level(cfg.Level).With().Timestamp().Str("instance", cfg.Name).Logger(),
 	}
 	i.view.Store(fleet.NewView())
+	i.bounds.Store(&cfg.Bounds)
 	i.scheduler = newScheduler(schedulerConfig{
 		node: cfg.Name, dataCentre: cfg.DataCentre, bounds: cfg.Bounds, view: i.view.Load,
 	})
--- a/mustardseam/entry/stop.go
+++ b/mustardseam/entry/stop.go
@@ -28,7 +28,7 @@
 	i.stopping.Store(&start)
 	event.Draining.On(i.log()).Int64("active", i.active.Load()).Send()
 	i.server.Drain()
-	grace := i.cfg.Bounds.Grace
+	grace := i.bounds.Load().Grace
 	i.sleep(min(unlistTime, grace/2))
 	event.StopStep.On(i.log()).Str("step", "close idle connections").Int64("active", i.active.Load()).Send()
 	i.server.CloseIdle()
@@ -52,12 +52,9 @@
 // tooLate reports whether a request that arrives now could not be finished before the end of the process.
 func (i *Instance) tooLate() bool {
 	start := i.stopping.Load()
-	grace := i.cfg.Bounds.Grace
+	grace := i.bounds.Load().Grace
 	return start != nil && time.Since(*start) > grace-min(refuseBefore, grace/3)
 }
 
-// Reload records that the settings were read again.
-func (i *Instance) Reload() { event.Reloaded.On(i.log()).Send() }
-
 // Active returns the number of requests that are being answered.
 func (i *Instance) Active() int { return int(i.active.Load()) }
--- a/mustardseam/share/budget.go
+++ b/mustardseam/share/budget.go
@@ -33,6 +33,9 @@
 	return &Budget{cfg: cfg, services: map[string]*serviceBudget{}}
 }
 
+// Configure replaces the bounds; the accounts stay.
+func (b *Budget) Configure(cfg BudgetConfig) { b.cfg = cfg }
+
 // First takes in a first request for a service, which pays for a part of a retry.
 func (b *Budget) First(service string) {
 	s := b.account(service)
--- a/mustardseam/share/cold.go
+++ b/mustardseam/share/cold.go
@@ -31,6 +31,9 @@
 	return &Cold{cfg: cfg, servers: map[fleet.Incarnation]*window{}}
 }
 
+// Configure replaces the bounds; the accounts stay.
+func (c *Cold) Configure(cfg ColdConfig) { c.cfg = cfg }
+
 // Allowed returns how many requests an instance may send to a cold backend server in a second. The bound is dealt to as
 // many instances as get a useful share; which ones these are follows from hashes that all instances compute alike.
 func (c *Cold) Allowed(rate float64, s *fleet.Server, self string, nodes []string) int {
--- a/mustardseam/share/quota.go
+++ b/mustardseam/share/quota.go
@@ -115,6 +115,11 @@
 	return true, 0
 }
 
+// Configure replaces the tolerance; the accounts stay.
+func (q *Quota) Configure(cfg QuotaConfig) {
+	q.cfg.Window, q.cfg.Excess, q.cfg.Slack = cfg.Window, cfg.Excess, cfg.Slack
+}
+
 // Return gives back the units of a request that no backend server ran.
 func (q *Quota) Return(now time.Time, team string, units float64) {
 	if t := q.teams[team]; t != nil && t.bucket.Rate > 0 {
