Add a randomized soak of separate processes

Instances run as processes between stand-ins for the store, backend servers and callers; signals, a loopback proxy and misbehaving stand-ins disturb them in series and overlapping; each result is checked for a second run, a false 'not run', foreign or incomplete answers, and service must come back.

--- /dev/null
+++ b/soak/client_soak_test.go
@@ -0,0 +1,138 @@
+package soak
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+)
+
+// clientDeadline is how long a client waits for an answer.
+const clientDeadline = 4 * time.Second
+
+// result is what a client saw of a request.
+type result struct {
+	id       string
+	kind     string
+	instance string
+	at       time.Time
+	status   int // 0 without an answer.
+	body     string
+	seal     string
+	whole    bool
+	err      error
+}
+
+// clients send requests and remember what they saw.
+type clients struct {
+	mu      sync.Mutex
+	results []result // Guarded by mu.
+	next    int      // Guarded by mu.
+}
+
+func (c *clients) id() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.next++
+	return fmt.Sprintf("r%06d", c.next)
+}
+
+func (c *clients) add(r result) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.results = append(c.results, r)
+}
+
+func (c *clients) all() []result {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return append([]result(nil), c.results...)
+}
+
+// run sends requests until stop is closed, several on each connection; a connection is used until it ends.
+func (c *clients) run(rnd *rand.Rand, site *site, stop <-chan struct{}) {
+	for {
+		select {
+		case <-stop:
+			return
+		default:
+		}
+		p := site.pick(rnd)
+		conn, err := net.DialTimeout("tcp", p.front, time.Second)
+		if err != nil {
+			time.Sleep(20 * time.Millisecond)
+			continue
+		}
+		br := bufio.NewReader(conn)
+		for range 1 + rnd.IntN(10) {
+			r := c.send(rnd, p, conn, br)
+			c.add(r)
+			if r.status == 0 || !r.whole {
+				break
+			}
+			time.Sleep(time.Duration(rnd.IntN(20)) * time.Millisecond)
+		}
+		_ = conn.Close()
+	}
+}
+
+// send sends a request of a random kind and reads its answer.
+func (c *clients) send(rnd *rand.Rand, p *process, conn net.Conn, br *bufio.Reader) result {
+	kind := []string{"safe", "unsafe", "unsafe", "stream"}[rnd.IntN(4)]
+	r := result{id: c.id(), kind: kind, instance: p.name, at: time.Now()}
+	_ = conn.SetDeadline(time.Now().Add(clientDeadline + time.Second))
+	_, r.err = fmt.Fprintf(conn, "POST /%s/x HTTP/1.1\r\nHost: h.example\r\nMustardseam-Request-Id: %s\r\n"+
+		"Mustardseam-Deadline-Ms: %d\r\nAuthorization: Bearer key\r\nContent-Length: 4\r\n\r\nbody",
+		kind, r.id, clientDeadline.Milliseconds())
+	if r.err != nil {
+		return r
+	}
+	resp, err := http.ReadResponse(br, nil)
+	if err != nil {
+		r.err = err
+		return r
+	}
+	r.status, r.seal = resp.StatusCode, resp.Header.Get("Mustardseam-Response-Seal")
+	b, err := io.ReadAll(resp.Body)
+	r.body, r.err = string(b), err
+	r.whole = err == nil && !resp.Close
+	return r
+}
+
+// check returns the promise that a result breaks, or nothing. Runs is how often backend servers ran the request.
+func (r result) check(runs int) string {
+	switch {
+	case r.kind == "unsafe" && runs > 1:
+		return fmt.Sprintf("a request that may run once ran %d times", runs)
+	case (r.status == 503 || r.status == 429 || r.status == 408 || r.status == 421) && runs > 0:
+		return fmt.Sprintf("a request answered %d as not run ran", r.status)
+	case r.status == 400 || r.status == 401 || r.status == 404:
+		return fmt.Sprintf("a proper request was answered %d", r.status)
+	case r.status != 200 || r.err != nil:
+		return ""
+	case !strings.HasSuffix(r.seal, "."+r.id):
+		return fmt.Sprintf("the signature %q is of another request", r.seal)
+	case r.kind == "stream":
+		return checkStream(r.body)
+	case r.body != "answer of "+strings.TrimSuffix(r.seal, "."+r.id)+" to "+r.id:
+		return fmt.Sprintf("the body %q is not the answer", r.body)
+	}
+	return ""
+}
+
+// checkStream checks that a stream that looks complete has each event once and in order.
+func checkStream(body string) string {
+	want := ""
+	for n := 1; n <= 6; n++ {
+		want += fmt.Sprintf("id: %d\ndata: token %d\n\n", n, n)
+	}
+	if body != want {
+		return fmt.Sprintf("the stream %q looks complete and is not", body)
+	}
+	return ""
+}
--- /dev/null
+++ b/soak/proxy_soak_test.go
@@ -0,0 +1,119 @@
+package soak
+
+import (
+	"io"
+	"net"
+	"sync"
+	"time"
+)
+
+// mode is what a proxy does to the connections through it.
+type mode int
+
+const (
+	pass    mode = iota
+	delay        // Bytes arrive 100 ms late.
+	silence      // Bytes are held back both ways.
+	oneWay       // Bytes from the dialling side are held back.
+	reset        // Connections are reset, and new ones too.
+	modes
+)
+
+// proxyDelay is how late bytes arrive in the mode delay.
+const proxyDelay = 100 * time.Millisecond
+
+// proxy forwards connections to an address.
+type proxy struct {
+	ln     net.Listener
+	target string
+	mu     sync.Mutex
+	mode   mode                  // Guarded by mu.
+	conns  map[*net.TCPConn]bool // Guarded by mu.
+}
+
+func newProxy(target string) (*proxy, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	p := &proxy{ln: ln, target: target, conns: map[*net.TCPConn]bool{}}
+	go p.accept()
+	return p, nil
+}
+
+func (p *proxy) addr() string { return p.ln.Addr().String() }
+
+// set changes the mode; connections that were held back go on when it is pass again.
+func (p *proxy) set(m mode) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.mode = m
+	if m == reset {
+		for c := range p.conns {
+			_ = c.SetLinger(0)
+			_ = c.Close()
+		}
+		clear(p.conns)
+	}
+}
+
+func (p *proxy) current() mode {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.mode
+}
+
+func (p *proxy) accept() {
+	for {
+		raw, err := p.ln.Accept()
+		if err != nil {
+			return
+		}
+		c := raw.(*net.TCPConn)
+		up, err := net.Dial("tcp", p.target)
+		if err != nil || p.current() == reset {
+			_ = c.SetLinger(0)
+			_ = c.Close()
+			if err == nil {
+				_ = up.Close()
+			}
+			continue
+		}
+		u := up.(*net.TCPConn)
+		p.mu.Lock()
+		p.conns[c], p.conns[u] = true, true
+		p.mu.Unlock()
+		go p.copy(u, c, true)
+		go p.copy(c, u, false)
+	}
+}
+
+// copy forwards one direction until it ends.
+func (p *proxy) copy(to, from *net.TCPConn, out bool) {
+	defer func() {
+		p.mu.Lock()
+		delete(p.conns, to)
+		delete(p.conns, from)
+		p.mu.Unlock()
+		_ = to.Close()
+		_ = from.Close()
+	}()
+	buf := make([]byte, 32<<10)
+	for {
+		n, err := from.Read(buf)
+		for m := p.current(); m == silence || m == oneWay && out; m = p.current() {
+			time.Sleep(5 * time.Millisecond)
+		}
+		if p.current() == delay {
+			time.Sleep(proxyDelay)
+		}
+		if n > 0 {
+			if _, err := to.Write(buf[:n]); err != nil {
+				return
+			}
+		}
+		if err == io.EOF || err != nil {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/soak/site_soak_test.go
@@ -0,0 +1,138 @@
+package soak
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/mustardseam/mustardseam/platform/standin"
+)
+
+const (
+	instances = 4
+	backends  = 4
+	callers   = 8
+	// readyPoll is how often the balancer asks instances whether they are ready.
+	readyPoll = 200 * time.Millisecond
+)
+
+// site is everything that a soak runs.
+type site struct {
+	t         *testing.T
+	kv        *standin.KV
+	processes []*process
+	backends  []*standin.Backend
+	links     []*proxy // Before the backend servers.
+	start     time.Time
+
+	mu       sync.Mutex
+	ready    []*process // Guarded by mu, as all that follow.
+	version  int
+	timeline []string
+}
+
+func newSite(t *testing.T, program string) *site {
+	t.Helper()
+	kv, err := standin.NewKV()
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = kv.Close() })
+	s := &site{t: t, kv: kv, start: time.Now()}
+	s.configure()
+	for n := range backends {
+		b, err := standin.NewBackend(fmt.Sprintf("b%d", n), 5*time.Millisecond)
+		assert.NilError(t, err)
+		t.Cleanup(b.Close)
+		link, err := newProxy(b.Addr())
+		assert.NilError(t, err)
+		s.backends, s.links = append(s.backends, b), append(s.links, link)
+		s.register(n, "ready")
+	}
+	control := make([]string, instances)
+	for n := range control {
+		control[n] = freeAddr(t)
+	}
+	for n := range instances {
+		store, err := newProxy(kv.Addr())
+		assert.NilError(t, err)
+		p := newProcess(t, program, n, control, store)
+		assert.NilError(t, p.start())
+		t.Cleanup(func() { p.end(syscall.SIGKILL) })
+		s.processes = append(s.processes, p)
+	}
+	return s
+}
+
+// configure writes the next version of the configuration.
+func (s *site) configure() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version++
+	route := func(kind, more string) string {
+		return fmt.Sprintf(`{"name":%q,"host":"h.example","prefix":"/%s/","kind":%q,"timeoutMs":4000,"sloMs":500,"service":"pool"%s}`,
+			kind, kind, kind, more)
+	}
+	s.kv.Put("op/config", fmt.Appendf(nil, `{"version":%d,"routes":[%s,%s,%s],"services":[{"name":"pool","healthPath":"/health"}],
+		"limits":{"maxHeaderBytes":8192,"maxBodyBytes":65536,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
+		"tenants":[{"name":"team","apiKeys":["key"]}]}`, s.version,
+		route("safe", `,"attempts":2`), route("unsafe", `,"attempts":1`), route("stream", `,"attempts":2,"resumable":true`)))
+}
+
+// register writes the entry of a backend server, which is reached through its link.
+func (s *site) register(n int, state string) {
+	b := s.backends[n]
+	s.kv.Put("servers/"+b.ID, []byte(strings.Replace(string(b.Entry("pool", state)), b.Addr(), s.links[n].addr(), 1)))
+}
+
+// note adds a line to the timeline.
+func (s *site) note(format string, args ...any) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.timeline = append(s.timeline, fmt.Sprintf("%6.2f s  ", time.Since(s.start).Seconds())+fmt.Sprintf(format, args...))
+}
+
+// balance keeps the list of ready instances until stop is closed.
+func (s *site) balance(stop <-chan struct{}) {
+	for {
+		var ready []*process
+		for _, p := range s.processes {
+			if p.isReady() {
+				ready = append(ready, p)
+			}
+		}
+		s.mu.Lock()
+		s.ready = ready
+		s.mu.Unlock()
+		select {
+		case <-stop:
+			return
+		case <-time.After(readyPoll):
+		}
+	}
+}
+
+// pick returns an instance for a new connection, any one when none is ready.
+func (s *site) pick(rnd *rand.Rand) *process {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.ready) == 0 {
+		return s.processes[rnd.IntN(len(s.processes))]
+	}
+	return s.ready[rnd.IntN(len(s.ready))]
+}
+
+// runs counts the runs of each request.
+func (s *site) runs() map[string]int {
+	runs := map[string]int{}
+	for _, b := range s.backends {
+		for _, r := range b.Runs() {
+			runs[r.ID]++
+		}
+	}
+	return runs
+}
