--- a/mustardseam/share/quota.go
+++ b/mustardseam/share/quota.go
@@ -19,6 +19,9 @@
 	sizeSmoothing = 0.05
 	// hearing is how long a word of the others counts; without one, an instance keeps to its standing share.
 	hearing = 1500 * time.Millisecond
+	// startSlack is the part of the tolerance that an instance allows at its start, when it does not know what was used
+	// before.
+	startSlack = 0.1
 	// unheardWords is the number of intervals between words for which the use by others is assumed to have gone on: one
 	// until the hub knows and one until this instance does.
 	unheardWords = 2
@@ -95,6 +98,10 @@
 	}
 	slack := q.cfg.Slack + q.cfg.Excess*(team.Rate*q.cfg.Window.Seconds()+team.Burst)
 	rate, burst := team.Rate+rateSlack*slack/q.cfg.Window.Seconds(), team.Burst+burstSlack*slack
+	if _, known := q.levels[team.Name]; t.bucket.Rate == 0 && !known {
+		t.bucket.Drain(now, -startSlack*slack)
+		t.standing.Drain(now, -startSlack*slack/n)
+	}
 	t.bucket.Resize(now, rate, burst)
 	t.standing.Resize(now, rate/n, burst/n)
 	bucket := &t.bucket
