Keep waiting requests of all instances from going to one replica

Ruled out: old word of the loads alone; reports come every 125 ms there. Change: with requests waiting, only the instances that prefer a replica most send to it, one each between two words.

--- a/mustardseam/entry/hearing.go
+++ b/mustardseam/entry/hearing.go
@@ -47,6 +47,7 @@
 	s.board.Teach(h.paces)
 	s.board.HearSick(now, h.sick, h.until)
 	s.nodes = h.nodes
+	s.board.SetNodes(len(h.nodes))
 	if h.used != nil {
 		s.quota.Hear(now, h.used)
 	}
--- a/mustardseam/entry/scheduler.go
+++ b/mustardseam/entry/scheduler.go
@@ -120,7 +120,7 @@
 	q := s.queue(service)
 	// Those that wait go first, unless this job goes before all of them.
 	if wait, known := q.Wait(now, j.Tier); known && wait == 0 {
-		if g := s.place(now, service, j); g != nil {
+		if g := s.place(now, service, j, false); g != nil {
 			s.mu.Unlock()
 			return g, nil
 		}
@@ -266,7 +266,7 @@
 		}
 		team := func(name string) int { return s.running[name] }
 		q.Place(now, team, func(w *place.Waiting) (bool, bool) {
-			g := s.place(now, service, w.Job)
+			g := s.place(now, service, w.Job, true)
 			if g == nil {
 				return false, false
 			}
@@ -305,7 +305,7 @@
 }
 
 // place starts a job at a backend server with room, or returns nil; mu is held.
-func (s *Scheduler) place(now time.Time, service string, j *place.Job) *Grant {
+func (s *Scheduler) place(now time.Time, service string, j *place.Job, waiting bool) *Grant {
 	v := s.cfg.view()
 	svc := v.Config.Service(service)
 	if svc == nil {
@@ -316,9 +316,9 @@
 		deep = deepest - max(0, j.Tier)
 	}
 	warm, spare := s.candidates(now, v, svc)
-	srv := s.board.Choose(now, svc, warm, j, deep)
+	srv := s.board.Choose(now, svc, warm, j, deep, waiting)
 	if srv == nil {
-		if srv = s.board.Choose(now, svc, spare, j, 0); srv == nil {
+		if srv = s.board.Choose(now, svc, spare, j, 0, waiting); srv == nil {
 			return nil
 		}
 	}
--- a/mustardseam/place/board.go
+++ b/mustardseam/place/board.go
@@ -38,6 +38,9 @@
 	// unheardRoom is how many times the requests that an instance has not heard of are kept free, for the instance that
 	// prefers a backend server least; the mean over all instances is half of it.
 	unheardRoom = 2.0
+	// crowdPart is the number of requests for each slot that all instances together send to a backend server between two
+	// words when requests wait everywhere: as many instances as that send one each, those that prefer it most.
+	crowdPart = 1.5
 	// fullPause is how long a backend server that refused a request for want of room is passed over.
 	fullPause = 200 * time.Millisecond
 	// similar is the part by which another choice may be worse and still be taken at random, so that instances that know the
@@ -59,6 +62,7 @@
 	random   func() float64
 	self     string
 	unheard  float64
+	nodes    int
 }
 
 // engineModel is what the backend servers of a service have in common.
@@ -83,18 +87,19 @@
 }
 
 // Choose returns the backend server for a job, or nil when none of the candidates has room. Deep is how far beyond its
-// slots a backend server may be filled.
-func (b *Board) Choose(now time.Time, svc *fleet.Service, servers []*fleet.Server, j *Job, deep int) *fleet.Server {
+// slots a backend server may be filled. With jobs waiting, those of other instances are likely to wait as well, and all
+// would send to a backend server that comes free.
+func (b *Board) Choose(now time.Time, svc *fleet.Service, servers []*fleet.Server, j *Job, deep int, waiting bool) *fleet.Server {
 	fit := b.healthy(now, servers, j)
 	if len(fit) == 0 {
 		// All look sick or were tried: better a doubtful one than none. Where healthy ones are merely full, the job waits.
 		fit = servers
 	}
-	best, cost := b.cheapest(now, svc, fit, j, deep, nil)
+	best, cost := b.cheapest(now, svc, fit, j, deep, waiting, nil)
 	if best == nil {
 		return nil
 	}
-	if second, other := b.cheapest(now, svc, fit, j, deep, best); second != nil && other <= cost*(1+similar) && b.random() < 0.5 {
+	if second, other := b.cheapest(now, svc, fit, j, deep, waiting, best); second != nil && other <= cost*(1+similar) && b.random() < 0.5 {
 		return second
 	}
 	return best
@@ -112,13 +117,13 @@
 }
 
 // cheapest returns the candidate with the least expected cost in milliseconds.
-func (b *Board) cheapest(now time.Time, svc *fleet.Service, servers []*fleet.Server, j *Job, deep int, not *fleet.Server,
+func (b *Board) cheapest(now time.Time, svc *fleet.Service, servers []*fleet.Server, j *Job, deep int, waiting bool, not *fleet.Server,
 ) (*fleet.Server, float64) {
 	var best *fleet.Server
 	least := 0.0
 	for _, s := range servers {
 		a := b.account(s)
-		if s == not || now.Before(a.full) || !b.room(a, svc, s, deep) {
+		if s == not || now.Before(a.full) || !b.room(a, svc, s, deep, waiting) {
 			continue
 		}
 		if cost := b.cost(a, svc, s, j); best == nil || cost < least {
@@ -129,8 +134,12 @@
 }
 
 // room reports whether a backend server may get one more request.
-func (b *Board) room(a *account, svc *fleet.Service, s *fleet.Server, deep int) bool {
+func (b *Board) room(a *account, svc *fleet.Service, s *fleet.Server, deep int, waiting bool) bool {
 	limit := max(1, s.Slots) + deep
+	if part := crowdPart * float64(max(1, s.Slots)) / float64(max(1, b.nodes)); svc.Engine && waiting &&
+		(a.bias >= part || float64(a.recent) >= max(1, part)) {
+		return false
+	}
 	if !svc.Engine {
 		limit += plainQueue
 	}
@@ -204,6 +213,7 @@
 	a := b.account(s)
 	a.own.Requests++
 	a.own.Prompt += j.Prompt
+	a.recent++
 	a.used = now
 }
 
@@ -282,13 +292,16 @@
 	return min(out.or(defaultOutput), float64(max(j.Output, 1)))
 }
 
+// SetNodes says how many instances there are, this one included.
+func (b *Board) SetNodes(n int) { b.nodes = n }
+
 // SetUnheard says how many requests the others send to a backend server, on average, before this instance hears of them.
 func (b *Board) SetUnheard(n float64) { b.unheard = n }
 
 // SetOthers replaces what the other instances have sent; backend servers that are not named have nothing from them.
 func (b *Board) SetOthers(others map[string]Load) {
 	for id, a := range b.accounts {
-		a.others = others[id.ID]
+		a.others, a.recent = others[id.ID], 0
 	}
 }
 
--- a/mustardseam/place/board_test.go
+++ b/mustardseam/place/board_test.go
@@ -95,7 +95,7 @@
 				b.account(s)
 			}
 			test.prepare(b, servers)
-			got := b.Choose(start, test.service, servers, test.job(), test.deep)
+			got := b.Choose(start, test.service, servers, test.job(), test.deep, false)
 			if test.want == "" {
 				assert.Assert(t, got == nil)
 				return
@@ -149,7 +149,7 @@
 	}
 	for r := range requests {
 		b, j := boards[r%nodes], job(3700, 120)
-		s := b.Choose(start, engine, servers, j, 0)
+		s := b.Choose(start, engine, servers, j, 0, false)
 		b.Start(start, s, j)
 		got[s.ID]++
 	}
@@ -161,6 +161,27 @@
 	assert.Assert(t, len(got) >= count/2, "only %d backend servers were used", len(got))
 }
 
+// TestStampede guards against waiting requests of all instances that go to a backend server as it comes back: 60 instances
+// with ten waiting requests each may send it no more than three times what it works on at a time.
+func TestStampede(t *testing.T) {
+	const nodes = 60
+	servers := []*fleet.Server{server("s0")}
+	sent := 0
+	for i := range nodes {
+		b := NewBoard(BoardConfig{Self: fmt.Sprintf("n%d", i)})
+		b.SetNodes(nodes)
+		for range 10 {
+			j := job(1000, 100)
+			if s := b.Choose(start, engine, servers, j, 2, true); s != nil {
+				b.Start(start, s, j)
+				sent++
+			}
+		}
+	}
+	assert.Assert(t, sent <= 3*servers[0].Slots, "%d requests", sent)
+	assert.Assert(t, sent >= 1)
+}
+
 // TestOwn guards against loads that are counted twice or not given back.
 func TestOwn(t *testing.T) {
 	b := NewBoard(BoardConfig{Self: "n"})
@@ -183,7 +204,7 @@
 	}
 	j := job(3700, 120)
 	for b.Loop() {
-		board.Choose(start, engine, servers, j, 0)
+		board.Choose(start, engine, servers, j, 0, false)
 	}
 }
 
