--- /dev/null
+++ b/mustardseam/hub/hub_test.go
@@ -0,0 +1,129 @@
+package hub
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/mustardseam/mustardseam/mustardseam/fleet"
+	"github.com/mustardseam/mustardseam/mustardseam/place"
+	"github.com/mustardseam/mustardseam/mustardseam/share"
+)
+
+var start = time.Unix(1000, 0)
+
+// TestTake guards against use that is counted twice when a report is repeated or comes late, and against loads of
+// instances that have gone.
+func TestTake(t *testing.T) {
+	report := func(node string, run, sequence int64, spent float64, requests int) Report {
+		return Report{
+			Node: node, Run: run, Sequence: sequence, Used: map[string]share.Use{"a": {Asked: spent, Spent: spent}},
+			Loads: map[string]place.Load{"s": {Requests: requests}},
+		}
+	}
+	tests := []struct {
+		name   string
+		report Report
+		at     time.Duration
+		known  float64
+		load   int
+		nodes  int
+	}{
+		{"first", report("n1", 1, 1, 10, 2), 0, 10, 2, 2},
+		{"repeated", report("n1", 1, 1, 10, 2), 0, 10, 2, 2},
+		{"next", report("n1", 1, 2, 5, 1), 0, 15, 1, 2},
+		{"late", report("n1", 1, 1, 10, 9), 0, 15, 1, 2},
+		{"another instance", report("n2", 1, 1, 1, 3), 0, 16, 4, 3},
+		{"started again", report("n1", 2, 1, 4, 0), 0, 20, 3, 3},
+		{"after a long silence of the others", report("n1", 2, 2, 0, 1), current, 20, 1, 2},
+	}
+	table := NewTable("n0")
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			now := start.Add(test.at)
+			table.Take(now, test.report)
+			assert.Equal(t, table.Known()["a"].Spent, test.known)
+			assert.Equal(t, table.Loads(now)["s"].Requests, test.load)
+			assert.Equal(t, len(table.Nodes(now)), test.nodes)
+		})
+	}
+	table.Take(start, Report{Node: "n2", Run: 1, Sequence: 2, Stopping: true})
+	assert.Equal(t, len(table.Nodes(start)), 2)
+}
+
+// TestOrder guards against instances that choose different hubs from the same list, and against a small one as the hub.
+func TestOrder(t *testing.T) {
+	nodes := map[string]fleet.Node{}
+	for n := range 20 {
+		name := fmt.Sprintf("n%d", n)
+		nodes[name] = fleet.Node{Name: name, Cores: []float64{0.2, 0.8}[n%2]}
+	}
+	first := Order(nodes)
+	assert.Equal(t, first[0].Cores, 0.8)
+	for range 10 {
+		assert.DeepEqual(t, Order(nodes), first)
+	}
+}
+
+// TestInterval guards against a hub that gets more reports than its processor answers.
+func TestInterval(t *testing.T) {
+	tests := []struct {
+		nodes int
+		cores float64
+		want  time.Duration
+	}{
+		{8, 0.4, leastInterval},
+		{60, 0.8, 125 * time.Millisecond},
+		{78, 0.192, 677083333 * time.Nanosecond},
+		{350, 0.4, mostInterval},
+		{8, 0, mostInterval},
+	}
+	for _, test := range tests {
+		t.Run(fmt.Sprintf("%d at %v", test.nodes, test.cores), func(t *testing.T) {
+			assert.Equal(t, Interval(test.nodes, test.cores), test.want)
+		})
+	}
+}
+
+// benchmarkDigest measures what the hub does for one report, and the bytes of both messages.
+func benchmarkDigest(b *testing.B, nodes, servers, teams int) {
+	table := NewTable("n0")
+	r := Report{Loads: map[string]place.Load{}, Paces: map[string]float64{}, Used: map[string]share.Use{}}
+	for s := range servers {
+		id := fmt.Sprintf("i-%010x", s)
+		r.Paces[id] = 5.5
+		if s%nodes < 3 {
+			r.Loads[id] = place.Load{Requests: 2, Prompt: 3720}
+		}
+	}
+	for n := range min(teams, 16) {
+		r.Used[fmt.Sprintf("team%d", n)] = share.Use{Asked: 3720, Spent: 3720}
+	}
+	for n := range nodes {
+		r.Node, r.Sequence = fmt.Sprintf("n%d", n), 1
+		table.Take(start, r)
+	}
+	in, err := json.Marshal(r)
+	assert.NilError(b, err)
+	out := 0
+	for b.Loop() {
+		var got Report
+		assert.NilError(b, json.Unmarshal(in, &got))
+		got.Sequence++
+		table.Take(start, got)
+		d, err := json.Marshal(Digest{
+			Nodes: table.Nodes(start), Known: table.Known(), Loads: table.Loads(start), Paces: table.Paces(start),
+		})
+		assert.NilError(b, err)
+		out = len(d)
+	}
+	b.ReportMetric(float64(len(in)), "report-bytes")
+	b.ReportMetric(float64(out), "digest-bytes")
+}
+
+func BenchmarkDigest8(b *testing.B)   { benchmarkDigest(b, 8, 15, 5) }
+func BenchmarkDigest60(b *testing.B)  { benchmarkDigest(b, 60, 143, 16) }
+func BenchmarkDigest350(b *testing.B) { benchmarkDigest(b, 350, 2400, 510) }
