Sum reports once for many and choose a replica in one pass

Cause: answering a report took 0.6 ms at 60 instances and 143 backend servers, 40 ms at 350 and 2,400 (beside load): each answer summed all reports anew and held all paces. A choice among 140 replicas took 24 us: three passes and an allocation. Change: sums are kept for 40 ms with their encoding; reports name only paces measured since, answers name them every sixteenth time; one pass finds the best two replicas.

--- a/mustardseam/entry/gossip.go
+++ b/mustardseam/entry/gossip.go
@@ -1,9 +1,13 @@
 package entry
 
 import (
+	"encoding/json"
+	"maps"
 	"sync"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/mustardseam/mustardseam/mustardseam/event"
 	"github.com/mustardseam/mustardseam/mustardseam/fleet"
 	"github.com/mustardseam/mustardseam/mustardseam/hub"
@@ -23,6 +27,8 @@
 	sickWord = 400 * time.Millisecond
 	// hubPause is how long a hub that did not answer is passed over.
 	hubPause = 1500 * time.Millisecond
+	// pacesEvery is how many reports pass until the hub tells all paces, which change slowly.
+	pacesEvery = 16
 	// maxSamples bounds the outcomes that wait for a report.
 	maxSamples = 512
 	// catchUpItems bounds the items that an instance passes up to its hub.
@@ -86,6 +92,11 @@
 	return g.hub != "" && now.Sub(g.heard) < relaySilence && g.heardAge+now.Sub(g.heard) < relayAge
 }
 
+// own returns what this instance adds to the sum as the hub.
+func (g *gossip) own() (map[string]place.Load, []string) {
+	return g.i.scheduler.own(), g.i.scheduler.sick(time.Now())
+}
+
 // leads reports whether this instance is the hub.
 func (g *gossip) leads() bool {
 	target, ok := g.target(time.Now())
@@ -131,7 +142,7 @@
 
 // lead does what the hub does for itself.
 func (g *gossip) lead(now time.Time) {
-	_, _, used := g.i.scheduler.told()
+	own, _, used := g.i.scheduler.told()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.hub != "" {
@@ -143,8 +154,16 @@
 	nodes := g.table.Nodes(now)
 	g.nodes = len(nodes)
 	g.table.Sweep(now)
+	sum, err := g.table.Sum(now, g.own)
+	if err != nil {
+		event.HubLost.On(g.i.log()).Str("hub", g.i.cfg.Name).Err(err).Send()
+	}
+	others := maps.Clone(sum.Loads)
+	for id, l := range own {
+		others[id] = others[id].Minus(l)
+	}
 	g.i.scheduler.hear(now, hearing{
-		loads: g.table.Loads(now), paces: g.table.Paces(now), nodes: nodes, sick: g.table.Sick(now), until: now.Add(sickWord),
+		loads: others, paces: g.table.Paces(), nodes: nodes, sick: sum.Sick, until: now.Add(sickWord),
 	})
 	samples := g.samples
 	g.samples = nil
@@ -225,8 +244,12 @@
 		g.i.scheduler.adopt(now, d.Levels)
 	}
 	others := map[string]place.Load{}
-	for id, l := range d.Loads {
-		others[id] = l.Minus(r.Loads[id])
+	if err := json.Unmarshal(d.Loads, &others); err != nil {
+		event.HubLost.On(g.i.log()).Str("hub", to.Name).Err(eris.Wrap(err, "decode loads")).Send()
+		return
+	}
+	for id, own := range r.Loads {
+		others[id] = others[id].Minus(own)
 	}
 	g.i.scheduler.hear(now, hearing{
 		loads: others, paces: d.Paces, nodes: d.Nodes, used: used, sick: d.Sick, until: now.Add(sickWord),
@@ -245,10 +268,16 @@
 		}
 		g.samples = append(g.samples, r.Samples...)
 	}
-	loads := g.table.Loads(now)
+	sum, err := g.table.Sum(now, g.own)
+	if err != nil {
+		event.HubLost.On(g.i.log()).Str("hub", g.i.cfg.Name).Err(err).Send()
+	}
 	d := hub.Digest{
-		Hub: g.i.cfg.Name, Run: g.i.run, Nodes: g.table.Nodes(now), Known: g.table.Known(), Paces: g.table.Paces(now),
-		Sick: g.table.Sick(now), From: r.Revision,
+		Hub: g.i.cfg.Name, Run: g.i.run, Nodes: g.table.Nodes(now), Known: g.table.Known(), Loads: sum.JSON, Sick: sum.Sick,
+		From: r.Revision,
+	}
+	if r.Sequence%pacesEvery == 1 {
+		d.Paces = g.table.Paces()
 	}
 	g.mu.Unlock()
 	if leads {
@@ -258,13 +287,6 @@
 	if len(r.Items) > 0 && r.AgeMS >= 0 {
 		g.i.follower.Hear(r.Items, false, g.i.follower.Revision(), r.Revision, time.Duration(r.AgeMS)*time.Millisecond)
 	}
-	for _, id := range g.i.scheduler.sick(now) {
-		d.Sick[id]++
-	}
-	for id, l := range g.i.scheduler.own() {
-		loads[id] = loads[id].Plus(l)
-	}
-	d.Loads = loads
 	if r.Sequence == 1 {
 		d.Levels = g.i.scheduler.levels(now)
 	}
--- a/mustardseam/hub/hub_test.go
+++ b/mustardseam/hub/hub_test.go
@@ -46,7 +46,10 @@
 			now := start.Add(test.at)
 			table.Take(now, test.report)
 			assert.Equal(t, table.Known()["a"].Spent, test.known)
-			assert.Equal(t, table.Loads(now)["s"].Requests, test.load)
+			table.summed = time.Time{}
+			sum, err := table.Sum(now, nothing)
+			assert.NilError(t, err)
+			assert.Equal(t, sum.Loads["s"].Requests, test.load)
 			assert.Equal(t, len(table.Nodes(now)), test.nodes)
 		})
 	}
@@ -54,6 +57,8 @@
 	assert.Equal(t, len(table.Nodes(start)), 2)
 }
 
+func nothing() (map[string]place.Load, []string) { return nil, nil }
+
 // TestOrder guards against instances that choose different hubs from the same list, and against a small one as the hub.
 func TestOrder(t *testing.T) {
 	nodes := map[string]fleet.Node{}
@@ -94,8 +99,8 @@
 	r := Report{Loads: map[string]place.Load{}, Paces: map[string]float64{}, Used: map[string]share.Use{}}
 	for s := range servers {
 		id := fmt.Sprintf("i-%010x", s)
-		r.Paces[id] = 5.5
 		if s%nodes < 3 {
+			r.Paces[id] = 5.5
 			r.Loads[id] = place.Load{Requests: 2, Prompt: 3720}
 		}
 	}
@@ -114,9 +119,9 @@
 		assert.NilError(b, json.Unmarshal(in, &got))
 		got.Sequence++
 		table.Take(start, got)
-		d, err := json.Marshal(Digest{
-			Nodes: table.Nodes(start), Known: table.Known(), Loads: table.Loads(start), Paces: table.Paces(start),
-		})
+		sum, err := table.Sum(start, nothing)
+		assert.NilError(b, err)
+		d, err := json.Marshal(Digest{Nodes: table.Nodes(start), Known: table.Known(), Loads: sum.JSON})
 		assert.NilError(b, err)
 		out = len(d)
 	}
--- a/mustardseam/hub/report.go
+++ b/mustardseam/hub/report.go
@@ -1,6 +1,8 @@
 package hub
 
 import (
+	"encoding/json"
+
 	"github.com/mustardseam/mustardseam/mustardseam/place"
 	"github.com/mustardseam/mustardseam/mustardseam/share"
 	"github.com/mustardseam/mustardseam/mustardseam/store"
@@ -16,7 +18,7 @@
 	Items    []store.Item          `json:"items,omitempty"`
 	Used     map[string]share.Use  `json:"used,omitempty"`  // By team since the latest report that was answered.
 	Loads    map[string]place.Load `json:"loads,omitempty"` // By id of the backend server.
-	Paces    map[string]float64    `json:"paces,omitempty"` // Milliseconds from token to token.
+	Paces    map[string]float64    `json:"paces,omitempty"` // Milliseconds from token to token, measured since the latest report.
 	Sick     []string              `json:"sick,omitempty"`  // Ids of backend servers that failed contacts.
 	Samples  []Sample              `json:"samples,omitempty"`
 	Stopping bool                  `json:"stopping,omitempty"`
@@ -34,18 +36,18 @@
 
 // Digest is what the hub answers.
 type Digest struct {
-	Hub      string                `json:"hub"`
-	Run      int64                 `json:"run"`
-	Nodes    []string              `json:"nodes"`            // Instances that reported lately, the hub included.
-	Known    map[string]share.Use  `json:"known"`            // By team, over all instances, since the hub's start.
-	Levels   map[string]float64    `json:"levels,omitempty"` // Of quotas, for an instance that has just started.
-	Loads    map[string]place.Load `json:"loads"`            // Over all instances.
-	Paces    map[string]float64    `json:"paces,omitempty"`
-	Sick     map[string]int        `json:"sick,omitempty"` // Instances that failed to reach a backend server.
-	From     int64                 `json:"from"`           // Revision that the items follow.
-	Revision int64                 `json:"revision"`
-	AgeMS    int64                 `json:"age-ms"`
-	DirectMS int64                 `json:"direct-ms"` // Since the store answered the hub itself; -1 if never.
-	Whole    bool                  `json:"whole"`     // The items are all there are.
-	Items    []store.Item          `json:"items,omitempty"`
+	Hub      string               `json:"hub"`
+	Run      int64                `json:"run"`
+	Nodes    []string             `json:"nodes"`            // Instances that reported lately, the hub included.
+	Known    map[string]share.Use `json:"known"`            // By team, over all instances, since the hub's start.
+	Levels   map[string]float64   `json:"levels,omitempty"` // Of quotas, for an instance that has just started.
+	Loads    json.RawMessage      `json:"loads"`            // A map of place.Load by backend server, over all instances.
+	Paces    map[string]float64   `json:"paces,omitempty"`
+	Sick     map[string]int       `json:"sick,omitempty"` // Instances that failed to reach a backend server.
+	From     int64                `json:"from"`           // Revision that the items follow.
+	Revision int64                `json:"revision"`
+	AgeMS    int64                `json:"age-ms"`
+	DirectMS int64                `json:"direct-ms"` // Since the store answered the hub itself; -1 if never.
+	Whole    bool                 `json:"whole"`     // The items are all there are.
+	Items    []store.Item         `json:"items,omitempty"`
 }
--- a/mustardseam/hub/table.go
+++ b/mustardseam/hub/table.go
@@ -1,10 +1,13 @@
 package hub
 
 import (
+	"encoding/json"
 	"maps"
 	"sort"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/mustardseam/mustardseam/mustardseam/place"
 	"github.com/mustardseam/mustardseam/mustardseam/share"
 )
@@ -14,9 +17,34 @@
 
 // Table is what a hub knows from reports; it is not safe for concurrent use.
 type Table struct {
-	self  string
-	nodes map[string]*entry
-	known map[string]share.Use
+	self   string
+	nodes  map[string]*entry
+	known  map[string]share.Use
+	paces  map[string]pace
+	sum    Sum
+	summed time.Time
+}
+
+// pace is the smoothed pace of a backend server.
+type pace struct {
+	ms float64
+	at time.Time // Of the latest measurement.
+}
+
+const (
+	// sumEvery is how often sums are made anew; all reports in between get the same.
+	sumEvery = 40 * time.Millisecond
+	// paceSmoothing is the weight of a report in the pace of a backend server.
+	paceSmoothing = 0.3
+	// paceRetention is how long the pace of a backend server is kept that nobody measures any more.
+	paceRetention = time.Minute
+)
+
+// Sum is what instances have reported, over all of them.
+type Sum struct {
+	Loads map[string]place.Load
+	Sick  map[string]int  // Instances that failed to reach a backend server.
+	JSON  json.RawMessage // Loads, encoded.
 }
 
 // entry is the latest report of an instance.
@@ -27,7 +55,7 @@
 
 // NewTable returns the table of an instance that has got no report.
 func NewTable(self string) *Table {
-	return &Table{self: self, nodes: map[string]*entry{}, known: map[string]share.Use{}}
+	return &Table{self: self, nodes: map[string]*entry{}, known: map[string]share.Use{}, paces: map[string]pace{}}
 }
 
 // Take takes in a report and returns the use in it that was not known yet.
@@ -42,6 +70,13 @@
 	} else {
 		t.nodes[r.Node] = &entry{report: r, at: now}
 	}
+	for id, ms := range r.Paces {
+		p, known := t.paces[id]
+		if !known {
+			p.ms = ms
+		}
+		t.paces[id] = pace{ms: p.ms + paceSmoothing*(ms-p.ms), at: now}
+	}
 	t.Use(r.Used)
 	return r.Used
 }
@@ -68,47 +103,45 @@
 	return nodes
 }
 
-// Loads returns the sum of what instances have sent.
-func (t *Table) Loads(now time.Time) map[string]place.Load {
-	sum := map[string]place.Load{}
-	for _, e := range t.nodes {
-		if now.Sub(e.at) < current {
-			for id, l := range e.report.Loads {
-				sum[id] = sum[id].Plus(l)
-			}
-		}
+// Sum returns the sum of the latest reports, own loads and sick backend servers included; it may be up to sumEvery old.
+func (t *Table) Sum(now time.Time, own func() (loads map[string]place.Load, sick []string)) (Sum, error) {
+	if now.Sub(t.summed) < sumEvery && !t.summed.IsZero() {
+		return t.sum, nil
+	}
+	loads, ids := own()
+	sum := Sum{Loads: maps.Clone(loads), Sick: map[string]int{}}
+	if sum.Loads == nil {
+		sum.Loads = map[string]place.Load{}
+	}
+	for _, id := range ids {
+		sum.Sick[id]++
 	}
-	return sum
-}
-
-// Paces returns the mean of what instances have measured.
-func (t *Table) Paces(now time.Time) map[string]float64 {
-	sum, n := map[string]float64{}, map[string]float64{}
 	for _, e := range t.nodes {
-		if now.Sub(e.at) < current {
-			for id, p := range e.report.Paces {
-				sum[id] += p
-				n[id]++
-			}
+		if now.Sub(e.at) >= current {
+			continue
+		}
+		for id, l := range e.report.Loads {
+			sum.Loads[id] = sum.Loads[id].Plus(l)
+		}
+		for _, id := range e.report.Sick {
+			sum.Sick[id]++
 		}
 	}
-	for id := range sum {
-		sum[id] /= n[id]
+	var err error
+	if sum.JSON, err = json.Marshal(sum.Loads); err != nil {
+		return Sum{}, eris.Wrap(err, "encode loads")
 	}
-	return sum
+	t.sum, t.summed = sum, now
+	return sum, nil
 }
 
-// Sick counts the instances that avoid a backend server.
-func (t *Table) Sick(now time.Time) map[string]int {
-	sick := map[string]int{}
-	for _, e := range t.nodes {
-		if now.Sub(e.at) < current {
-			for _, id := range e.report.Sick {
-				sick[id]++
-			}
-		}
+// Paces returns what instances have measured.
+func (t *Table) Paces() map[string]float64 {
+	paces := make(map[string]float64, len(t.paces))
+	for id, p := range t.paces {
+		paces[id] = p.ms
 	}
-	return sick
+	return paces
 }
 
 // Sweep forgets instances that have not reported for long.
@@ -118,4 +151,9 @@
 			delete(t.nodes, name)
 		}
 	}
+	for id, p := range t.paces {
+		if now.Sub(p.at) > paceRetention {
+			delete(t.paces, id)
+		}
+	}
 }
--- a/mustardseam/place/account.go
+++ b/mustardseam/place/account.go
@@ -17,6 +17,7 @@
 type account struct {
 	bias     float64   // Of this instance against the backend server, in [0, 1).
 	full     time.Time // It refused for want of room; no request until then.
+	untold   bool      // The pace has changed since it was told.
 	recent   int       // Requests that this instance sent since the latest word of the others.
 	own      Load
 	others   Load
--- a/mustardseam/place/board.go
+++ b/mustardseam/place/board.go
@@ -90,47 +90,56 @@
 // slots a backend server may be filled. With jobs waiting, those of other instances are likely to wait as well, and all
 // would send to a backend server that comes free.
 func (b *Board) Choose(now time.Time, svc *fleet.Service, servers []*fleet.Server, j *Job, deep int, waiting bool) *fleet.Server {
-	fit := b.healthy(now, servers, j)
-	if len(fit) == 0 {
+	best, second := b.cheapest(now, svc, servers, j, deep, waiting, false)
+	if best.server == nil && !b.anyHealthy(now, servers, j) {
 		// All look sick or were tried: better a doubtful one than none. Where healthy ones are merely full, the job waits.
-		fit = servers
+		best, second = b.cheapest(now, svc, servers, j, deep, waiting, true)
 	}
-	best, cost := b.cheapest(now, svc, fit, j, deep, waiting, nil)
-	if best == nil {
-		return nil
+	if second.server != nil && second.cost <= best.cost*(1+similar) && b.random() < 0.5 {
+		return second.server
 	}
-	if second, other := b.cheapest(now, svc, fit, j, deep, waiting, best); second != nil && other <= cost*(1+similar) && b.random() < 0.5 {
-		return second
-	}
-	return best
+	return best.server
+}
+
+// choice is a backend server with its expected cost in milliseconds.
+type choice struct {
+	server *fleet.Server
+	cost   float64
 }
 
-// healthy returns the backend servers that are not avoided and have not had the job.
-func (b *Board) healthy(now time.Time, servers []*fleet.Server, j *Job) []*fleet.Server {
-	fit := make([]*fleet.Server, 0, len(servers))
+// anyHealthy reports whether there is a backend server that is not avoided and has not had the job.
+func (b *Board) anyHealthy(now time.Time, servers []*fleet.Server, j *Job) bool {
 	for _, s := range servers {
 		if !j.tried(s.Incarnation()) && !b.account(s).avoided(now) {
-			fit = append(fit, s)
+			return true
 		}
 	}
-	return fit
+	return false
 }
 
-// cheapest returns the candidate with the least expected cost in milliseconds.
-func (b *Board) cheapest(now time.Time, svc *fleet.Service, servers []*fleet.Server, j *Job, deep int, waiting bool, not *fleet.Server,
-) (*fleet.Server, float64) {
-	var best *fleet.Server
-	least := 0.0
+// cheapest returns the two candidates with the least expected cost; doubtful ones are those that are avoided or have had
+// the job.
+func (b *Board) cheapest(
+	now time.Time, svc *fleet.Service, servers []*fleet.Server, j *Job, deep int, waiting, doubtful bool,
+) (best, second choice) {
+	m := b.model(svc.Name)
 	for _, s := range servers {
 		a := b.account(s)
-		if s == not || now.Before(a.full) || !b.room(a, svc, s, deep, waiting) {
+		if now.Before(a.full) || !b.room(a, svc, s, deep, waiting) {
 			continue
 		}
-		if cost := b.cost(a, svc, s, j); best == nil || cost < least {
-			best, least = s, cost
+		if !doubtful && (a.avoided(now) || j.tried(s.Incarnation())) {
+			continue
+		}
+		c := choice{server: s, cost: b.cost(a, m, svc, s, j)}
+		switch {
+		case best.server == nil || c.cost < best.cost:
+			best, second = c, best
+		case second.server == nil || c.cost < second.cost:
+			second = c
 		}
 	}
-	return best, least
+	return best, second
 }
 
 // room reports whether a backend server may get one more request.
@@ -154,8 +163,7 @@
 
 // cost predicts what a job takes at a backend server, in milliseconds: the wait for a slot, the reading of the prompts
 // before it and its own, and a part of its output.
-func (b *Board) cost(a *account, svc *fleet.Service, s *fleet.Server, j *Job) float64 {
-	m := b.model(svc.Name)
+func (b *Board) cost(a *account, m *engineModel, svc *fleet.Service, s *fleet.Server, j *Job) float64 {
 	load := a.load()
 	cost := failPenalty*a.failures*a.failures + unheardBias*min(1, b.unheard)*a.bias
 	if s.DataCentre != j.DataCentre {
@@ -278,7 +286,9 @@
 // Paced records the pace of a stream, from token to token.
 func (b *Board) Paced(svc *fleet.Service, s *fleet.Server, pace time.Duration) {
 	ms := float64(pace.Microseconds()) / 1000
-	b.account(s).pace.add(ms)
+	a := b.account(s)
+	a.pace.add(ms)
+	a.untold = true
 	b.model(svc.Name).pace.add(ms)
 }
 
@@ -316,12 +326,14 @@
 	return own
 }
 
-// Paces returns the learned pace of backend servers by id, in milliseconds from token to token.
+// Paces returns the pace of backend servers by id that was learned since the last call, in milliseconds from token to
+// token.
 func (b *Board) Paces() map[string]float64 {
 	paces := map[string]float64{}
 	for id, a := range b.accounts {
-		if a.pace.n > 0 {
+		if a.untold {
 			paces[id.ID] = a.pace.value
+			a.untold = false
 		}
 	}
 	return paces
