--- a/mustardseam/entry/gossip.go
+++ b/mustardseam/entry/gossip.go
@@ -142,7 +142,7 @@
 
 // lead does what the hub does for itself.
 func (g *gossip) lead(now time.Time) {
-	own, _, used := g.i.scheduler.told()
+	_, _, used := g.i.scheduler.told()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.hub != "" {
@@ -159,7 +159,7 @@
 		event.HubLost.On(g.i.log()).Str("hub", g.i.cfg.Name).Err(err).Send()
 	}
 	others := maps.Clone(sum.Loads)
-	for id, l := range own {
+	for id, l := range sum.Of[g.i.cfg.Name] {
 		others[id] = others[id].Minus(l)
 	}
 	g.i.scheduler.hear(now, hearing{
@@ -248,7 +248,7 @@
 		event.HubLost.On(g.i.log()).Str("hub", to.Name).Err(eris.Wrap(err, "decode loads")).Send()
 		return
 	}
-	for id, own := range r.Loads {
+	for id, own := range d.Own {
 		others[id] = others[id].Minus(own)
 	}
 	g.i.scheduler.hear(now, hearing{
@@ -273,7 +273,7 @@
 		event.HubLost.On(g.i.log()).Str("hub", g.i.cfg.Name).Err(err).Send()
 	}
 	d := hub.Digest{
-		Hub: g.i.cfg.Name, Run: g.i.run, Nodes: g.table.Nodes(now), Known: g.table.Known(), Loads: sum.JSON, Sick: sum.Sick,
+		Hub: g.i.cfg.Name, Run: g.i.run, Nodes: g.table.Nodes(now), Known: g.table.Known(), Loads: sum.JSON, Own: sum.Of[r.Node], Sick: sum.Sick,
 		From: r.Revision,
 	}
 	if r.Sequence%pacesEvery == 1 {
--- a/mustardseam/hub/report.go
+++ b/mustardseam/hub/report.go
@@ -36,18 +36,19 @@
 
 // Digest is what the hub answers.
 type Digest struct {
-	Hub      string               `json:"hub"`
-	Run      int64                `json:"run"`
-	Nodes    []string             `json:"nodes"`            // Instances that reported lately, the hub included.
-	Known    map[string]share.Use `json:"known"`            // By team, over all instances, since the hub's start.
-	Levels   map[string]float64   `json:"levels,omitempty"` // Of quotas, for an instance that has just started.
-	Loads    json.RawMessage      `json:"loads"`            // A map of place.Load by backend server, over all instances.
-	Paces    map[string]float64   `json:"paces,omitempty"`
-	Sick     map[string]int       `json:"sick,omitempty"` // Instances that failed to reach a backend server.
-	From     int64                `json:"from"`           // Revision that the items follow.
-	Revision int64                `json:"revision"`
-	AgeMS    int64                `json:"age-ms"`
-	DirectMS int64                `json:"direct-ms"` // Since the store answered the hub itself; -1 if never.
-	Whole    bool                 `json:"whole"`     // The items are all there are.
-	Items    []store.Item         `json:"items,omitempty"`
+	Hub      string                `json:"hub"`
+	Run      int64                 `json:"run"`
+	Nodes    []string              `json:"nodes"`            // Instances that reported lately, the hub included.
+	Known    map[string]share.Use  `json:"known"`            // By team, over all instances, since the hub's start.
+	Levels   map[string]float64    `json:"levels,omitempty"` // Of quotas, for an instance that has just started.
+	Loads    json.RawMessage       `json:"loads"`            // A map of place.Load by backend server, over all instances.
+	Paces    map[string]float64    `json:"paces,omitempty"`
+	Own      map[string]place.Load `json:"own,omitempty"`  // What Loads holds of the instance that reported.
+	Sick     map[string]int        `json:"sick,omitempty"` // Instances that failed to reach a backend server.
+	From     int64                 `json:"from"`           // Revision that the items follow.
+	Revision int64                 `json:"revision"`
+	AgeMS    int64                 `json:"age-ms"`
+	DirectMS int64                 `json:"direct-ms"` // Since the store answered the hub itself; -1 if never.
+	Whole    bool                  `json:"whole"`     // The items are all there are.
+	Items    []store.Item          `json:"items,omitempty"`
 }
--- a/mustardseam/hub/table.go
+++ b/mustardseam/hub/table.go
@@ -33,7 +33,7 @@
 
 const (
 	// sumEvery is how often sums are made anew; all reports in between get the same.
-	sumEvery = 40 * time.Millisecond
+	sumEvery = 15 * time.Millisecond
 	// paceSmoothing is the weight of a report in the pace of a backend server.
 	paceSmoothing = 0.3
 	// paceRetention is how long the pace of a backend server is kept that nobody measures any more.
@@ -43,8 +43,9 @@
 // Sum is what instances have reported, over all of them.
 type Sum struct {
 	Loads map[string]place.Load
-	Sick  map[string]int  // Instances that failed to reach a backend server.
-	JSON  json.RawMessage // Loads, encoded.
+	Sick  map[string]int                   // Instances that failed to reach a backend server.
+	JSON  json.RawMessage                  // Loads, encoded.
+	Of    map[string]map[string]place.Load // What the sum holds of each instance.
 }
 
 // entry is the latest report of an instance.
@@ -109,7 +110,7 @@
 		return t.sum, nil
 	}
 	loads, ids := own()
-	sum := Sum{Loads: maps.Clone(loads), Sick: map[string]int{}}
+	sum := Sum{Loads: maps.Clone(loads), Sick: map[string]int{}, Of: map[string]map[string]place.Load{t.self: loads}}
 	if sum.Loads == nil {
 		sum.Loads = map[string]place.Load{}
 	}
@@ -120,6 +121,7 @@
 		if now.Sub(e.at) >= current {
 			continue
 		}
+		sum.Of[e.report.Node] = e.report.Loads
 		for id, l := range e.report.Loads {
 			sum.Loads[id] = sum.Loads[id].Plus(l)
 		}
