--- a/mustardseam/place/board_test.go
+++ b/mustardseam/place/board_test.go
@@ -37,20 +37,20 @@
 		deep    int
 		want    string // Empty when there is no room.
 	}{
-		{"full", engine, func(b *Board, s []*fleet.Server) {
+		{"full", engine, func(b *Board, _ []*fleet.Server) {
 			b.SetOthers(map[string]Load{"s0": {Requests: 4}})
 		}, func() *Job { return job(1000, 100) }, 0, "s1"},
-		{"all full", engine, func(b *Board, s []*fleet.Server) {
+		{"all full", engine, func(b *Board, _ []*fleet.Server) {
 			b.SetOthers(map[string]Load{"s0": {Requests: 4}, "s1": {Requests: 5}})
 		}, func() *Job { return job(1000, 100) }, 0, ""},
-		{"queue of the backend server", engine, func(b *Board, s []*fleet.Server) {
+		{"queue of the backend server", engine, func(b *Board, _ []*fleet.Server) {
 			b.SetOthers(map[string]Load{"s0": {Requests: 4}, "s1": {Requests: 5}})
 		}, func() *Job { return job(1000, 100) }, 1, "s0"},
-		{"slow", engine, func(b *Board, s []*fleet.Server) {
+		{"slow", engine, func(b *Board, _ []*fleet.Server) {
 			b.Teach(map[string]float64{"s0": 20, "s1": 4})
 			b.model("pool").pace.add(8)
 		}, func() *Job { return job(1000, 100) }, 0, "s1"},
-		{"prompts ahead", engine, func(b *Board, s []*fleet.Server) {
+		{"prompts ahead", engine, func(b *Board, _ []*fleet.Server) {
 			b.SetOthers(map[string]Load{"s0": {Requests: 1, Prompt: 50000}, "s1": {Requests: 2}})
 		}, func() *Job { return job(1000, 100) }, 0, "s1"},
 		{"sick", engine, func(b *Board, s []*fleet.Server) {
