Learn of instances from their reports, and bound what is saved for retries

Ruled out: lost changes; the other instance had the configuration. Change: a report says how to reach its instance. Change: at most a part of the instance's share is saved.

--- a/mustardseam/entry/change.go
+++ b/mustardseam/entry/change.go
@@ -37,3 +37,14 @@
 	defer i.changing.Unlock()
 	i.view.Store(i.view.Load().With(fleet.Change{Node: &fleet.Node{Name: node}, Removed: true}))
 }
+
+// learn takes in how to reach an instance that reported, which the store may not have told yet.
+func (i *Instance) learn(n fleet.Node) {
+	if n.Name == "" || i.view.Load().Nodes[n.Name] == n {
+		return
+	}
+	i.changing.Lock()
+	defer i.changing.Unlock()
+	i.view.Store(i.view.Load().With(fleet.Change{Node: &n}))
+	event.Believed.On(i.log()).Str("instance-name", n.Name).Str("address", n.Address).Send()
+}
--- a/mustardseam/entry/gossip.go
+++ b/mustardseam/entry/gossip.go
@@ -180,7 +180,7 @@
 	g.table.Use(used)
 	g.sequence++
 	r := hub.Report{
-		Node: g.i.cfg.Name, Run: g.i.run, Sequence: g.sequence, Revision: g.i.follower.Revision(), AgeMS: g.i.storeAge(),
+		Node: g.i.cfg.Name, From: g.i.node(), Run: g.i.run, Sequence: g.sequence, Revision: g.i.follower.Revision(), AgeMS: g.i.storeAge(),
 		Used: g.pending, Loads: own, Paces: paces, Samples: g.samples, Sick: g.i.scheduler.sick(time.Now()), Stopping: g.i.stopping.Load() != nil,
 	}
 	if r.Revision > g.hubItems && to.Name == g.hub && g.hubItems > 0 {
@@ -259,6 +259,7 @@
 // answer is the hub's part of a report.
 func (g *gossip) answer(r hub.Report) hub.Digest {
 	now := time.Now()
+	g.i.learn(r.From)
 	g.mu.Lock()
 	used := g.table.Take(now, r)
 	leads := g.hub == ""
--- a/mustardseam/entry/instance.go
+++ b/mustardseam/entry/instance.go
@@ -178,11 +178,14 @@
 	return s != nil && s.Incarnation() == id
 }
 
+// node returns how the others reach this instance.
+func (i *Instance) node() fleet.Node {
+	return fleet.Node{Name: i.cfg.Name, Address: i.cfg.PeerAddr, DataCentre: i.cfg.DataCentre, Cores: i.cfg.Cores}
+}
+
 // register writes this instance's address to the store, so that the others find it.
 func (i *Instance) register() {
-	key, value, err := i.cfg.Codec.Node(fleet.Node{
-		Name: i.cfg.Name, Address: i.cfg.PeerAddr, DataCentre: i.cfg.DataCentre, Cores: i.cfg.Cores,
-	})
+	key, value, err := i.cfg.Codec.Node(i.node())
 	if err != nil {
 		event.StoreRefused.On(i.log()).Err(err).Send()
 		return
--- a/mustardseam/entry/scheduler.go
+++ b/mustardseam/entry/scheduler.go
@@ -102,7 +102,7 @@
 func (s *Scheduler) First(service string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.budget.First(service)
+	s.budget.First(service, len(s.nodes))
 }
 
 // Retry takes a retry from the budget of a service when it has one.
--- a/mustardseam/entry/try.go
+++ b/mustardseam/entry/try.go
@@ -39,7 +39,8 @@
 	case verdict == NotRun || verdict == Elsewhere:
 		_, _ = resp.Body(maxAnswer)
 		a.reason = "backend server did not run the request"
-		i.scheduler.Finish(g, place.Outcome{Refused: true})
+		// Another backend server at the address means that the entry is outdated: this one is gone.
+		i.scheduler.Finish(g, place.Outcome{Refused: verdict == NotRun})
 		return again
 	case verdict == Unsigned || len(resp.Header.Peek(fasthttp.HeaderContentEncoding)) > 0:
 		a.runs++
--- a/mustardseam/hub/report.go
+++ b/mustardseam/hub/report.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 
+	"github.com/mustardseam/mustardseam/mustardseam/fleet"
 	"github.com/mustardseam/mustardseam/mustardseam/place"
 	"github.com/mustardseam/mustardseam/mustardseam/share"
 	"github.com/mustardseam/mustardseam/mustardseam/store"
@@ -11,6 +12,7 @@
 // Report is what an instance tells the hub.
 type Report struct {
 	Node     string                `json:"node"`
+	From     fleet.Node            `json:"from"`     // How to reach the instance.
 	Run      int64                 `json:"run"`      // Tells the runs of an instance apart.
 	Sequence int64                 `json:"sequence"` // Rises with each report of a run.
 	Revision int64                 `json:"revision"` // Of the copy of the store.
--- a/mustardseam/share/budget.go
+++ b/mustardseam/share/budget.go
@@ -36,10 +36,16 @@
 // Configure replaces the bounds; the accounts stay.
 func (b *Budget) Configure(cfg BudgetConfig) { b.cfg = cfg }
 
-// First takes in a first request for a service, which pays for a part of a retry.
-func (b *Budget) First(service string) {
+// First takes in a first request for a service, which pays for a part of a retry. What is saved is bounded by a part of
+// this instance's share, since a window counts only the requests in it.
+func (b *Budget) First(service string, instances int) {
 	s := b.account(service)
-	s.earned = min(s.earned+budgetPart*b.cfg.Ratio, b.cfg.Extra)
+	s.earned = min(s.earned+budgetPart*b.cfg.Ratio, max(minRetries, b.burst(instances)/2))
+}
+
+// burst returns the retries of a window that this instance may make beside those that first requests pay for.
+func (b *Budget) burst(instances int) float64 {
+	return max(minRetries, budgetPart*b.cfg.Extra/float64(max(1, instances)))
 }
 
 // Allow takes a retry from the budget when it has one.
@@ -49,7 +55,7 @@
 		s.earned--
 		return true
 	}
-	burst := max(minRetries, budgetPart*b.cfg.Extra/float64(max(1, instances)))
+	burst := b.burst(instances)
 	// A full bucket and its refill together stay within the share of one window.
 	rate := burst / 2 / max(1, b.cfg.Window.Seconds())
 	s.extra.Resize(now, rate, max(minRetries, burst/2))
--- a/mustardseam/share/share_test.go
+++ b/mustardseam/share/share_test.go
@@ -103,11 +103,17 @@
 			for i := range nodes {
 				nodes[i] = NewBudget(cfg)
 			}
+			// In a minute without faults nothing may be saved for the window in which all requests fail.
+			for range 600 {
+				for _, b := range nodes {
+					b.First("s", n)
+				}
+			}
 			first, retries := 0, 0
 			for step := range 100 {
 				now := start.Add(time.Duration(step) * 100 * time.Millisecond)
 				for _, b := range nodes {
-					b.First("s")
+					b.First("s", n)
 					first++
 					for range 3 {
 						if b.Allow(now, "s", n) {
