Say not-run of a request with a key only when its key has not run

A caller's first attempt ran at the home, which was killed; its second attempt with the same key reached an instance with a static share, which cannot know the claims of the lost home and still said not-run. A caller that believes it and sends the work under a new key gets it done twice.

Ruled out: a permit used twice (the execution count is 1), and an attempt that ran after its refusal: the new test shows the fault with one attempt that runs and one that is refused.

Change: not-run is about the key. Refusals before the key was looked up (draining, full, no home, no configuration, deadline), and expired keys, no longer say not-run for requests with a key; they tell when to come back. Requests without a key get the same answers as before.

Before: TestKeyAfterLostHome fails ("the key ran 1 times"). After: it passes.

Left: the refusal of a connection beyond the limit says not-run without having read a request.

--- a/demo/cluster/failure_test.go
+++ b/demo/cluster/failure_test.go
@@ -1,6 +1,7 @@
 package cluster
 
 import (
+	"fmt"
 	"errors"
 	"testing"
 	"time"
@@ -98,6 +99,47 @@
 	l.end(t)
 }
 
+// TestKeyAfterLostHome guards against a repeated key that is refused as not run while its first attempt has run at an
+// instance that is gone.
+func TestKeyAfterLostHome(t *testing.T) {
+	c := start(t, 4)
+	client := NewClient()
+	l := c.load(4, 6, 0)
+	l.progress(t, "warm engines", 100)
+	home := c.homeOf(ModelPool)
+	eventually(t, "a record with all candidates", func() bool {
+		return len(c.Instance(home).State().Pools[ModelPool].Record.Candidates) == c.Instances()
+	})
+	r := Completion{
+		Address: c.Instance(home).CallerAddress(), Key: "key-bridal", Model: "sizing", Prompt: "repeated", Tokens: 2000,
+		Unique: fmt.Sprintf("%d-repeated", time.Now().Unix()),
+	}
+	done := make(chan error, 1)
+	go func() {
+		_, err := client.Complete(r)
+		done <- err
+	}()
+	eventually(t, "the first attempt", func() bool { return c.Executions()["tag "+Tag(r.Prompt)] > 0 })
+	c.Store.SetFaults(etcd.Faults{Down: true})
+	c.Remove(home).Kill()
+	<-done
+	eventually(t, "static shares", func() bool {
+		for n := range c.Instances() {
+			if i := c.Instance(n); i != nil && i.State().Pools[ModelPool].Mode != "static" {
+				return false
+			}
+		}
+		return true
+	})
+	r.Address = c.Instance((home + 1) % c.Instances()).CallerAddress()
+	a, err := client.Complete(r)
+	assert.NilError(t, err)
+	assert.Equal(t, a.Type, "claim-unavailable")
+	assert.Assert(t, !a.NotRun, "the key ran %d times", c.Executions()["tag "+Tag(r.Prompt)])
+	assert.Assert(t, a.Retry != "", "no time to come back was told")
+	l.end(t)
+}
+
 // TestLostAnswers guards against a submission that is applied twice or reported as failed, and against claims that are
 // granted without being in the store, when answers are lost after the write took effect.
 func TestLostAnswers(t *testing.T) {
--- a/mustardseam/caller/authenticate.go
+++ b/mustardseam/caller/authenticate.go
@@ -15,7 +15,7 @@
 func (s *Server) authenticate(c fiber.Ctx) (*revision.Config, operator.Team, *Problem) {
 	cfg := s.cfg.Scheduler.Config()
 	if cfg == nil {
-		return nil, operator.Team{}, NewProblem("not-ready", fiber.StatusServiceUnavailable, true,
+		return nil, operator.Team{}, NewProblem("not-ready", fiber.StatusServiceUnavailable, len(c.Request().Header.PeekAll(headerKey)) == 0,
 			"this instance has no configuration yet").WithRetryAfter(time.Second)
 	}
 	key, ok := bearer(c.Get(fiber.HeaderAuthorization))
--- a/mustardseam/caller/problem.go
+++ b/mustardseam/caller/problem.go
@@ -24,7 +24,7 @@
 	Title      string        `json:"title"`
 	Status     int           `json:"status"`
 	Detail     string        `json:"detail"`
-	NotRun     bool          `json:"not-run"` // True only when it is certain that the request did not run.
+	NotRun     bool          `json:"not-run"` // True only when it is certain that neither the request nor an earlier one with its key ran.
 	RetryAfter time.Duration `json:"-"`       // Sent as a header in whole seconds; 0 when unknown.
 }
 
--- a/mustardseam/claim/decision.go
+++ b/mustardseam/claim/decision.go
@@ -9,9 +9,9 @@
 	Wait                      // Claimed for this ask; granted only after Committed or ReadBack names it.
 	InProgress                // Another ask holds the key.
 	Done                      // The request ran; Status, Holder and Request are set.
-	Expired                   // The key's time lies outside what is remembered; not run.
+	Expired                   // The key's time lies outside what is remembered; this ask does not run.
 	Unknown                   // Whether the request ran cannot be told; never run again.
-	Unavailable               // No claim can be recorded now; not run.
+	Unavailable               // No claim can be recorded now; this ask does not run.
 )
 
 // String returns the result's name.
@@ -25,6 +25,7 @@
 	Status  int    // HTTP status of a done request.
 	Holder  string // Address of the instance that has the answer of a done request.
 	Request string // Ask that ran.
+	NotRun  bool   // An unavailable claim only: it is certain that no ask with the key has run.
 }
 
 // Standing says by what right the caller acts as home.
--- a/mustardseam/claim/rules_test.go
+++ b/mustardseam/claim/rules_test.go
@@ -250,3 +250,34 @@
 		})
 	}
 }
+
+// TestUnavailableNotRun guards against a refused claim that is called certainly not run while an earlier home may have
+// run its key.
+func TestUnavailableNotRun(t *testing.T) {
+	tests := []struct {
+		name  string
+		ready bool
+		by    Standing
+		want  bool
+	}{
+		{"claims of earlier homes are fenced off", true, ByConsent, true},
+		{"earlier home may still write", false, ByConsent, false},
+		{"share without the right to claim", true, ByShare, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := newShop(t)
+			if tt.ready {
+				s.run(3 * time.Second)
+			}
+			s.now = s.now.Add(2 * time.Second)
+			w, ok := s.Pending(s.now)
+			assert.Assert(t, ok)
+			s.Lost(s.now, w.ID)
+			s.now = s.now.Add(11 * time.Second)
+			d := s.Claim(s.now, "x", "a", "entry", tt.by)
+			assert.Equal(t, d.Result, Unavailable)
+			assert.Equal(t, d.NotRun, tt.want)
+		})
+	}
+}
--- a/mustardseam/claim/take.go
+++ b/mustardseam/claim/take.go
@@ -22,7 +22,7 @@
 	case timed && j.inGap(at):
 		return Decision{Result: Unknown}
 	case j.failing(now) && !j.memory(now, key, s):
-		return Decision{Result: Unavailable}
+		return j.unavailable()
 	}
 	e = &entry{key: digestOf(key), ask: ask, from: from, row: -1, granted: j.failing(now)}
 	j.entries[e.key] = e
@@ -62,7 +62,13 @@
 		return j.first(e)
 	}
 	j.NotRun(now, e.ask)
-	return Decision{Result: Unavailable}
+	return j.unavailable()
+}
+
+// unavailable refuses the claim of a key that has no entry. Once the first write has fenced earlier homes off, the entries
+// are all claims that there are; before it, an earlier home may still have run the key.
+func (j *Journal) unavailable() Decision {
+	return Decision{Result: Unavailable, NotRun: j.ready}
 }
 
 // failing tells whether a write has been unanswered for Gap.
--- a/mustardseam/instance/ask.go
+++ b/mustardseam/instance/ask.go
@@ -17,7 +17,7 @@
 type ask struct {
 	ask       pool.Ask
 	polled    time.Time
-	committed bool // It is in the queue, or was.
+	committed bool // It is in the queue, or was; its key, if it has one, was free.
 	delivered bool // The decision went out at least once.
 	decided   bool
 	answer    peer.AskAnswer
@@ -73,7 +73,7 @@
 	now := h.inst.cfg.Now()
 	if !a.decided {
 		a.polled = now
-		return peer.AskAnswer{Proto: peer.Current(), Status: peer.Pending}
+		return peer.AskAnswer{Proto: peer.Current(), Status: peer.Pending, NotRun: a.committed}
 	}
 	if a.answer.Status == peer.Granted && (!h.tenure.MayGrant(now) || a.answer.Permit.Epoch != h.serving) {
 		return notHome
@@ -123,7 +123,7 @@
 
 // claimAnswer turns the decision on a claim into an answer.
 func (h *home) claimAnswer(d claim.Decision) peer.AskAnswer {
-	answer := peer.AskAnswer{Proto: peer.Current(), Code: d.Status, Holder: d.Holder, Request: d.Request}
+	answer := peer.AskAnswer{Proto: peer.Current(), Code: d.Status, Holder: d.Holder, Request: d.Request, NotRun: d.NotRun}
 	switch d.Result {
 	case claim.InProgress:
 		answer.Status = peer.InProgress
@@ -172,7 +172,7 @@
 		if a.ask.Key != "" && h.journal != nil {
 			h.journal.NotRun(now, r.Ask)
 		}
-		a.settle(peer.AskAnswer{Proto: peer.Current(), Status: peer.Refused, Refusal: &r})
+		a.settle(peer.AskAnswer{Proto: peer.Current(), Status: peer.Refused, Refusal: &r, NotRun: a.committed})
 		if r.Reason == pool.QueueFull {
 			h.shedUnclaimed(now, a.ask.Tier, r)
 		}
--- a/mustardseam/instance/obtain.go
+++ b/mustardseam/instance/obtain.go
@@ -26,27 +26,29 @@
 func (i *Instance) obtain(r caller.Request, a *pool.Ask, previous *pool.Outcome) (pool.Permit, caller.Exchange, *caller.Problem) {
 	h := (*i.homes.Load())[r.Route.Pool]
 	if h == nil {
-		return pool.Permit{}, nil, caller.NewProblem("not-ready", http.StatusServiceUnavailable, true,
+		return pool.Permit{}, nil, caller.NewProblem("not-ready", http.StatusServiceUnavailable, r.Key == "",
 			"the route's pool is not known yet").WithRetryAfter(time.Second)
 	}
 	answered := i.cfg.Now()
+	notRun := r.Key == "" // What the newest answer of the home says of a key.
 	for {
 		now := i.cfg.Now()
 		if i.draining.Load() {
 			h.withdraw(a.ID)
-			return pool.Permit{}, nil, draining()
+			return pool.Permit{}, nil, draining(notRun)
 		}
 		if gone(r) {
 			h.withdraw(a.ID)
-			return pool.Permit{}, nil, caller.NewProblem("caller-gone", statusCallerGone, true, "the caller ended the connection")
+			return pool.Permit{}, nil, caller.NewProblem("caller-gone", statusCallerGone, notRun, "the caller ended the connection")
 		}
 		left := r.Deadline.Sub(now)
 		if left <= 0 {
 			h.withdraw(a.ID)
-			return pool.Permit{}, nil, caller.NewProblem("deadline-exceeded", http.StatusGatewayTimeout, true,
+			return pool.Permit{}, nil, caller.NewProblem("deadline-exceeded", http.StatusGatewayTimeout, notRun,
 				"the request was still waiting at its deadline").WithRetryAfter(time.Second)
 		}
 		answer := i.askHome(h, *a, left, previous)
+		notRun = r.Key == "" || answer.NotRun
 		switch answer.Status {
 		case peer.Granted:
 			if h.mayStart(i.cfg.Now(), now, answer.Permit.Epoch) {
@@ -64,12 +66,12 @@
 		case peer.NotHome, "":
 			if i.cfg.Now().Sub(answered) > homeless {
 				h.withdraw(a.ID)
-				return pool.Permit{}, nil, caller.NewProblem("home-unreachable", http.StatusServiceUnavailable, true,
+				return pool.Permit{}, nil, caller.NewProblem("home-unreachable", http.StatusServiceUnavailable, notRun,
 					"no home of the pool answers this instance").WithRetryAfter(time.Second)
 			}
 			i.sleep(askRetry)
 		default:
-			return pool.Permit{}, nil, refused(answer)
+			return pool.Permit{}, nil, refused(answer, notRun)
 		}
 	}
 }
@@ -127,29 +129,34 @@
 	return h.tenure.Fence(epoch) && h.tenure.MayStart(now, sent)
 }
 
-// refused turns the home's refusal into a problem.
-func refused(a peer.AskAnswer) *caller.Problem {
+// refused turns the home's refusal into a problem; notRun tells that nothing has run, under the request's key either.
+func refused(a peer.AskAnswer, notRun bool) *caller.Problem {
 	switch a.Status {
 	case peer.InProgress:
 		return caller.NewProblem("in-progress", http.StatusConflict, false,
 			"a request with this key is running").WithRetryAfter(time.Second)
 	case peer.Expired:
-		return caller.NewProblem("key-expired", http.StatusConflict, true,
+		return caller.NewProblem("key-expired", http.StatusConflict, false,
 			"the time in the key lies outside the time that keys are remembered")
 	case peer.Unknown:
 		return caller.NewProblem("outcome-unknown", http.StatusConflict, false,
 			"it is not known whether the request with this key ran; it will not be run again")
 	case peer.NoClaim:
-		return caller.NewProblem("claim-unavailable", http.StatusServiceUnavailable, true,
+		return caller.NewProblem("claim-unavailable", http.StatusServiceUnavailable, notRun,
 			"the key cannot be recorded while the store does not answer").WithRetryAfter(5 * time.Second)
 	}
 	if a.Refusal == nil {
-		return caller.NewProblem("refused", http.StatusServiceUnavailable, true, "the request was refused")
+		return caller.NewProblem("refused", http.StatusServiceUnavailable, notRun, "the request was refused").
+			WithRetryAfter(time.Second)
 	}
 	status := http.StatusServiceUnavailable
 	if a.Refusal.Reason == pool.UnknownRoute {
 		status = http.StatusNotFound
 	}
-	return caller.NewProblem(string(a.Refusal.Reason), status, true,
-		"the request was refused before it ran").WithRetryAfter(a.Refusal.RetryAfter)
+	wait := a.Refusal.RetryAfter
+	if wait <= 0 && status == http.StatusServiceUnavailable {
+		wait = time.Second
+	}
+	return caller.NewProblem(string(a.Refusal.Reason), status, notRun,
+		"the request was refused before it ran").WithRetryAfter(wait)
 }
--- a/mustardseam/instance/open.go
+++ b/mustardseam/instance/open.go
@@ -24,11 +24,11 @@
 // Open runs a request until its answer begins or it is refused.
 func (i *Instance) Open(r caller.Request) (caller.Exchange, *caller.Problem) {
 	if !i.enter() {
-		return nil, draining()
+		return nil, draining(r.Key == "")
 	}
 	if i.waiting.Load() >= int64(i.cfg.Waiting) {
 		i.leave()
-		return nil, caller.NewProblem("instance-full", http.StatusServiceUnavailable, true,
+		return nil, caller.NewProblem("instance-full", http.StatusServiceUnavailable, r.Key == "",
 			"too many requests wait at this instance").WithRetryAfter(time.Second)
 	}
 	x, problem := i.run(r)
@@ -192,7 +192,7 @@
 	return caller.NewProblem("outcome-unknown", http.StatusBadGateway, false, "it is not known whether the request ran: "+err.Error())
 }
 
-func draining() *caller.Problem {
-	return caller.NewProblem("draining", http.StatusServiceUnavailable, true,
+func draining(notRun bool) *caller.Problem {
+	return caller.NewProblem("draining", http.StatusServiceUnavailable, notRun,
 		"this instance is stopping").WithRetryAfter(time.Second)
 }
--- a/mustardseam/peer/askanswer.go
+++ b/mustardseam/peer/askanswer.go
@@ -12,4 +12,8 @@
 	Holder  string        `json:"holder,omitempty"` // Address of the instance that has the answer.
 	Request string        `json:"request,omitempty"`
 	Epoch   uint64        `json:"epoch,omitempty"`
+
+	// NotRun tells, in an answer that grants nothing, that nothing has certainly run: neither this request nor, when it has
+	// a key, an earlier one with the same key.
+	NotRun bool `json:"not-run,omitempty"`
 }
