Bound each page of a list of the store

Cause: an instance that starts while the store is silent began a list that hung until the timeout of all pages, 5 s, so it had no configuration for seconds after the store was back.

Ruled out: the retry pause (at most 1.8 s), the peers (they had no configuration either).

Change: each page has a limit of 1 s; every other try gets 2 s, so that a slow store is not given up.

--- a/mustardseam/store/client.go
+++ b/mustardseam/store/client.go
@@ -16,8 +16,9 @@
 
 // Client reads and writes the store.
 type Client interface {
-	// List returns all items, and a revision from which a watch misses nothing.
-	List(ctx context.Context) (items []Item, revision int64, err error)
+	// List returns all items, and a revision from which a watch misses nothing. It fails when a page takes longer than the
+	// given time.
+	List(ctx context.Context, page time.Duration) (items []Item, revision int64, err error)
 	// Watch returns what changed after a revision, as soon as anything did or when the wait is over.
 	Watch(ctx context.Context, after int64, wait time.Duration) (items []Item, revision int64, err error)
 	// Put writes a key that is at the expected revision, 0 for a key that does not exist, and returns the new revision.
--- a/mustardseam/store/follower.go
+++ b/mustardseam/store/follower.go
@@ -16,6 +16,10 @@
 	answerTime = 500 * time.Millisecond
 	// slowAnswerTime is the time for an answer that calls get while the store is slow: it may take 60 times as long as usual.
 	slowAnswerTime = 2 * time.Second
+	// pageTime is the time for one page of a list. A list that began while the store is silent hangs for so long after its
+	// return, and the instance has no configuration until then. Every other try gets slowAnswerTime instead, so that a slow
+	// store is not given up either.
+	pageTime = time.Second
 	// listTime bounds the reading of all items, which takes several pages.
 	listTime = 5 * time.Second
 	// leastRetry and mostRetry space the calls of an instance while the store fails; refused calls cost as much as others.
@@ -161,7 +165,7 @@
 		if listed && f.Revision() > 0 {
 			err = f.watch()
 		} else {
-			err = f.list()
+			err = f.list(failures)
 		}
 		switch {
 		case err == nil:
@@ -178,11 +182,16 @@
 	}
 }
 
-func (f *Follower) list() error {
+// list reads all items; failures is the number of tries that failed before.
+func (f *Follower) list(failures int) error {
+	page := pageTime
+	if failures%2 == 1 {
+		page = slowAnswerTime
+	}
 	ctx, cancel := context.WithTimeout(f.ctx, listTime)
 	defer cancel()
 
-	items, revision, err := f.cfg.Client.List(ctx)
+	items, revision, err := f.cfg.Client.List(ctx, page)
 	if err != nil {
 		return err
 	}
