--- a/demo/cluster/failure_test.go
+++ b/demo/cluster/failure_test.go
@@ -1,8 +1,8 @@
 package cluster
 
 import (
-	"fmt"
 	"errors"
+	"fmt"
 	"testing"
 	"time"
 
