Order waiting requests of one tier by the tier of their route

Change: jobs of one tier that are in time are placed by the tier of their route, then by the team's load; the predicted wait counts only those that go before.

TestQueueOrder has the case, TestQueueWait the wait.

--- a/mustardseam/entry/handler.go
+++ b/mustardseam/entry/handler.go
@@ -105,7 +105,7 @@
 		gap = 0
 	}
 	a.job = &place.Job{
-		Route: a.route.Name, Team: team, Tier: tier, DataCentre: i.cfg.DataCentre, Prompt: a.meta.Prompt, Output: a.meta.Output,
+		Route: a.route.Name, Team: team, Tier: tier, Rank: a.route.Tier, DataCentre: i.cfg.DataCentre, Prompt: a.meta.Prompt, Output: a.meta.Output,
 		Hint: a.meta.Hint, Gap: gap, Arrived: a.exchange.Arrived, Objective: a.exchange.Arrived.Add(objective), Deadline: a.exchange.Arrived.Add(limit),
 	}
 }
--- a/mustardseam/entry/scheduler.go
+++ b/mustardseam/entry/scheduler.go
@@ -119,7 +119,7 @@
 	s.mu.Lock()
 	q := s.queue(service)
 	// Those that wait go first, unless this job goes before all of them.
-	if wait, known := q.Wait(now, j.Tier); known && wait == 0 {
+	if wait, known := q.Wait(now, j); known && wait == 0 {
 		if g := s.place(now, service, j, false); g != nil {
 			s.mu.Unlock()
 			return g, nil
@@ -166,7 +166,7 @@
 	if !until.After(now) {
 		return &Refusal{Reason: "time for placing is over", After: s.bounded(now, j, leastReturn)}
 	}
-	wait, known := q.Wait(now, j.Tier)
+	wait, known := q.Wait(now, j)
 	if !known || now.Add(wait).Before(until) {
 		return nil
 	}
@@ -178,7 +178,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
-	wait, known := s.queue(service).Wait(now, j.Tier)
+	wait, known := s.queue(service).Wait(now, j)
 	if !known {
 		wait = leastReturn
 	}
--- a/mustardseam/place/job.go
+++ b/mustardseam/place/job.go
@@ -10,7 +10,8 @@
 type Job struct {
 	Route      string
 	Team       string
-	Tier       int
+	Tier       int    // Of the team, where it has one, else of the route.
+	Rank       int    // Tier of the route, which orders jobs of one tier.
 	DataCentre string // Of this instance.
 	Prompt     int    // Tokens to read.
 	Output     int    // Tokens to write, at most.
--- a/mustardseam/place/queue.go
+++ b/mustardseam/place/queue.go
@@ -13,7 +13,8 @@
 }
 
 // Queue holds the jobs of one service that wait for room, in the order in which they are to be placed: by tier; within a
-// tier those that can still meet their objective before the late ones, then teams with less running, then by arrival.
+// tier those that can still meet their objective before the late ones, then by the tier of the route, then teams with
+// less running, then by arrival.
 type Queue struct {
 	waiting []*Waiting
 	next    uint64
@@ -83,12 +84,12 @@
 	return out
 }
 
-// Wait predicts how long a job of a tier would wait behind those of its own and higher tiers; it is 0 when nothing of
-// them waits, and false when nothing was placed lately that would tell.
-func (q *Queue) Wait(now time.Time, tier int) (time.Duration, bool) {
+// Wait predicts how long a job would wait behind those of the same and higher ranks of its tier and of higher tiers; it is
+// 0 when nothing of them waits, and false when nothing was placed lately that would tell.
+func (q *Queue) Wait(now time.Time, j *Job) (time.Duration, bool) {
 	ahead := 0
 	for _, w := range q.waiting {
-		if w.Job.Tier <= tier {
+		if w.Job.Tier < j.Tier || w.Job.Tier == j.Tier && w.Job.Rank <= j.Rank {
 			ahead++
 		}
 	}
@@ -109,6 +110,9 @@
 	if la, lb := now.After(a.Job.Objective), now.After(b.Job.Objective); la != lb {
 		return lb
 	}
+	if a.Job.Rank != b.Job.Rank {
+		return a.Job.Rank < b.Job.Rank
+	}
 	if ra, rb := running(a.Job.Team), running(b.Job.Team); ra != rb {
 		return ra < rb
 	}
--- a/mustardseam/place/queue_test.go
+++ b/mustardseam/place/queue_test.go
@@ -14,7 +14,13 @@
 	}
 }
 
-// TestQueueOrder guards against lower tiers, late requests and busy teams that go first.
+func rankedJob(tier, rank int) *Waiting {
+	w := waitingJob("a", tier, time.Hour)
+	w.Job.Rank = rank
+	return w
+}
+
+// TestQueueOrder guards against lower tiers, lower routes of a tier, late requests and busy teams that go first.
 func TestQueueOrder(t *testing.T) {
 	tests := []struct {
 		name    string
@@ -25,6 +31,7 @@
 		{"late", []*Waiting{waitingJob("a", 0, 0), waitingJob("a", 0, time.Hour)}, []int{1, 0}},
 		{"late of a higher tier", []*Waiting{waitingJob("a", 1, time.Hour), waitingJob("a", 0, 0)}, []int{1, 0}},
 		{"teams", []*Waiting{waitingJob("busy", 0, time.Hour), waitingJob("a", 0, time.Hour)}, []int{1, 0}},
+		{"routes of one tier", []*Waiting{rankedJob(1, 2), rankedJob(1, 0), rankedJob(0, 3), rankedJob(1, 1)}, []int{2, 1, 3, 0}},
 		{"arrival", []*Waiting{waitingJob("a", 0, time.Hour), waitingJob("a", 0, time.Hour)}, []int{0, 1}},
 	}
 	running := func(team string) int { return map[string]int{"busy": 3}[team] }
@@ -50,13 +57,13 @@
 // TestQueueWait guards against a prediction that counts lower tiers or is made up when nothing is known.
 func TestQueueWait(t *testing.T) {
 	var q Queue
-	_, known := q.Wait(start, 0)
+	_, known := q.Wait(start, &Job{})
 	assert.Assert(t, known)
 	q.Add(waitingJob("a", 2, time.Hour))
-	wait, known := q.Wait(start, 0)
+	wait, known := q.Wait(start, &Job{})
 	assert.Assert(t, known)
 	assert.Equal(t, wait, time.Duration(0))
-	_, known = q.Wait(start, 2)
+	_, known = q.Wait(start, &Job{Tier: 2})
 	assert.Assert(t, !known)
 	for range 8 {
 		q.Add(waitingJob("a", 1, time.Hour))
@@ -66,7 +73,10 @@
 		placed++
 		return placed <= 4, placed > 4
 	})
-	wait, known = q.Wait(start, 2)
+	wait, known = q.Wait(start, &Job{Tier: 1, Rank: -1})
+	assert.Assert(t, known)
+	assert.Equal(t, wait, time.Duration(0))
+	wait, known = q.Wait(start, &Job{Tier: 2})
 	assert.Assert(t, known)
 	assert.Equal(t, wait, 2500*time.Millisecond) // 5 wait and 2 a second were placed.
 }
