Share the free slots of engines among the instances

Cause: in a burst few engines have a free slot at a time. All instances learn of it with the same word of the hub and send there before they hear of each other.

Ruled out: lost reports (the hub answered all the time), slow engines (the crowded ones are the fastest).

Change: between two words an instance may use the slots that its own requests left and its part of the free ones, rounded by a number that turns with each word. Where fewer requests are expected than slots are free, the parts grow, so that a calm fleet chooses as before. This replaces the room kept by preference and the bound for waiting requests. A small bias always counts, since idle instances chose the same engine at the start of traffic.

--- a/mustardseam/place/account.go
+++ b/mustardseam/place/account.go
@@ -19,6 +19,8 @@
 	full     time.Time // It refused for want of room; no request until then.
 	untold   bool      // The pace has changed since it was told.
 	recent   int       // Requests that this instance sent since the latest word of the others.
+	freed    int       // Requests of this instance that ended since then.
+	draw     float64   // In [0, 1), another one with each word of the others; it rounds this instance's part of the slots.
 	own      Load
 	others   Load
 	pace     average       // Milliseconds from token to token.
--- a/mustardseam/place/board.go
+++ b/mustardseam/place/board.go
@@ -2,6 +2,7 @@
 
 import (
 	"hash/fnv"
+	"math"
 	"math/rand/v2"
 	"time"
 
@@ -35,12 +36,18 @@
 	// request that an instance has not heard of. Without it all instances choose the same backend server from the same old
 	// word of the others and fill its queue.
 	unheardBias = 400.0
-	// unheardRoom is how many times the requests that an instance has not heard of are kept free, for the instance that
-	// prefers a backend server least; the mean over all instances is half of it.
-	unheardRoom = 2.0
-	// crowdPart is the number of requests for each slot that all instances together send to a backend server between two
-	// words when requests wait everywhere: as many instances as that send one each, those that prefer it most.
-	crowdPart = 1.5
+	// leastBias is the part of unheardBias that always counts, so that idle instances choose differently among like backend
+	// servers; it stays below zonePenalty.
+	leastBias = 0.005
+	// leastPart is the number of requests for each free slot that all instances together may send to a backend server
+	// between two words of each other. What was sent in the time of one word may be missing in the next one as well.
+	leastPart = 0.5
+	// freePart is that number where as many requests are expected as there are free slots; it grows with a power of the
+	// slots for each request, since a choice among few backend servers costs more than now and then a short queue.
+	freePart  = 4.0
+	freePower = 3
+	// turn is the golden ratio; steps of it spread evenly over [0, 1).
+	turn = 0.6180339887
 	// fullPause is how long a backend server that refused a request for want of room is passed over.
 	fullPause = 200 * time.Millisecond
 	// similar is the part by which another choice may be worse and still be taken at random, so that instances that know the
@@ -63,6 +70,7 @@
 	self     string
 	unheard  float64
 	nodes    int
+	parts    map[string]float64 // By service, how much of the free slots the instances may use; until the next word.
 }
 
 // engineModel is what the backend servers of a service have in common.
@@ -83,7 +91,7 @@
 	if cfg.Random == nil {
 		cfg.Random = rand.Float64
 	}
-	return &Board{accounts: map[fleet.Incarnation]*account{}, engines: map[string]*engineModel{}, outputs: map[string]average{}, random: cfg.Random, self: cfg.Self}
+	return &Board{accounts: map[fleet.Incarnation]*account{}, engines: map[string]*engineModel{}, outputs: map[string]average{}, random: cfg.Random, self: cfg.Self, parts: map[string]float64{}}
 }
 
 // Choose returns the backend server for a job, or nil when none of the candidates has room. Deep is how far beyond its
@@ -123,9 +131,13 @@
 	now time.Time, svc *fleet.Service, servers []*fleet.Server, j *Job, deep int, waiting, doubtful bool,
 ) (best, second choice) {
 	m := b.model(svc.Name)
+	part := leastPart
+	if !waiting {
+		part = b.part(svc, servers)
+	}
 	for _, s := range servers {
 		a := b.account(s)
-		if now.Before(a.full) || !b.room(a, svc, s, deep, waiting) {
+		if now.Before(a.full) || !b.room(a, svc, s, deep, part) {
 			continue
 		}
 		if !doubtful && (a.avoided(now) || j.tried(s.Incarnation())) {
@@ -142,30 +154,43 @@
 	return best, second
 }
 
-// room reports whether a backend server may get one more request.
-func (b *Board) room(a *account, svc *fleet.Service, s *fleet.Server, deep int, waiting bool) bool {
-	limit := max(1, s.Slots) + deep
-	if part := crowdPart * float64(max(1, s.Slots)) / float64(max(1, b.nodes)); svc.Engine && waiting &&
-		(a.bias >= part || float64(a.recent) >= max(1, part)) {
-		return false
+// part returns how many requests for each free slot of a service all instances together may send between two words of
+// each other. Where they are expected to send less than there is room for, more of them may choose freely.
+func (b *Board) part(svc *fleet.Service, servers []*fleet.Server) float64 {
+	if part, ok := b.parts[svc.Name]; ok {
+		return part
+	}
+	free := 0
+	for _, s := range servers {
+		free += max(0, max(1, s.Slots)-b.account(s).load().Requests)
 	}
+	plenty := float64(free) / max(1, b.unheard*float64(len(servers)))
+	part := max(leastPart, freePart*math.Pow(plenty, freePower))
+	b.parts[svc.Name] = part
+	return part
+}
+
+// room reports whether a backend server may get one more request. An engine's free slots are shared by the instances: each
+// may use the slots that its own requests left and its part of the others. Otherwise all would send to an engine that
+// comes free before they hear of each other.
+func (b *Board) room(a *account, svc *fleet.Service, s *fleet.Server, deep int, part float64) bool {
+	limit := max(1, s.Slots) + deep
 	if !svc.Engine {
-		limit += plainQueue
+		return a.load().Requests < limit+plainQueue
 	}
-	// Others send as well before this instance hears of them; the less it prefers the backend server, the more of the room
-	// is left to those that do.
-	taken := float64(a.load().Requests)
-	if svc.Engine {
-		taken += unheardRoom * a.bias * b.unheard
+	free := limit - a.load().Requests
+	if free <= 0 {
+		return false
 	}
-	return taken < float64(limit)
+	own := part * float64(max(0, free+a.recent-a.freed)) / float64(max(1, b.nodes))
+	return b.nodes <= 1 || float64(a.recent)+a.draw < float64(a.freed)+own
 }
 
 // cost predicts what a job takes at a backend server, in milliseconds: the wait for a slot, the reading of the prompts
 // before it and its own, and a part of its output.
 func (b *Board) cost(a *account, m *engineModel, svc *fleet.Service, s *fleet.Server, j *Job) float64 {
 	load := a.load()
-	cost := failPenalty*a.failures*a.failures + unheardBias*min(1, b.unheard)*a.bias
+	cost := failPenalty*a.failures*a.failures + unheardBias*max(leastBias, min(1, b.unheard))*a.bias
 	if s.DataCentre != j.DataCentre {
 		cost += zonePenalty
 	}
@@ -252,6 +277,7 @@
 func (b *Board) Finish(now time.Time, svc *fleet.Service, s *fleet.Server, j *Job, o Outcome) {
 	a, m := b.account(s), b.model(svc.Name)
 	a.own.Requests = max(0, a.own.Requests-1)
+	a.freed++
 	if !o.First {
 		a.own.Prompt = max(0, a.own.Prompt-j.Prompt)
 	}
@@ -310,8 +336,10 @@
 
 // SetOthers replaces what the other instances have sent; backend servers that are not named have nothing from them.
 func (b *Board) SetOthers(others map[string]Load) {
+	clear(b.parts)
 	for id, a := range b.accounts {
-		a.others, a.recent = others[id.ID], 0
+		a.others, a.recent, a.freed = others[id.ID], 0, 0
+		_, a.draw = math.Modf(a.draw + turn)
 	}
 }
 
@@ -417,6 +445,7 @@
 	a := b.accounts[id]
 	if a == nil {
 		a = &account{bias: bias(b.self, s.ID)}
+		a.draw = a.bias
 		b.accounts[id] = a
 	}
 	return a
