Space the long polls of the store

Change: a long poll that brought changes is followed by the next one 200 ms after it began.

TestSpacing fails without the pause. Conclusion: kept with 200 ms.

--- a/mustardseam/store/follower.go
+++ b/mustardseam/store/follower.go
@@ -25,6 +25,8 @@
 	// leastRetry and mostRetry space the calls of an instance while the store fails; refused calls cost as much as others.
 	leastRetry = 200 * time.Millisecond
 	mostRetry  = 1200 * time.Millisecond
+	// spacing is the least time between two long polls that bring changes. Changes come in series, and each call is paid for.
+	spacing = 200 * time.Millisecond
 	// relayPoll is how often an instance that hears from others checks whether it still does.
 	relayPoll = 100 * time.Millisecond
 )
@@ -162,6 +164,7 @@
 			continue
 		}
 		var err error
+		began := time.Now()
 		if listed && f.Revision() > 0 {
 			err = f.watch()
 		} else {
@@ -171,6 +174,7 @@
 		case err == nil:
 			listed, failures = true, 0
 			f.reached()
+			f.sleep(spacing - time.Since(began))
 		case errors.Is(err, ErrCompacted):
 			listed = false
 		case f.ctx.Err() == nil:
