Use one rendezvous function, remove dead code and split long files

Package rendezvous replaces four copies of the same hash (member, hub, share, place). TestFraction checks that similar names do not get similar weights. Removed: Response.Reused, Scheduler.Sick, the data centre of the scheduler, the loads kept in gossip, the stop of Queue.Place. mustardseam_streams_resumed_total was never counted and now is. place/board.go, entry/scheduler.go and entry/gossip.go are split by what their parts decide; no decision changes but the weights.

--- a/mustardseam/entry/handler.go
+++ b/mustardseam/entry/handler.go
@@ -105,8 +105,9 @@
 		gap = 0
 	}
 	a.job = &place.Job{
-		Route: a.route.Name, Team: team, Tier: tier, Rank: a.route.Tier, DataCentre: i.cfg.DataCentre, Prompt: a.meta.Prompt, Output: a.meta.Output,
-		Hint: a.meta.Hint, Gap: gap, Arrived: a.exchange.Arrived, Objective: a.exchange.Arrived.Add(objective), Deadline: a.exchange.Arrived.Add(limit),
+		Route: a.route.Name, Team: team, Tier: tier, Rank: a.route.Tier, DataCentre: i.cfg.DataCentre,
+		Prompt: a.meta.Prompt, Output: a.meta.Output, Hint: a.meta.Hint, Gap: gap, Arrived: a.exchange.Arrived,
+		Objective: a.exchange.Arrived.Add(objective), Deadline: a.exchange.Arrived.Add(limit),
 	}
 }
 
@@ -145,6 +146,7 @@
 			i.metrics.retries.Inc()
 			i.logRetry(a)
 			if a.exchange.Started() {
+				i.metrics.resumed.Inc()
 				a.job = resumed(a.job, a.route)
 			}
 		}
--- a/mustardseam/entry/instance.go
+++ b/mustardseam/entry/instance.go
@@ -80,7 +80,7 @@
 	i.view.Store(fleet.NewView())
 	i.bounds.Store(&cfg.Bounds)
 	i.scheduler = newScheduler(schedulerConfig{
-		node: cfg.Name, dataCentre: cfg.DataCentre, bounds: cfg.Bounds, view: i.view.Load,
+		node: cfg.Name, bounds: cfg.Bounds, view: i.view.Load,
 	})
 	i.metrics = newMeters(i)
 	i.gossip = newGossip(i)
--- /dev/null
+++ b/mustardseam/entry/pump.go
@@ -0,0 +1,124 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/mustardseam/mustardseam/mustardseam/fleet"
+	"github.com/mustardseam/mustardseam/mustardseam/place"
+)
+
+const (
+	// deepAfter is the part of the objective after which a request of a high tier may wait in the queue of a backend server.
+	deepAfter = 0.25
+	// deepest is how far the highest tier may fill the queue of a backend server.
+	deepest = 2
+	// pumpEvery is how often waiting requests are looked at when nothing else happens.
+	pumpEvery = 25 * time.Millisecond
+)
+
+// Pump places waiting requests after a change from outside.
+func (s *Scheduler) Pump() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pump(time.Now())
+}
+
+// pump places waiting requests and refuses those whose time is over; mu is held.
+func (s *Scheduler) pump(now time.Time) {
+	for service, q := range s.queues {
+		if q.Len() == 0 {
+			continue
+		}
+		for _, w := range q.Expired(now) {
+			s.hand(w, nil)
+		}
+		team := func(name string) int { return s.running[name] }
+		q.Place(now, team, func(w *place.Waiting) bool {
+			g := s.place(now, service, w.Job, true)
+			if g == nil {
+				return false
+			}
+			s.hand(w, g)
+			return true
+		})
+	}
+}
+
+// hand gives a waiting request its answer; mu is held.
+func (s *Scheduler) hand(w *place.Waiting, g *Grant) {
+	if granted := s.grants[w]; granted != nil {
+		delete(s.grants, w)
+		granted <- g
+	}
+}
+
+// keepPumping looks at waiting requests until there are none; mu is held.
+func (s *Scheduler) keepPumping() {
+	if s.pumping {
+		return
+	}
+	s.pumping = true
+	var again func()
+	again = func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.pump(time.Now())
+		if len(s.grants) == 0 {
+			s.pumping = false
+			return
+		}
+		time.AfterFunc(pumpEvery, again)
+	}
+	time.AfterFunc(pumpEvery, again)
+}
+
+// place starts a job at a backend server with room, or returns nil; mu is held.
+func (s *Scheduler) place(now time.Time, service string, j *place.Job, waiting bool) *Grant {
+	v := s.cfg.view()
+	svc := v.Config.Service(service)
+	if svc == nil {
+		return nil
+	}
+	deep := 0
+	if j.Tier < deepest && now.Sub(j.Arrived) > time.Duration(deepAfter*float64(j.Objective.Sub(j.Arrived))) {
+		deep = deepest - max(0, j.Tier)
+	}
+	warm, spare := s.candidates(now, v, svc)
+	srv := s.board.Choose(now, svc, warm, j, deep, waiting)
+	if srv == nil {
+		if srv = s.board.Choose(now, svc, spare, j, 0, waiting); srv == nil {
+			return nil
+		}
+	}
+	if srv.Cold(now) && svc.ColdRate > 0 {
+		s.cold.Take(now, srv, s.cold.Allowed(svc.ColdRate, srv, s.cfg.node, s.nodes))
+	}
+	g := &Grant{Server: srv, Service: svc, First: s.board.First(svc, srv, j), Load: s.board.Load(srv), job: j}
+	s.board.Start(now, srv, j)
+	if svc.Engine {
+		s.starts.Add(now)
+	}
+	s.exposed(v, srv)
+	s.running[j.Team]++
+	return g
+}
+
+// candidates returns the backend servers that may get work: those that are warm and listed, and those to fall back on.
+func (s *Scheduler) candidates(now time.Time, v *fleet.View, svc *fleet.Service) (warm, spare []*fleet.Server) {
+	versions := s.versions(now, v, svc.Name)
+	for _, srv := range v.Of(svc.Name) {
+		_, out := v.Out[srv.DataCentre]
+		switch {
+		case srv.Draining || out || !versions(srv.Version):
+		case srv.Cold(now) && svc.ColdRate > 0:
+			if s.cold.Free(now, srv, s.cold.Allowed(svc.ColdRate, srv, s.cfg.node, s.nodes)) {
+				spare = append(spare, srv)
+			}
+		case !srv.Lapsed.IsZero():
+			spare = append(spare, srv)
+		default:
+			warm = append(warm, srv)
+		}
+	}
+	return warm, spare
+}
--- a/mustardseam/http1/response.go
+++ b/mustardseam/http1/response.go
@@ -42,9 +42,6 @@
 // Framed reports whether the answer itself tells where it ends.
 func (r *Response) Framed() bool { return r.framed }
 
-// Reused reports whether the request went over a connection that had carried another one.
-func (r *Response) Reused() bool { return r.conn.reused }
-
 // Read reads the body; it returns io.EOF only after a complete one, else ErrBroken.
 func (r *Response) Read(b []byte) (int, error) {
 	n, err := r.body.Read(b)
--- a/mustardseam/hub/order.go
+++ b/mustardseam/hub/order.go
@@ -1,12 +1,15 @@
 package hub
 
 import (
-	"hash/fnv"
 	"sort"
 
 	"github.com/mustardseam/mustardseam/mustardseam/fleet"
+	"github.com/mustardseam/mustardseam/mustardseam/rendezvous"
 )
 
+// hubKey is the key for which instances are weighed.
+const hubKey = "hub"
+
 // Order returns the instances in the order in which they are asked to be the hub: the ones with more processor first,
 // and among equals by a hash of the name.
 func Order(nodes map[string]fleet.Node) []fleet.Node {
@@ -18,7 +21,7 @@
 		if list[i].Cores != list[j].Cores {
 			return list[i].Cores > list[j].Cores
 		}
-		a, b := hash(list[i].Name), hash(list[j].Name)
+		a, b := rendezvous.Weight(hubKey, list[i].Name), rendezvous.Weight(hubKey, list[j].Name)
 		if a != b {
 			return a > b
 		}
@@ -26,9 +29,3 @@
 	})
 	return list
 }
-
-func hash(name string) uint32 {
-	h := fnv.New32a()
-	_, _ = h.Write([]byte(name))
-	return h.Sum32()
-}
--- a/mustardseam/member/view.go
+++ b/mustardseam/member/view.go
@@ -5,7 +5,7 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
+	"github.com/mustardseam/mustardseam/mustardseam/rendezvous"
 )
 
 // Live returns the instances that may get new work, with this one, in the order of their incarnations: alive or
@@ -75,7 +75,7 @@
 	live := t.Live(now)
 	order := make([]weighted, len(live))
 	for i, m := range live {
-		order[i] = weighted{m, weight(pool, m)}
+		order[i] = weighted{m, rendezvous.Weight(pool, m.Incarnation)}
 	}
 	slices.SortFunc(order, func(a, b weighted) int {
 		return cmp.Or(cmp.Compare(b.weight, a.weight), byIncarnation(a.Member, b.Member))
@@ -119,6 +119,3 @@
 }
 
 func byIncarnation(a, b Member) int { return cmp.Compare(a.Incarnation, b.Incarnation) }
-
-// weight is the rendezvous weight of an instance for a pool (Thaler and Ravishankar, 1998).
-func weight(pool string, m Member) uint64 { return xxhash.Sum64String(pool + "\x00" + m.Incarnation) }
--- /dev/null
+++ b/mustardseam/place/outcome.go
@@ -0,0 +1,87 @@
+package place
+
+import (
+	"time"
+
+	"github.com/mustardseam/mustardseam/mustardseam/fleet"
+)
+
+// fullPause is how long a backend server that refused a request for want of room is passed over.
+const fullPause = 200 * time.Millisecond
+
+// Start records that a job is sent to a backend server.
+func (b *Board) Start(now time.Time, s *fleet.Server, j *Job) {
+	a := b.account(s)
+	a.own.Requests++
+	a.own.Prompt += j.Prompt
+	a.recent++
+	a.used = now
+}
+
+// Began records the first event of a job; the prompt is read.
+func (b *Board) Began(now time.Time, svc *fleet.Service, s *fleet.Server, j *Job, first time.Duration) {
+	a, m := b.account(s), b.model(svc.Name)
+	a.own.Prompt = max(0, a.own.Prompt-j.Prompt)
+	a.answered = now
+	// Only a request that found a free slot and had something to read tells how fast prompts are read.
+	if ms := float64(first.Milliseconds()) - firstTokenTime; svc.Engine && j.Prompt > chunk/2 && a.load().Requests <= s.Slots && ms > 1 {
+		m.read.add(min(float64(j.Prompt+a.load().Prompt)*b.speed(a, m)/ms, 10*defaultRead))
+	}
+}
+
+// Outcome is how a job ended at a backend server.
+type Outcome struct {
+	Answered bool          // An answer came, good or not.
+	OK       bool          // The answer was a success and complete.
+	Refused  bool          // The backend server said that it did not run the job.
+	Left     bool          // The caller left or the deadline passed, which says nothing of the backend server.
+	First    bool          // The first event has come.
+	Total    time.Duration // From the sending to the end.
+	Pace     time.Duration // From token to token; 0 when unknown.
+	Output   int           // Tokens that were written.
+}
+
+// Finish records the end of a job that was started.
+func (b *Board) Finish(now time.Time, svc *fleet.Service, s *fleet.Server, j *Job, o Outcome) {
+	a, m := b.account(s), b.model(svc.Name)
+	a.own.Requests = max(0, a.own.Requests-1)
+	a.freed++
+	if !o.First {
+		a.own.Prompt = max(0, a.own.Prompt-j.Prompt)
+	}
+	switch {
+	case o.Left:
+	case o.Refused:
+		a.answered = now
+		a.full = now.Add(fullPause)
+	case o.Answered:
+		a.answer(now, o.OK)
+	default:
+		a.miss(now)
+	}
+	if !o.OK {
+		return
+	}
+	total := float64(o.Total.Microseconds()) / 1000
+	m.service.add(total)
+	if !svc.Engine {
+		a.latency.add(total)
+	}
+	if o.Pace > 0 {
+		b.Paced(svc, s, o.Pace)
+	}
+	if o.Output > 0 {
+		out := b.outputs[j.Route]
+		out.add(float64(o.Output))
+		b.outputs[j.Route] = out
+	}
+}
+
+// Paced records the pace of a stream, from token to token.
+func (b *Board) Paced(svc *fleet.Service, s *fleet.Server, pace time.Duration) {
+	ms := float64(pace.Microseconds()) / 1000
+	a := b.account(s)
+	a.pace.add(ms)
+	a.untold = true
+	b.model(svc.Name).pace.add(ms)
+}
--- a/mustardseam/place/queue.go
+++ b/mustardseam/place/queue.go
@@ -42,26 +42,18 @@
 	return false
 }
 
-// Place offers the waiting jobs in order to try and removes those for which it is true. It stops at the first job that
-// finds no room when stop is true for it, because those behind it would find none either.
-func (q *Queue) Place(now time.Time, running func(team string) int, try func(*Waiting) (placed, stop bool)) {
+// Place offers the waiting jobs in order to try and removes those for which it is true.
+func (q *Queue) Place(now time.Time, running func(team string) int, try func(*Waiting) bool) {
 	if len(q.waiting) == 0 {
 		return
 	}
 	sort.Slice(q.waiting, func(i, j int) bool { return q.before(now, running, q.waiting[i], q.waiting[j]) })
 	rest := q.waiting[:0]
-	stopped := false
 	for _, w := range q.waiting {
-		if stopped {
+		if !try(w) {
 			rest = append(rest, w)
 			continue
 		}
-		placed, stop := try(w)
-		if !placed {
-			rest = append(rest, w)
-			stopped = stop
-			continue
-		}
 		q.placed.Add(now)
 	}
 	clear(q.waiting[len(rest):])
--- a/mustardseam/place/queue_test.go
+++ b/mustardseam/place/queue_test.go
@@ -44,9 +44,9 @@
 				index[w] = i
 			}
 			var got []int
-			q.Place(start.Add(time.Second), running, func(w *Waiting) (bool, bool) {
+			q.Place(start.Add(time.Second), running, func(w *Waiting) bool {
 				got = append(got, index[w])
-				return true, false
+				return true
 			})
 			assert.DeepEqual(t, got, test.want)
 			assert.Equal(t, q.Len(), 0)
@@ -69,9 +69,9 @@
 		q.Add(waitingJob("a", 1, time.Hour))
 	}
 	placed := 0
-	q.Place(start, func(string) int { return 0 }, func(*Waiting) (bool, bool) {
+	q.Place(start, func(string) int { return 0 }, func(*Waiting) bool {
 		placed++
-		return placed <= 4, placed > 4
+		return placed <= 4
 	})
 	wait, known = q.Wait(start, &Job{Tier: 1, Rank: -1})
 	assert.Assert(t, known)
--- a/mustardseam/share/cold.go
+++ b/mustardseam/share/cold.go
@@ -1,10 +1,10 @@
 package share
 
 import (
-	"hash/fnv"
 	"time"
 
 	"github.com/mustardseam/mustardseam/mustardseam/fleet"
+	"github.com/mustardseam/mustardseam/mustardseam/rendezvous"
 )
 
 // ColdConfig bounds what cold backend servers get from all instances together.
@@ -72,30 +72,16 @@
 
 // rank returns the place of an instance in the order of hashes for a backend server.
 func rank(server, self string, nodes []string) int {
-	own := score(server, self)
+	own := rendezvous.Weight(server, self)
 	n := 0
 	for _, node := range nodes {
-		if s := score(server, node); node != self && (s > own || s == own && node > self) {
+		if s := rendezvous.Weight(server, node); node != self && (s > own || s == own && node > self) {
 			n++
 		}
 	}
 	return n
 }
 
-// score is the weight of an instance for a key in rendezvous hashing (Thaler and Ravishankar, 1998).
-func score(key, node string) uint64 {
-	h := fnv.New64a()
-	_, _ = h.Write([]byte(key))
-	_, _ = h.Write([]byte{0})
-	_, _ = h.Write([]byte(node))
-	x := h.Sum64()
-	// FNV mixes its last bytes badly; this is the finalizer of MurmurHash3.
-	x ^= x >> 33
-	x *= 0xff51afd7ed558ccd
-	x ^= x >> 33
-	return x
-}
-
 // window counts requests in a sliding window.
 type window struct {
 	times []time.Time
