Measure the gap in service after a loss, and look accounts up by entry

TestGap (by hand, -soak.gap) kills, pauses or cuts from the store each of four instances under load.

Cause of the second part: a decision spent two fifths of its time in hashing incarnations. Change: accounts are looked up by the entry of the view, which is replaced when it changes.

--- a/mustardseam/place/board.go
+++ b/mustardseam/place/board.go
@@ -19,8 +19,9 @@
 // Board keeps the accounts of backend servers.
 type Board struct {
 	accounts map[fleet.Incarnation]*account
-	engines  map[string]*engineModel // By service.
-	outputs  map[string]average      // Tokens that requests write, by route.
+	known    map[*fleet.Server]*account // The same by entry, whose lookup is faster; until the next sweep.
+	engines  map[string]*engineModel    // By service.
+	outputs  map[string]average         // Tokens that requests write, by route.
 	random   func() float64
 	self     string
 	unheard  float64
@@ -47,7 +48,7 @@
 		cfg.Random = rand.Float64
 	}
 	return &Board{
-		accounts: map[fleet.Incarnation]*account{}, engines: map[string]*engineModel{}, outputs: map[string]average{},
+		accounts: map[fleet.Incarnation]*account{}, known: map[*fleet.Server]*account{}, engines: map[string]*engineModel{}, outputs: map[string]average{},
 		random: cfg.Random, self: cfg.Self, parts: map[string]float64{},
 	}
 }
@@ -117,6 +118,7 @@
 
 // Sweep forgets accounts that are not used any more.
 func (b *Board) Sweep(now time.Time, listed func(fleet.Incarnation) bool) {
+	clear(b.known)
 	for id, a := range b.accounts {
 		if !listed(id) && a.own.Requests == 0 && now.Sub(a.used) > retention {
 			delete(b.accounts, id)
@@ -151,6 +153,9 @@
 }
 
 func (b *Board) account(s *fleet.Server) *account {
+	if a := b.known[s]; a != nil {
+		return a
+	}
 	id := s.Incarnation()
 	a := b.accounts[id]
 	if a == nil {
@@ -158,6 +163,7 @@
 		a.draw = a.bias
 		b.accounts[id] = a
 	}
+	b.known[s] = a
 	return a
 }
 
--- a/soak/client_soak_test.go
+++ b/soak/client_soak_test.go
@@ -21,6 +21,7 @@
 	kind     string
 	instance string
 	at       time.Time
+	ended    time.Time
 	status   int // 0 without an answer.
 	body     string
 	seal     string
@@ -45,6 +46,7 @@
 func (c *clients) add(r result) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	r.ended = time.Now()
 	c.results = append(c.results, r)
 }
 
