Wait for the outcome of a running request with the same key

Ruled out: holding the answer back until the home has the outcome, which would delay every keyed answer.

Change: the instance that is told in-progress asks again for up to half a second before it refuses.

TestRepeatAfterAnswer fails without it on the first key (409 in-progress) and passed three times with it.

--- a/demo/cluster/path_test.go
+++ b/demo/cluster/path_test.go
@@ -1,6 +1,7 @@
 package cluster
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -22,3 +23,21 @@
 		assert.Assert(t, a.Whole, "got %q", a.Text)
 	}
 }
+
+// TestRepeatAfterAnswer guards against a key that is repeated right after its answer, at another instance, and refused as
+// still running, since the outcome has not reached the home yet.
+func TestRepeatAfterAnswer(t *testing.T) {
+	c := start(t, 4)
+	client := NewClient()
+	for n := range 40 {
+		key := fmt.Sprintf("%d-repeat-%d", time.Now().Unix(), n)
+		for attempt := range 2 {
+			i := c.Instance((n + attempt) % c.Instances())
+			a, err := client.Order(i.CallerAddress(), "key-leather", "leather", key, 0)
+			assert.NilError(t, err)
+			assert.Equal(t, a.Status, 200, "attempt %d of %s: %s", attempt, key, a.Type)
+			assert.Equal(t, a.Replayed, attempt == 1)
+		}
+		assert.Equal(t, c.Executions()["order "+key], 1)
+	}
+}
--- a/mustardseam/instance/obtain.go
+++ b/mustardseam/instance/obtain.go
@@ -16,6 +16,9 @@
 	askHold = 300 * time.Millisecond
 	// askRetry is the wait before an ask goes out again when no home took it.
 	askRetry = 50 * time.Millisecond
+	// settling is how long a request with the key of a running one waits for its outcome: the answer of an attempt that has
+	// just ended may reach its caller before the outcome reaches the home.
+	settling = 500 * time.Millisecond
 	// homeless is how long a request waits while no home answers; a takeover, or static shares in an outage of the
 	// store, take less.
 	homeless = 15 * time.Second
@@ -29,7 +32,8 @@
 		return pool.Permit{}, nil, caller.NewProblem("not-ready", http.StatusServiceUnavailable, r.Key == "",
 			"the route's pool is not known yet").WithRetryAfter(time.Second)
 	}
-	answered := i.cfg.Now()
+	began := i.cfg.Now()
+	answered := began
 	notRun := r.Key == "" // What the newest answer of the home says of a key.
 	for {
 		now := i.cfg.Now()
@@ -58,6 +62,12 @@
 			previous = &pool.Outcome{Ask: a.ID, Result: pool.NotRun, Unused: true}
 			i.report(r.Route.Pool, *previous)
 			a.ID = i.nextID()
+		case peer.InProgress:
+			if i.cfg.Now().Sub(began) >= settling {
+				return pool.Permit{}, nil, refused(answer, false)
+			}
+			i.sleep(askRetry)
+			a.ID = i.nextID() // The home keeps its decision on the ask.
 		case peer.Done:
 			x, problem := i.replayed(answer)
 			return pool.Permit{}, x, problem
