Do not take a backend server off for a single lost answer

One lost answer took a server off for 0.4 s and more, and the word of one of 60 instances was enough for the others, so the third one had 16 to 31 requests at its six slots while the two had 1 to 3; the slowest tenth of answers took 250 to 310 ms (objectives 200 and 150 ms).

Ruled out: old loads alone (the same second before the faults is even), refusals for want of room.

Change: one failure after the connection stood counts only as a failed share when the server answered within the last second; the next one in a row, a failed connection and silence take it off as before.

TestSingleReset fails without the change in the two cases of single losses.

--- a/mustardseam/entry/try.go
+++ b/mustardseam/entry/try.go
@@ -91,7 +91,7 @@
 		i.scheduler.Finish(g, place.Outcome{Left: true})
 		return finished
 	}
-	i.scheduler.Finish(g, place.Outcome{})
+	i.scheduler.Finish(g, place.Outcome{Unreached: errors.Is(err, http1.ErrNotSent)})
 	return again
 }
 
--- a/mustardseam/place/account.go
+++ b/mustardseam/place/account.go
@@ -11,6 +11,9 @@
 	// ones are back after two to six seconds.
 	firstPause = 400 * time.Millisecond
 	maxPause   = 3 * time.Second
+	// alive is how long after an answer a single failure does not count as a crash: a backend server that loses one answer in
+	// twenty is still worth more than a queue at the others. After a crash the next connection fails, which counts at once.
+	alive = time.Second
 )
 
 // account is what is known of one incarnation of a backend server.
@@ -39,12 +42,15 @@
 
 func (a *account) load() Load { return a.own.Plus(a.others) }
 
-// miss takes in a contact that failed: no connection, a reset, or silence.
-func (a *account) miss(now time.Time) {
+// miss takes in a contact that failed: no connection, or else a reset or silence.
+func (a *account) miss(now time.Time, connected bool) {
 	a.misses++
+	a.failures += failSmoothing * (1 - a.failures)
+	if connected && a.misses == 1 && now.Sub(a.answered) < alive {
+		return
+	}
 	a.pause = min(max(firstPause, 2*a.pause), maxPause)
 	a.avoid = now.Add(a.pause)
-	a.failures += failSmoothing * (1 - a.failures)
 }
 
 // answer takes in an answer, good or failed.
--- a/mustardseam/place/board_test.go
+++ b/mustardseam/place/board_test.go
@@ -120,6 +120,39 @@
 	assert.Assert(t, !b.Sick(start, s))
 }
 
+// TestSingleReset guards against a backend server that is taken off for one lost answer, which sends all requests to the
+// others, and against a crashed one that is not.
+func TestSingleReset(t *testing.T) {
+	tests := []struct {
+		name     string
+		outcomes []Outcome
+		after    time.Duration // From the latest answer.
+		sick     bool
+	}{
+		{"one lost answer", []Outcome{{Answered: true, OK: true}, {}}, alive / 2, false},
+		{"lost answers with one between", []Outcome{{Answered: true, OK: true}, {}, {Answered: true, OK: true}, {}}, alive / 2, false},
+		{"two lost answers", []Outcome{{Answered: true, OK: true}, {}, {}}, alive / 2, true},
+		{"no connection", []Outcome{{Answered: true, OK: true}, {Unreached: true}}, alive / 2, true},
+		{"silent for long", []Outcome{{Answered: true, OK: true}, {}}, alive, true},
+		{"never answered", []Outcome{{}}, 0, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			b := NewBoard(BoardConfig{Self: "n"})
+			s, j, now := server("s0"), job(10, 10), start
+			for _, o := range test.outcomes {
+				if !o.Answered {
+					now = start.Add(test.after)
+				}
+				b.Start(now, s, j)
+				b.Finish(now, engine, s, j, o)
+			}
+			assert.Equal(t, b.Sick(now, s), test.sick)
+			assert.Equal(t, len(b.SickIDs(now)) > 0, test.sick)
+		})
+	}
+}
+
 // TestNoEcho guards against instances that keep a backend server avoided by repeating each other's word.
 func TestNoEcho(t *testing.T) {
 	b := NewBoard(BoardConfig{Self: "n"})
--- a/mustardseam/place/outcome.go
+++ b/mustardseam/place/outcome.go
@@ -31,14 +31,15 @@
 
 // Outcome is how a job ended at a backend server.
 type Outcome struct {
-	Answered bool          // An answer came, good or not.
-	OK       bool          // The answer was a success and complete.
-	Refused  bool          // The backend server said that it did not run the job.
-	Left     bool          // The caller left or the deadline passed, which says nothing of the backend server.
-	First    bool          // The first event has come.
-	Total    time.Duration // From the sending to the end.
-	Pace     time.Duration // From token to token; 0 when unknown.
-	Output   int           // Tokens that were written.
+	Answered  bool          // An answer came, good or not.
+	OK        bool          // The answer was a success and complete.
+	Refused   bool          // The backend server said that it did not run the job.
+	Unreached bool          // No connection could be made.
+	Left      bool          // The caller left or the deadline passed, which says nothing of the backend server.
+	First     bool          // The first event has come.
+	Total     time.Duration // From the sending to the end.
+	Pace      time.Duration // From token to token; 0 when unknown.
+	Output    int           // Tokens that were written.
 }
 
 // Finish records the end of a job that was started.
@@ -57,7 +58,7 @@
 	case o.Answered:
 		a.answer(now, o.OK)
 	default:
-		a.miss(now)
+		a.miss(now, !o.Unreached)
 	}
 	if !o.OK {
 		return
