Refuse streams that arrive late in a planned stop

Requests were taken until 2.5 s before the end; a long stream takes 8 s.

Ruled out: the time of the balancer (two checks, a second apart, are over 2 s after the signal).

Change: streams are taken for 3 s after the signal, or half of a shorter grace period, and refused as not run after that; other requests are taken as before.

--- a/mustardseam/entry/handler.go
+++ b/mustardseam/entry/handler.go
@@ -56,7 +56,7 @@
 			return
 		}
 	}
-	if i.tooLate() {
+	if i.tooLate(a.route.Kind) {
 		i.refuse(a, fasthttp.StatusServiceUnavailable, 0, "instance stops")
 		return
 	}
--- a/mustardseam/entry/stop.go
+++ b/mustardseam/entry/stop.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/mustardseam/mustardseam/mustardseam/event"
+	"github.com/mustardseam/mustardseam/mustardseam/fleet"
 )
 
 const (
@@ -13,6 +14,9 @@
 	// refuseBefore is how long before the end of the grace period new requests are refused as not run, since their answers
 	// could not be finished.
 	refuseBefore = 2500 * time.Millisecond
+	// streamTime is how long after the signal streams are still taken: callers that follow the balancer have left by then, and
+	// a stream of unknown length may not end within the rest of the grace period.
+	streamTime = unlistTime + 500*time.Millisecond
 	// exitBefore is kept from the grace period for the end of the process.
 	exitBefore = 300 * time.Millisecond
 	// stopPoll is how often a stop looks whether all callers have left.
@@ -49,11 +53,18 @@
 	i.cfg.Log.Close(closeLog)
 }
 
-// tooLate reports whether a request that arrives now could not be finished before the end of the process.
-func (i *Instance) tooLate() bool {
+// tooLate reports whether a request of a kind that arrives now could not be finished before the end of the process.
+func (i *Instance) tooLate(kind fleet.Kind) bool {
 	start := i.stopping.Load()
-	grace := i.bounds.Load().Grace
-	return start != nil && time.Since(*start) > grace-min(refuseBefore, grace/3)
+	return start != nil && time.Since(*start) > takenFor(kind, i.bounds.Load().Grace)
+}
+
+// takenFor returns how long after the signal to stop requests of a kind are taken.
+func takenFor(kind fleet.Kind, grace time.Duration) time.Duration {
+	if kind == fleet.Stream {
+		return min(streamTime, grace/2)
+	}
+	return grace - min(refuseBefore, grace/3)
 }
 
 // Active returns the number of requests that are being answered.
