Share the slots with silent instances, and drop old loads

Change: instances whose answer does not come in time count as sharers of the slots for 15 s, and as senders of requests that are not heard of; a refused or closed connection says that the process is down. Loads older than 1.5 s are dropped.

Open: bounds other than slots still count only instances that report (docs/platform.md).

--- a/mustardseam/entry/gossip.go
+++ b/mustardseam/entry/gossip.go
@@ -45,6 +45,7 @@
 	avoid    map[string]time.Time // Hubs that did not answer.
 	joined   bool                 // A hub has told what was used before this instance started.
 	nodes    int                  // Instances in the latest digest.
+	silent   silence
 }
 
 func newGossip(i *Instance) *gossip {
@@ -142,6 +143,7 @@
 	clear(g.pending)
 	g.table.Use(used)
 	nodes := g.table.Nodes(now)
+	sharers := max(len(nodes), g.silent.count(now))
 	g.nodes = len(nodes)
 	g.table.Sweep(now)
 	sum, err := g.table.Sum(now, g.own)
@@ -153,7 +155,8 @@
 		others[id] = others[id].Minus(l)
 	}
 	g.i.scheduler.hear(now, hearing{
-		loads: others, paces: g.table.Paces(), nodes: nodes, sick: sum.Sick, until: now.Add(sickWord),
+		loads: others, paces: g.table.Paces(), nodes: nodes, sharers: sharers, sick: sum.Sick,
+		until: now.Add(sickWord),
 	})
 	samples := g.samples
 	g.samples = nil
--- a/mustardseam/entry/hearing.go
+++ b/mustardseam/entry/hearing.go
@@ -8,6 +8,13 @@
 	"github.com/mustardseam/mustardseam/mustardseam/share"
 )
 
+// wordTime is how long the word of the others on their loads is used; the longest time between two words is a second.
+const wordTime = 1500 * time.Millisecond
+
+// silentLag is the age of what is known of instances that are silent: about as long as a request holds a slot, after which
+// those that they sent end as often as new ones come.
+const silentLag = time.Second
+
 // hearing is what an instance hears from the others.
 type hearing struct {
 	loads map[string]place.Load // That they have sent, by id of the backend server.
@@ -15,7 +22,10 @@
 	sick  map[string]int        // Instances that failed to reach a backend server, by its id.
 	until time.Time             // How long the word on sick ones holds.
 	nodes []string              // Instances that run, this one included.
-	used  map[string]share.Use  // That went through them since the last word, by team.
+	// sharers is the number of instances that may send to the backend servers. It is above that of nodes while others are
+	// silent.
+	sharers int
+	used    map[string]share.Use // That went through them since the last word, by team.
 }
 
 // told returns what the others are to know of this instance and counts the use as told.
@@ -44,15 +54,27 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.board.SetOthers(h.loads)
+	s.heard = now
 	s.board.Teach(h.paces)
 	s.board.HearSick(now, h.sick, h.until)
 	s.nodes = h.nodes
-	s.board.SetNodes(len(h.nodes))
+	s.sharers = h.sharers
+	s.board.SetNodes(h.sharers)
 	if h.used != nil {
 		s.quota.Hear(now, h.used)
 	}
 }
 
+// lapse drops loads that are too old to tell which backend servers have room: an instance that is cut off from the others
+// while all are full would refuse everything until it hears of them again. It keeps to its part of the slots meanwhile. mu
+// is held.
+func (s *Scheduler) lapse(now time.Time) {
+	if now.Sub(s.heard) > wordTime {
+		s.board.SetOthers(nil)
+		s.heard = now
+	}
+}
+
 // use takes in what went through another instance.
 func (s *Scheduler) use(now time.Time, used map[string]share.Use) {
 	s.mu.Lock()
@@ -92,7 +114,10 @@
 	if servers == 0 {
 		return
 	}
-	others := s.starts.PerSecond(now) * float64(max(0, len(s.nodes)-1))
+	if s.sharers > len(s.nodes) {
+		lag = max(lag, silentLag)
+	}
+	others := s.starts.PerSecond(now) * float64(max(0, s.sharers-1))
 	s.board.SetUnheard(others * lag.Seconds() / float64(servers))
 }
 
--- /dev/null
+++ b/mustardseam/entry/hearing_test.go
@@ -0,0 +1,28 @@
+package entry
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/mustardseam/mustardseam/mustardseam/fleet"
+	"github.com/mustardseam/mustardseam/mustardseam/place"
+)
+
+// TestLapse guards against an instance that is cut off from the others while all backend servers are full, and refuses
+// everything by this old word until it hears of them again.
+func TestLapse(t *testing.T) {
+	config := fleet.NewConfig(1, nil, []fleet.Service{{Name: "pool", Engine: true, Stride: 4}}, nil, fleet.Limits{})
+	v := fleet.NewView().With(fleet.Change{Config: config}).
+		With(fleet.Change{Server: &fleet.Server{ID: "s0", Service: "pool", Slots: 4}})
+	s := newScheduler(schedulerConfig{node: "n0", view: func() *fleet.View { return v }})
+	now := time.Now()
+	j := &place.Job{Tier: 2, Prompt: 1000, Output: 100, Arrived: now, Objective: now.Add(time.Hour), Deadline: now.Add(time.Hour)}
+	g := s.place(now, "pool", j, false)
+	assert.Assert(t, g != nil)
+	s.Finish(g, place.Outcome{Answered: true, OK: true})
+	s.hear(now, hearing{loads: map[string]place.Load{"s0": {Requests: 4}}, sharers: 2})
+	assert.Assert(t, s.place(now.Add(wordTime), "pool", j, false) == nil, "the word of the others counts")
+	assert.Assert(t, s.place(now.Add(wordTime+time.Millisecond), "pool", j, false) != nil, "the word is too old")
+}
--- a/mustardseam/entry/pump.go
+++ b/mustardseam/entry/pump.go
@@ -79,6 +79,7 @@
 	if svc == nil {
 		return nil
 	}
+	s.lapse(now)
 	deep := 0
 	if j.Tier < deepest && now.Sub(j.Arrived) > time.Duration(deepAfter*float64(j.Objective.Sub(j.Arrived))) {
 		deep = deepest - max(0, j.Tier)
--- a/mustardseam/entry/report.go
+++ b/mustardseam/entry/report.go
@@ -55,7 +55,9 @@
 func (g *gossip) missed(to fleet.Node, r hub.Report, err error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.avoid[to.Name] = time.Now()
+	now := time.Now()
+	g.avoid[to.Name] = now
+	g.silent = g.silent.after(now, err, g.nodes)
 	for team, u := range r.Used {
 		g.pending[team] = g.pending[team].Plus(u)
 	}
@@ -88,7 +90,7 @@
 	if d.DirectMS < 0 {
 		g.heardAge = time.Hour
 	}
-	g.nodes = len(d.Nodes)
+	g.nodes, g.silent = len(d.Nodes), silence{}
 	g.table.Use(used)
 	first := !g.joined
 	g.joined = true
@@ -105,7 +107,7 @@
 		others[id] = others[id].Minus(own)
 	}
 	g.i.scheduler.hear(now, hearing{
-		loads: others, paces: d.Paces, nodes: d.Nodes, used: used, sick: d.Sick, until: now.Add(sickWord),
+		loads: others, paces: d.Paces, nodes: d.Nodes, sharers: len(d.Nodes), used: used, sick: d.Sick, until: now.Add(sickWord),
 	})
 }
 
--- a/mustardseam/entry/scheduler.go
+++ b/mustardseam/entry/scheduler.go
@@ -22,7 +22,9 @@
 	quota     *share.Quota
 	budget    *share.Budget
 	cold      *share.Cold
-	nodes     []string // Instances that are believed to run, this one included.
+	heard     time.Time // Of the latest word of the others, or its lapse.
+	sharers   int       // Instances that may send to the backend servers, silent ones included.
+	nodes     []string  // Instances that are believed to run, this one included.
 	pumping   bool
 	starts    place.Rate          // Requests that this instance sent to engines.
 	exposures map[string]exposure // By service.
