Share two waits of the failure tests

Cause: TestKeyAfterLostHome repeated the waits for the candidates of a home and for static shares that stood in TestStoreOutageAndHomeDies. Change: both call awaitCandidates and awaitStatic of the harness; what is waited for and asserted is the same.

--- a/demo/cluster/failure_test.go
+++ b/demo/cluster/failure_test.go
@@ -75,19 +75,10 @@
 	l := c.load(4, 6, 0)
 	l.progress(t, "warm engines", 300)
 	home := c.homeOf(ModelPool)
-	eventually(t, "a record with all candidates", func() bool {
-		return len(c.Instance(home).State().Pools[ModelPool].Record.Candidates) == c.Instances()
-	})
+	c.awaitCandidates(t, home)
 	c.Store.SetFaults(etcd.Faults{Down: true})
 	c.Remove(home).Kill()
-	eventually(t, "static shares", func() bool {
-		for n := range c.Instances() {
-			if i := c.Instance(n); i != nil && i.State().Pools[ModelPool].Mode != "static" {
-				return false
-			}
-		}
-		return true
-	})
+	c.awaitStatic(t)
 	eventually(t, "a request without a key", func() bool {
 		i := c.Instance((home + 1) % c.Instances())
 		a, err := client.Complete(Completion{Address: i.CallerAddress(), Key: "key-bridal", Model: "sizing", Prompt: "unkeyed", Tokens: 4})
@@ -107,9 +98,7 @@
 	l := c.load(4, 6, 0)
 	l.progress(t, "warm engines", 100)
 	home := c.homeOf(ModelPool)
-	eventually(t, "a record with all candidates", func() bool {
-		return len(c.Instance(home).State().Pools[ModelPool].Record.Candidates) == c.Instances()
-	})
+	c.awaitCandidates(t, home)
 	r := Completion{
 		Address: c.Instance(home).CallerAddress(), Key: "key-bridal", Model: "sizing", Prompt: "repeated", Tokens: 2000,
 		Unique: fmt.Sprintf("%d-repeated", time.Now().Unix()),
@@ -123,14 +112,7 @@
 	c.Store.SetFaults(etcd.Faults{Down: true})
 	c.Remove(home).Kill()
 	<-done
-	eventually(t, "static shares", func() bool {
-		for n := range c.Instances() {
-			if i := c.Instance(n); i != nil && i.State().Pools[ModelPool].Mode != "static" {
-				return false
-			}
-		}
-		return true
-	})
+	c.awaitStatic(t)
 	r.Address = c.Instance((home + 1) % c.Instances()).CallerAddress()
 	a, err := client.Complete(r)
 	assert.NilError(t, err)
--- a/demo/cluster/harness_test.go
+++ b/demo/cluster/harness_test.go
@@ -77,6 +77,27 @@
 	return -1
 }
 
+// awaitCandidates waits until the record of the models' home names all instances as candidates.
+func (c *Cluster) awaitCandidates(t *testing.T, home int) {
+	t.Helper()
+	eventually(t, "a record with all candidates", func() bool {
+		return len(c.Instance(home).State().Pools[ModelPool].Record.Candidates) == c.Instances()
+	})
+}
+
+// awaitStatic waits until all running instances serve models by static shares.
+func (c *Cluster) awaitStatic(t *testing.T) {
+	t.Helper()
+	eventually(t, "static shares", func() bool {
+		for n := range c.Instances() {
+			if i := c.Instance(n); i != nil && i.State().Pools[ModelPool].Mode != "static" {
+				return false
+			}
+		}
+		return true
+	})
+}
+
 // callers send requests until they are stopped and keep what became of them.
 type callers struct {
 	cluster *Cluster
--- a/mustardseam/place/board.go
+++ b/mustardseam/place/board.go
@@ -48,8 +48,9 @@
 		cfg.Random = rand.Float64
 	}
 	return &Board{
-		accounts: map[fleet.Incarnation]*account{}, known: map[*fleet.Server]*account{}, engines: map[string]*engineModel{}, outputs: map[string]average{},
-		random: cfg.Random, self: cfg.Self, parts: map[string]float64{},
+		accounts: map[fleet.Incarnation]*account{}, known: map[*fleet.Server]*account{},
+		engines: map[string]*engineModel{}, outputs: map[string]average{}, parts: map[string]float64{},
+		random: cfg.Random, self: cfg.Self,
 	}
 }
 
