Keep the parts of free slots by list of candidates

Cause: Board.part was kept by service but computed from the list that came first. Where no backend server is listed, as when all entries lapse with the store, that list is empty, and the spare one got the least part although its slots were free: one of ten requests was placed at once (TestSpareHerd, which fails on the old computation).

Ruled out: leaving the empty list out of the cache only; a full list would then still decide for spare backend servers that are free.

Change: Choose takes both lists, and the parts are kept for each. The order (spare ones only where no other has room, never beyond their slots) moves from entry to place.

--- a/mustardseam/entry/pump.go
+++ b/mustardseam/entry/pump.go
@@ -84,12 +84,9 @@
 	if j.Tier < deepest && now.Sub(j.Arrived) > time.Duration(deepAfter*float64(j.Objective.Sub(j.Arrived))) {
 		deep = deepest - max(0, j.Tier)
 	}
-	warm, spare := s.candidates(now, v, svc)
-	srv := s.board.Choose(now, svc, warm, j, deep, waiting)
+	srv := s.board.Choose(now, s.candidates(now, v, svc), j, deep, waiting)
 	if srv == nil {
-		if srv = s.board.Choose(now, svc, spare, j, 0, waiting); srv == nil {
-			return nil
-		}
+		return nil
 	}
 	if srv.Cold(now) && svc.ColdRate > 0 {
 		s.cold.Take(now, srv, s.cold.Allowed(svc.ColdRate, srv, s.cfg.node, s.nodes))
@@ -104,8 +101,9 @@
 	return g
 }
 
-// candidates returns the backend servers that may get work: those that are warm and listed, and those to fall back on.
-func (s *Scheduler) candidates(now time.Time, v *fleet.View, svc *fleet.Service) (warm, spare []*fleet.Server) {
+// candidates returns the backend servers that may get work; cold ones and those whose entries lapsed are spare.
+func (s *Scheduler) candidates(now time.Time, v *fleet.View, svc *fleet.Service) place.Candidates {
+	c := place.Candidates{Service: svc}
 	versions := s.versions(now, v, svc.Name)
 	for _, srv := range v.Of(svc.Name) {
 		_, out := v.Out[srv.DataCentre]
@@ -113,13 +111,13 @@
 		case srv.Draining || out || !versions(srv.Version):
 		case srv.Cold(now) && svc.ColdRate > 0:
 			if s.cold.Free(now, srv, s.cold.Allowed(svc.ColdRate, srv, s.cfg.node, s.nodes)) {
-				spare = append(spare, srv)
+				c.Spare = append(c.Spare, srv)
 			}
 		case !srv.Lapsed.IsZero():
-			spare = append(spare, srv)
+			c.Spare = append(c.Spare, srv)
 		default:
-			warm = append(warm, srv)
+			c.Servers = append(c.Servers, srv)
 		}
 	}
-	return warm, spare
+	return c
 }
--- a/mustardseam/place/board.go
+++ b/mustardseam/place/board.go
@@ -26,7 +26,7 @@
 	self     string
 	unheard  float64
 	nodes    int
-	parts    map[string]float64 // By service, how much of the free slots the instances may use; until the next word.
+	parts    map[list]float64 // How much of the free slots the instances may use; until the next word.
 }
 
 // engineModel is what the backend servers of a service have in common.
@@ -49,7 +49,7 @@
 	}
 	return &Board{
 		accounts: map[fleet.Incarnation]*account{}, known: map[*fleet.Server]*account{},
-		engines: map[string]*engineModel{}, outputs: map[string]average{}, parts: map[string]float64{},
+		engines: map[string]*engineModel{}, outputs: map[string]average{}, parts: map[list]float64{},
 		random: cfg.Random, self: cfg.Self,
 	}
 }
@@ -57,11 +57,27 @@
 // Choose returns the backend server for a job, or nil when none of the candidates has room. Deep is how far beyond its
 // slots a backend server may be filled. With jobs waiting, those of other instances are likely to wait as well, and all
 // would send to a backend server that comes free.
-func (b *Board) Choose(now time.Time, svc *fleet.Service, servers []*fleet.Server, j *Job, deep int, waiting bool) *fleet.Server {
-	best, second := b.cheapest(now, svc, servers, j, deep, waiting, false)
+func (b *Board) Choose(now time.Time, c Candidates, j *Job, deep int, waiting bool) *fleet.Server {
+	if s := b.choose(now, c.Service, c.Servers, j, limits{deep: deep, part: b.part(c, false, waiting)}); s != nil {
+		return s
+	}
+	return b.choose(now, c.Service, c.Spare, j, limits{part: b.part(c, true, waiting)})
+}
+
+// limits say how far backend servers may be filled.
+type limits struct {
+	deep     int     // Requests beyond the slots.
+	part     float64 // Of the free slots, over all instances.
+	doubtful bool    // Also those that are avoided or have had the job.
+}
+
+// choose returns the backend server of a list for a job, or nil.
+func (b *Board) choose(now time.Time, svc *fleet.Service, servers []*fleet.Server, j *Job, l limits) *fleet.Server {
+	best, second := b.cheapest(now, svc, servers, j, l)
 	if best.server == nil && !b.anyHealthy(now, servers, j) {
 		// All look sick or were tried: better a doubtful one than none. Where healthy ones are merely full, the job waits.
-		best, second = b.cheapest(now, svc, servers, j, deep, waiting, true)
+		l.doubtful = true
+		best, second = b.cheapest(now, svc, servers, j, l)
 	}
 	if second.server != nil && second.cost <= best.cost*(1+similar) && b.random() < 0.5 {
 		return second.server
@@ -85,22 +101,17 @@
 	return false
 }
 
-// cheapest returns the two candidates with the least expected cost; doubtful ones are those that are avoided or have had
-// the job.
+// cheapest returns the two candidates with the least expected cost.
 func (b *Board) cheapest(
-	now time.Time, svc *fleet.Service, servers []*fleet.Server, j *Job, deep int, waiting, doubtful bool,
+	now time.Time, svc *fleet.Service, servers []*fleet.Server, j *Job, l limits,
 ) (best, second choice) {
 	m := b.model(svc.Name)
-	part := leastPart
-	if !waiting {
-		part = b.part(svc, servers)
-	}
 	for _, s := range servers {
 		a := b.account(s)
-		if now.Before(a.full) || !b.room(a, svc, s, deep, part) {
+		if now.Before(a.full) || !b.room(a, svc, s, l) {
 			continue
 		}
-		if !doubtful && (a.avoided(now) || j.tried(s.Incarnation())) {
+		if !l.doubtful && (a.avoided(now) || j.tried(s.Incarnation())) {
 			continue
 		}
 		c := choice{server: s, cost: b.cost(a, m, svc, s, j)}
--- a/mustardseam/place/board_test.go
+++ b/mustardseam/place/board_test.go
@@ -95,7 +95,7 @@
 				b.account(s)
 			}
 			test.prepare(b, servers)
-			got := b.Choose(start, test.service, servers, test.job(), test.deep, false)
+			got := b.Choose(start, Candidates{Service: test.service, Servers: servers}, test.job(), test.deep, false)
 			if test.want == "" {
 				assert.Assert(t, got == nil)
 				return
@@ -182,7 +182,7 @@
 	}
 	for r := range requests {
 		b, j := boards[r%nodes], job(3700, 120)
-		s := b.Choose(start, engine, servers, j, 0, false)
+		s := b.Choose(start, Candidates{Service: engine, Servers: servers}, j, 0, false)
 		b.Start(start, s, j)
 		got[s.ID]++
 	}
@@ -205,7 +205,7 @@
 		b.SetNodes(nodes)
 		for range 10 {
 			j := job(1000, 100)
-			if s := b.Choose(start, engine, servers, j, 2, true); s != nil {
+			if s := b.Choose(start, Candidates{Service: engine, Servers: servers}, j, 2, true); s != nil {
 				b.Start(start, s, j)
 				sent++
 			}
@@ -215,6 +215,30 @@
 	assert.Assert(t, sent >= 1)
 }
 
+// TestSpareHerd guards against spare backend servers that stay empty while no other is listed, as when all entries lapse
+// with the store: 60 instances have ten requests each for 140 idle backend servers, and all must be placed at once.
+func TestSpareHerd(t *testing.T) {
+	const nodes = 60
+	var spare []*fleet.Server
+	for i := range 140 {
+		spare = append(spare, server(fmt.Sprintf("s%d", i)))
+	}
+	for i := range nodes {
+		b := NewBoard(BoardConfig{Self: fmt.Sprintf("n%d", i)})
+		b.SetNodes(nodes)
+		b.SetUnheard(0.5)
+		placed := 0
+		for range 10 {
+			j := job(1000, 100)
+			if s := b.Choose(start, Candidates{Service: engine, Spare: spare}, j, 0, false); s != nil {
+				b.Start(start, s, j)
+				placed++
+			}
+		}
+		assert.Equal(t, placed, 10, "requests placed by instance %d", i)
+	}
+}
+
 // TestOwn guards against loads that are counted twice or not given back.
 func TestOwn(t *testing.T) {
 	b := NewBoard(BoardConfig{Self: "n"})
@@ -237,7 +261,7 @@
 	}
 	j := job(3700, 120)
 	for b.Loop() {
-		board.Choose(start, engine, servers, j, 0, false)
+		board.Choose(start, Candidates{Service: engine, Servers: servers}, j, 0, false)
 	}
 }
 
--- /dev/null
+++ b/mustardseam/place/candidates.go
@@ -0,0 +1,16 @@
+package place
+
+import "github.com/mustardseam/mustardseam/mustardseam/fleet"
+
+// Candidates are the backend servers that a job of a service may go to.
+type Candidates struct {
+	Service *fleet.Service
+	Servers []*fleet.Server
+	Spare   []*fleet.Server // Used, and not beyond their slots, where none of Servers has room.
+}
+
+// list is a list of candidates: those of a service that are preferred, or the spare ones.
+type list struct {
+	service string
+	spare   bool
+}
--- a/mustardseam/place/overload_test.go
+++ b/mustardseam/place/overload_test.go
@@ -111,7 +111,7 @@
 func (o *overload) place(now time.Time, i int, b *Board) {
 	for ; o.waiting[i] > 0; o.waiting[i]-- {
 		j := job(3700, 120)
-		s := b.Choose(now, engine, o.servers, j, 0, o.waiting[i] > 1)
+		s := b.Choose(now, Candidates{Service: engine, Servers: o.servers}, j, 0, o.waiting[i] > 1)
 		if s == nil {
 			return
 		}
--- a/mustardseam/place/room.go
+++ b/mustardseam/place/room.go
@@ -18,10 +18,17 @@
 	plainQueue = 4
 )
 
-// part returns how many requests for each free slot of a service all instances together may send between two words of
-// each other. Where they are expected to send less than there is room for, more of them may choose freely.
-func (b *Board) part(svc *fleet.Service, servers []*fleet.Server) float64 {
-	if part, ok := b.parts[svc.Name]; ok {
+// part returns how many requests for each free slot of a list of candidates all instances together may send between two
+// words of each other. Where they are expected to send less than there is room for, more of them may choose freely.
+func (b *Board) part(c Candidates, spare, waiting bool) float64 {
+	if waiting {
+		return leastPart
+	}
+	key, servers := list{service: c.Service.Name, spare: spare}, c.Servers
+	if spare {
+		servers = c.Spare
+	}
+	if part, ok := b.parts[key]; ok {
 		return part
 	}
 	free := 0
@@ -30,15 +37,15 @@
 	}
 	plenty := float64(free) / max(1, b.unheard*float64(len(servers)))
 	part := max(leastPart, freePart*math.Pow(plenty, freePower))
-	b.parts[svc.Name] = part
+	b.parts[key] = part
 	return part
 }
 
 // room reports whether a backend server may get one more request. An engine's free slots are shared by the instances: each
 // may use the slots that its own requests left and its part of the others. Otherwise all would send to an engine that
 // comes free before they hear of each other.
-func (b *Board) room(a *account, svc *fleet.Service, s *fleet.Server, deep int, part float64) bool {
-	limit := max(1, s.Slots) + deep
+func (b *Board) room(a *account, svc *fleet.Service, s *fleet.Server, l limits) bool {
+	limit := max(1, s.Slots) + l.deep
 	if !svc.Engine {
 		return a.load().Requests < limit+plainQueue
 	}
@@ -46,6 +53,6 @@
 	if free <= 0 {
 		return false
 	}
-	own := part * float64(max(0, free+a.recent-a.freed)) / float64(max(1, b.nodes))
+	own := l.part * float64(max(0, free+a.recent-a.freed)) / float64(max(1, b.nodes))
 	return b.nodes <= 1 || float64(a.recent)+a.draw < float64(a.freed)+own
 }
