Move the decisions on waiting and refusing to place

How long a job may wait, when it is refused at once, when its caller comes back and how deep a backend server may be filled stood in entry, bound to the wall clock and reachable only through a running scheduler.

--- a/mustardseam/entry/handler.go
+++ b/mustardseam/entry/handler.go
@@ -63,7 +63,7 @@
 	i.prepare(a)
 	if a.team != nil {
 		a.units = units(a.team, a.meta)
-		var r *Refusal
+		var r *place.Refusal
 		if err := i.scheduler.Admit(a.team, a.units); errors.As(err, &r) {
 			i.refuse(a, fasthttp.StatusTooManyRequests, r.After, r.Reason)
 			return
@@ -165,7 +165,7 @@
 
 // unplaced answers a request that was not placed.
 func (i *Instance) unplaced(a *attempt, err error) {
-	var r *Refusal
+	var r *place.Refusal
 	switch {
 	case errors.Is(err, http1.ErrGone):
 		a.reason = "caller has gone"
@@ -174,7 +174,7 @@
 		a.reason = r.Reason
 	default:
 		a.reason = err.Error()
-		r = &Refusal{}
+		r = &place.Refusal{}
 	}
 	if a.exchange.Started() {
 		a.exchange.Abort()
@@ -195,7 +195,7 @@
 	case a.exchange.Started():
 		a.exchange.Abort()
 	case a.runs == 0:
-		i.refuse(a, fasthttp.StatusServiceUnavailable, i.scheduler.comeBack(a.service, a.job), a.reason)
+		i.refuse(a, fasthttp.StatusServiceUnavailable, i.scheduler.giveUp(a.service, a.job).After, a.reason)
 	case !time.Now().Before(a.job.Deadline):
 		i.reply(a, fasthttp.StatusGatewayTimeout, a.reason)
 	default:
--- a/mustardseam/entry/pump.go
+++ b/mustardseam/entry/pump.go
@@ -7,14 +7,8 @@
 	"github.com/mustardseam/mustardseam/mustardseam/place"
 )
 
-const (
-	// deepAfter is the part of the objective after which a request of a high tier may wait in the queue of a backend server.
-	deepAfter = 0.25
-	// deepest is how far the highest tier may fill the queue of a backend server.
-	deepest = 2
-	// pumpEvery is how often waiting requests are looked at when nothing else happens.
-	pumpEvery = 25 * time.Millisecond
-)
+// pumpEvery is how often waiting requests are looked at when nothing else happens.
+const pumpEvery = 25 * time.Millisecond
 
 // Pump places waiting requests after a change from outside.
 func (s *Scheduler) Pump() {
@@ -80,11 +74,7 @@
 		return nil
 	}
 	s.lapse(now)
-	deep := 0
-	if j.Tier < deepest && now.Sub(j.Arrived) > time.Duration(deepAfter*float64(j.Objective.Sub(j.Arrived))) {
-		deep = deepest - max(0, j.Tier)
-	}
-	srv := s.board.Choose(now, s.candidates(now, v, svc), j, deep, waiting)
+	srv := s.board.Choose(now, s.candidates(now, v, svc), j, j.Deep(now), waiting)
 	if srv == nil {
 		return nil
 	}
--- a/mustardseam/entry/scheduler.go
+++ b/mustardseam/entry/scheduler.go
@@ -64,7 +64,7 @@
 	ok, retry := s.quota.Admit(now, team, units, len(s.nodes))
 	if !ok {
 		level, standing, asked := s.quota.Level(now, team.Name)
-		return &Refusal{After: retry, Reason: fmt.Sprintf(
+		return &place.Refusal{After: retry, Reason: fmt.Sprintf(
 			"quota of the team is used up: %.0f units left (%.0f of the standing share), %.0f expected from all, %.0f asked",
 			level, standing, asked, units)}
 	}
--- a/mustardseam/entry/refusal.go
+++ b/mustardseam/place/refusal.go
@@ -1,4 +1,4 @@
-package entry
+package place
 
 import "time"
 
--- /dev/null
+++ b/mustardseam/place/wait_test.go
@@ -0,0 +1,92 @@
+package place
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestRefuse guards against callers that are held although their turn comes too late, and against those that are sent away
+// although it comes in time or nothing is known of it.
+func TestRefuse(t *testing.T) {
+	tests := []struct {
+		name    string
+		ahead   int // Jobs that wait before it; four a second are placed.
+		unknown bool
+		age     time.Duration // Since it arrived.
+		refused bool
+		after   time.Duration
+	}{
+		{"nothing waits", 0, false, 0, false, 0},
+		{"in time", 4, false, 0, false, 0},
+		{"too late", 40, false, 0, true, 10 * time.Second / 3},
+		{"nothing was placed", 40, true, 0, false, 0},
+		{"time is over", 0, false, 2 * time.Second, true, leastReturn},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			var q Queue
+			if !test.unknown {
+				for range 8 { // With rateHorizon 2 s these are four a second.
+					q.placed.Add(start)
+				}
+			}
+			for range test.ahead {
+				q.Add(waitingJob("a", 0, time.Hour))
+			}
+			j := job(1000, 100) // Patience 2 s: half of four times its objective, which is the longest of its limits.
+			j.Arrived, j.Objective, j.Deadline = start.Add(-test.age), start.Add(time.Second-test.age), start.Add(10*time.Second)
+			r := q.Refuse(start, j)
+			assert.Equal(t, r != nil, test.refused)
+			if r != nil {
+				assert.Equal(t, r.After, test.after)
+			}
+		})
+	}
+}
+
+// TestGiveUp guards against a return of callers that leaves no time for their request, or that comes as soon as they left.
+func TestGiveUp(t *testing.T) {
+	tests := []struct {
+		name  string
+		age   time.Duration // Since it arrived.
+		left  time.Duration // Until its deadline.
+		after time.Duration
+	}{
+		{"as long as it waited", time.Second, 9 * time.Second, time.Second},
+		{"a third of what is left", 2 * time.Second, 3 * time.Second, time.Second},
+		{"at least", 0, 9 * time.Second, leastReturn},
+		{"over", time.Second, 0, 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			var q Queue
+			j := job(1000, 100)
+			j.Arrived, j.Deadline = start.Add(-test.age), start.Add(test.left)
+			assert.Equal(t, q.GiveUp(start, j).After, test.after)
+		})
+	}
+}
+
+// TestDeep guards against requests of low tiers, or such that just came, in the queue of a backend server.
+func TestDeep(t *testing.T) {
+	tests := []struct {
+		name string
+		tier int
+		age  time.Duration
+		want int
+	}{
+		{"just came", 0, 250 * time.Millisecond, 0},
+		{"highest tier", 0, 251 * time.Millisecond, 2},
+		{"next tier", 1, 251 * time.Millisecond, 1},
+		{"low tier", 2, time.Second, 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			j := job(1000, 100)
+			j.Tier = test.tier
+			assert.Equal(t, j.Deep(start.Add(test.age)), test.want)
+		})
+	}
+}
