Learn the part of the time to the first event that is the same for all

Ruled out: the speed of backend servers as the cause; the fixed part is the same at fast and slow ones in the logs.

Change: a line through the measurements by least squares with forgetting, against tokens to read at the time of sending.

--- a/mustardseam/entry/scheduler.go
+++ b/mustardseam/entry/scheduler.go
@@ -96,7 +96,7 @@
 func (s *Scheduler) Began(g *Grant, first time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.board.Began(time.Now(), g.Service, g.Server, g.job, first)
+	s.board.Began(time.Now(), g.Service, g.Server, g.job, g.Load, first)
 }
 
 // Paced records the pace of a stream that goes on.
--- a/mustardseam/place/board.go
+++ b/mustardseam/place/board.go
@@ -32,7 +32,7 @@
 // engineModel is what the backend servers of a service have in common.
 type engineModel struct {
 	pace    average // Milliseconds from token to token, over all.
-	read    average // Prompt tokens in a millisecond at a backend server of average pace.
+	first   line    // Milliseconds to the first event by tokens to read, at a backend server of average pace.
 	service average // Milliseconds that a request holds a slot.
 }
 
--- a/mustardseam/place/board_test.go
+++ b/mustardseam/place/board_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -239,6 +240,33 @@
 	}
 }
 
+// TestFirst guards against a predicted time to the first event that takes the part that each request needs for the time to
+// read its prompt: that made long prompts look several times as long as they are, the more so at slow engines.
+func TestFirst(t *testing.T) {
+	const base, read = 120.0, 60.0 // Milliseconds, and tokens in a millisecond at the fast engine.
+	b := NewBoard(BoardConfig{Self: "n"})
+	servers := []*fleet.Server{server("fast"), server("slow")}
+	pace := []time.Duration{4 * time.Millisecond, 16 * time.Millisecond}
+	first := func(slow, prompt int) float64 {
+		return base + float64(prompt)/read*float64(pace[slow])/float64(pace[0])
+	}
+	for n := range 200 {
+		slow, prompt := n%2, 200+n*100%8000
+		s, j := servers[slow], job(prompt, 100)
+		b.Paced(engine, s, pace[slow])
+		b.Start(start, s, j)
+		b.Began(start, engine, s, j, Load{}, milliseconds(first(slow, prompt)))
+		b.Finish(start, engine, s, j, Outcome{Answered: true, OK: true, First: true, Total: time.Second})
+	}
+	for slow, s := range servers {
+		for _, prompt := range []int{300, 3000, 12000} {
+			got := float64(b.First(engine, s, job(prompt, 100)).Microseconds()) / 1000
+			want := first(slow, prompt)
+			assert.Assert(t, math.Abs(got-want) < 0.2*want, "%s, %d tokens: predicted %.0f ms, takes %.0f ms", s.ID, prompt, got, want)
+		}
+	}
+}
+
 // TestOwn guards against loads that are counted twice or not given back.
 func TestOwn(t *testing.T) {
 	b := NewBoard(BoardConfig{Self: "n"})
@@ -246,7 +274,7 @@
 	b.Start(start, s, j)
 	b.Start(start, s, j)
 	assert.DeepEqual(t, b.Own(), map[string]Load{"s0": {Requests: 2, Prompt: 2000}})
-	b.Began(start, engine, s, j, 40*time.Millisecond)
+	b.Began(start, engine, s, j, Load{}, 40*time.Millisecond)
 	assert.DeepEqual(t, b.Own(), map[string]Load{"s0": {Requests: 2, Prompt: 1000}})
 	b.Finish(start, engine, s, j, Outcome{Answered: true, OK: true, First: true})
 	b.Finish(start, engine, s, j, Outcome{Left: true})
--- a/mustardseam/place/cost.go
+++ b/mustardseam/place/cost.go
@@ -10,14 +10,13 @@
 const (
 	defaultPace    = 6.0   // Milliseconds from token to token.
 	defaultRead    = 40.0  // Prompt tokens read in a millisecond.
+	firstTokenTime = 20.0  // Milliseconds to the first event beside the prompt.
 	defaultLatency = 30.0  // Milliseconds of a plain service.
 	defaultOutput  = 100.0 // Tokens that a request writes.
 	defaultService = 700.  // Milliseconds that a request holds a slot of an engine.
 )
 
 const (
-	// firstTokenTime is what a request takes at an engine beside its prompt, in milliseconds.
-	firstTokenTime = 20.0
 	// chunk is the number of prompt tokens that an engine reads in one step beside the tokens of other requests.
 	chunk = 2048
 	// paceWeight is the weight of the time for the output against the time to the first event.
@@ -52,14 +51,15 @@
 		return cost + latency*(1+float64(load.Requests)/float64(slots))
 	}
 	speed := b.speed(a, m)
-	first := speed * (firstTokenTime + float64(load.Prompt+j.Prompt)/m.read.or(defaultRead))
+	base, read := m.first.fit()
+	first := base + speed*float64(load.Prompt+j.Prompt)*read
 	if load.Requests >= slots {
 		first += speed * m.service.or(defaultService) * float64(load.Requests-slots+1) / float64(slots)
 	}
 	pace := a.pace.or(m.pace.or(defaultPace))
 	cost += first + paceWeight*pace*b.output(j)
 	if j.Gap > 0 && load.Requests > 0 && j.Prompt > chunk {
-		step := pace + speed*chunk/m.read.or(defaultRead)
+		step := pace + speed*chunk*read
 		if step*float64(max(1, svc.Stride)) > 0.8*float64(j.Gap.Milliseconds()) {
 			cost += pausePenalty
 		}
@@ -74,7 +74,7 @@
 		return milliseconds(a.latency.or(m.service.or(defaultLatency)))
 	}
 	load := a.load()
-	first := b.speed(a, m) * (firstTokenTime + float64(load.Prompt+j.Prompt)/m.read.or(defaultRead))
+	first := m.first.at(b.speed(a, m) * float64(load.Prompt+j.Prompt))
 	if n := load.Requests - max(1, s.Slots) + 1; n > 0 {
 		first += b.speed(a, m) * m.service.or(defaultService) * float64(n) / float64(max(1, s.Slots))
 	}
@@ -87,7 +87,7 @@
 	if !svc.Engine {
 		return milliseconds(m.service.or(defaultLatency))
 	}
-	return milliseconds(firstTokenTime + float64(j.Prompt)/m.read.or(defaultRead))
+	return milliseconds(m.first.at(float64(j.Prompt)))
 }
 
 // output predicts the tokens that a job writes. What its caller allows at most is far above what most need, so the mean
--- a/mustardseam/place/outcome.go
+++ b/mustardseam/place/outcome.go
@@ -18,14 +18,14 @@
 	a.used = now
 }
 
-// Began records the first event of a job; the prompt is read.
-func (b *Board) Began(now time.Time, svc *fleet.Service, s *fleet.Server, j *Job, first time.Duration) {
+// Began records the first event of a job, whose prompt is read; ahead is what the backend server had when it was sent.
+func (b *Board) Began(now time.Time, svc *fleet.Service, s *fleet.Server, j *Job, ahead Load, first time.Duration) {
 	a, m := b.account(s), b.model(svc.Name)
 	a.own.Prompt = max(0, a.own.Prompt-j.Prompt)
 	a.answered = now
-	// Only a request that found a free slot and had something to read tells how fast prompts are read.
-	if ms := float64(first.Milliseconds()) - firstTokenTime; svc.Engine && j.Prompt > chunk/2 && a.load().Requests <= s.Slots && ms > 1 {
-		m.read.add(min(float64(j.Prompt+a.load().Prompt)*b.speed(a, m)/ms, 10*defaultRead))
+	// A request that found no free slot waited, which does not tell how fast prompts are read.
+	if svc.Engine && j.Prompt > 0 && ahead.Requests < s.Slots {
+		m.first.add(b.speed(a, m)*float64(j.Prompt+ahead.Prompt), float64(first.Microseconds())/1000)
 	}
 }
 
