--- a/measure/engine/engine.go
+++ b/measure/engine/engine.go
@@ -195,6 +195,9 @@
 	s.Tokens++
 	if s.Tokens == 1 {
 		s.First = now
+		if s.Began != nil {
+			s.Began()
+		}
 	} else if s.Token != nil {
 		s.Token(now.Sub(s.Last))
 	}
--- a/measure/engine/stream.go
+++ b/measure/engine/stream.go
@@ -9,6 +9,7 @@
 	Prompt int // Tokens.
 	Output int // Tokens that it generates.
 	Blocks []uint64
+	Began  func()                  // Called for the first token; may be nil.
 	Token  func(gap time.Duration) // Called for each token after the first; may be nil.
 	End    func(Stream)            // Called once when the stream ends, unless it was cancelled.
 
--- /dev/null
+++ b/measure/peers/node.go
@@ -0,0 +1,138 @@
+package peers
+
+import (
+	"github.com/mustardseam/mustardseam/mustardseam/fleet"
+	"github.com/mustardseam/mustardseam/mustardseam/place"
+)
+
+// node is an instance.
+type node struct {
+	w       *World
+	board   *place.Board
+	queue   place.Queue
+	waiting map[*place.Waiting]*Record
+	running map[*run]bool
+	choose  chooser
+	told    map[string]place.Load // Its loads, as it said last.
+	starts  place.Rate
+	turn    int
+	dead    bool
+}
+
+// call takes in a request of a caller.
+func (n *node) call(r *Record) {
+	now := n.w.Clock.Now()
+	if wait, known := n.queue.Wait(now, r.job); known && wait == 0 && n.place(r, false) {
+		return
+	}
+	if refusal := n.queue.Refuse(now, r.job); refusal != nil {
+		n.w.refuse(r, refusal)
+		return
+	}
+	w := &place.Waiting{Job: r.job, Until: r.job.Until()}
+	n.waiting[w] = r
+	n.queue.Add(w)
+}
+
+// place sends a request to a backend server with room and reports whether there is one.
+func (n *node) place(r *Record, waiting bool) bool {
+	now := n.w.Clock.Now()
+	s := n.choose(now, r.job, waiting)
+	if s == nil {
+		return false
+	}
+	n.send(r, s)
+	return true
+}
+
+// send sends a request to a backend server.
+func (n *node) send(r *Record, s *fleet.Server) {
+	now := n.w.Clock.Now()
+	u := &run{node: n, record: r, server: s, sent: now, ahead: n.board.Load(s)}
+	r.run = u
+	r.Sends++
+	n.running[u] = true
+	n.board.Start(now, s, r.job)
+	n.starts.Add(now)
+	n.w.Clock.After(toEngine, u.admit)
+}
+
+// finish records the end of a run and places what waits.
+func (n *node) finish(u *run, o place.Outcome) {
+	delete(n.running, u)
+	u.record.run = nil
+	n.board.Finish(n.w.Clock.Now(), n.w.service, u.server, u.record.job, o)
+	n.pump()
+}
+
+// pump places waiting requests and refuses those whose time is over.
+func (n *node) pump() {
+	if n.dead {
+		return
+	}
+	now := n.w.Clock.Now()
+	for _, w := range n.queue.Expired(now) {
+		r := n.waiting[w]
+		delete(n.waiting, w)
+		n.w.refuse(r, n.queue.GiveUp(now, r.job))
+	}
+	n.queue.Place(now, func(string) int { return 0 }, func(w *place.Waiting) bool {
+		r := n.waiting[w]
+		if !n.place(r, true) {
+			return false
+		}
+		delete(n.waiting, w)
+		return true
+	})
+}
+
+// hear tells the others of this instance and takes in what they said last.
+func (n *node) hear() {
+	n.told = n.board.Own()
+	others, alive := map[string]place.Load{}, 0
+	for _, o := range n.w.nodes {
+		if o.dead {
+			continue
+		}
+		alive++
+		if o == n {
+			continue
+		}
+		for id, l := range o.told {
+			others[id] = others[id].Plus(l)
+		}
+	}
+	n.board.SetOthers(others)
+	n.board.SetNodes(alive)
+	// A word is up to one interval old when it comes and holds for another one.
+	lag := 2 * n.w.cfg.Word.Seconds()
+	n.board.SetUnheard(n.starts.PerSecond(n.w.Clock.Now()) * float64(alive-1) * lag / float64(len(n.w.servers)))
+	n.pump()
+}
+
+// lose ends an instance; its callers come back to another one.
+func (n *node) lose() {
+	n.dead = true
+	var left []*Record
+	for u := range n.running {
+		u.cancel()
+		left = append(left, u.record)
+	}
+	for _, r := range n.waiting {
+		left = append(left, r)
+	}
+	n.running, n.waiting = map[*run]bool{}, map[*place.Waiting]*Record{}
+	for _, r := range sorted(left) {
+		n.w.fail(r)
+	}
+}
+
+// withdraw takes a waiting request back.
+func (n *node) withdraw(r *Record) {
+	for w, other := range n.waiting {
+		if other == r {
+			n.queue.Remove(w)
+			delete(n.waiting, w)
+		}
+	}
+}
--- /dev/null
+++ b/measure/scenario/heavy.go
@@ -0,0 +1,191 @@
+package scenario
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/mustardseam/mustardseam/measure/engine"
+	"github.com/mustardseam/mustardseam/measure/figure"
+	"github.com/mustardseam/mustardseam/measure/load"
+	"github.com/mustardseam/mustardseam/measure/peers"
+)
+
+// Course of a heavy day: the load rises to a multiple of the usual one, engines turn slow or are lost, and an instance is
+// lost in the middle of it.
+const (
+	heavyFrom = 6 * time.Second
+	heavyTo   = 16 * time.Second
+	heavyLast = 24 * time.Second // Of the arrivals.
+	heavyEnd  = 45 * time.Second
+	heavyLost = 11 * time.Second
+)
+
+// heavyDay returns a deployment on a heavy day.
+func heavyDay(seed uint64, factor float64) peers.Config {
+	return peers.Config{
+		Instances: 8, Word: 125 * time.Millisecond, Lost: heavyLost, End: heavyEnd, Seed: seed,
+		Loads: []peers.Load{
+			{From: 0, To: heavyFrom, Factor: 1},
+			{From: heavyFrom, To: heavyTo, Factor: factor},
+			{From: heavyTo, To: heavyLast, Factor: 1},
+		},
+		Faults: []peers.Fault{
+			{Engine: 0, From: 8 * time.Second, To: 14 * time.Second, Slow: 5},
+			{Engine: 3, From: 10 * time.Second, To: 13 * time.Second},
+		},
+	}
+}
+
+// engines returns model engines of which each third is of a generation that takes 4.4 times as long.
+func engines(n int, e engine.Config) []engine.Config {
+	const fast, slow = 1 / 0.68, 1 / 3.0
+	var list []engine.Config
+	for i := range n {
+		e.Name, e.Speed = fmt.Sprintf("e%d", i+1), fast
+		if i%3 == 2 {
+			e.Speed = slow
+		}
+		list = append(list, e)
+	}
+	return list
+}
+
+// qasrHeavy is the glove makers' deployment with 12 engines and 8 instances.
+func qasrHeavy(seed uint64) peers.Config {
+	cfg := heavyDay(seed, 2.1)
+	cfg.Engines = engines(12, engine.Config{
+		MaxBatch: 4, Base: 4630 * time.Microsecond, PerStream: 153 * time.Microsecond, PerPrefill: time.Millisecond * 10 / 379,
+		PrefillTokens: 2048, CacheBlocks: 1,
+	})
+	cfg.First, cfg.Stride = 19*time.Millisecond, 4
+	cfg.Kinds = []peers.Kind{
+		{
+			Name: "pattern-size", Rate: 12.2, Tier: 0, Worth: 6.8, Late: 2, Objective: time.Second, Gap: 500 * time.Millisecond,
+			Deadline: 10 * time.Second, Sends: 2, Prompt: load.Lengths{Min: 300, Max: 14600}, Output: load.Lengths{Min: 20, Max: 360},
+		},
+		{
+			Name: "fit-report", Rate: 8.6, Tier: 1, Worth: 1.6, Late: 0.47, Objective: 1500 * time.Millisecond,
+			Gap: 500 * time.Millisecond, Deadline: 6 * time.Second, Sends: 1, Prompt: load.Lengths{Min: 300, Max: 10500},
+			Output: load.Lengths{Min: 8, Max: 160},
+		},
+		{
+			Name: "stitch-note", Rate: 13.4, Tier: 2, Worth: 0.3, Late: 0.088, Objective: 2 * time.Second,
+			Gap: 500 * time.Millisecond, Deadline: 12 * time.Second, Sends: 2, Prompt: load.Lengths{Min: 150, Max: 3790},
+			Output: load.Lengths{Min: 25, Max: 530},
+		},
+	}
+	return cfg
+}
+
+// tokachiHeavy is the strapping makers' deployment with 9 engines and 8 instances.
+func tokachiHeavy(seed uint64) peers.Config {
+	cfg := heavyDay(seed, 2.1)
+	cfg.Engines = engines(9, engine.Config{
+		MaxBatch: 5, Base: 6550 * time.Microsecond, PerStream: 165 * time.Microsecond, PerPrefill: time.Millisecond * 10 / 624,
+		PrefillTokens: 2048, CacheBlocks: 1,
+	})
+	cfg.First, cfg.Stride = 120*time.Millisecond, 3
+	cfg.Kinds = []peers.Kind{
+		{
+			Name: "quote-draft", Rate: 10, Tier: 0, Worth: 5.3, Late: 1.6, Objective: time.Second, Gap: 300 * time.Millisecond,
+			Deadline: 12 * time.Second, Sends: 1, Prompt: load.Lengths{Min: 300, Max: 14600}, Output: load.Lengths{Min: 20, Max: 360},
+		},
+		{
+			Name: "contract-read", Rate: 8, Tier: 1, Worth: 2.4, Late: 0.72, Objective: 800 * time.Millisecond,
+			Gap: 300 * time.Millisecond, Deadline: 6 * time.Second, Sends: 2, Prompt: load.Lengths{Min: 300, Max: 10500},
+			Output: load.Lengths{Min: 8, Max: 160},
+		},
+		{
+			Name: "counter-ask", Rate: 10.8, Tier: 2, Worth: 0.34, Late: 0.1, Objective: 600 * time.Millisecond,
+			Gap: 300 * time.Millisecond, Deadline: 15 * time.Second, Sends: 1, Prompt: load.Lengths{Min: 150, Max: 3790},
+			Output: load.Lengths{Min: 25, Max: 530},
+		},
+	}
+	return cfg
+}
+
+// heavy returns the run of a heavy day: the product's scheduler, with those to compare it with on the same arrivals.
+func heavy(day func(seed uint64) peers.Config) func(Options) Result {
+	return func(o Options) Result {
+		cfg := day(o.Seed)
+		played := map[string][]*peers.Record{}
+		for _, p := range peers.Policies {
+			played[p] = peers.Play(cfg, p).Records
+		}
+		own := played[peers.Policies[0]]
+		offered := earned(own, func(r *peers.Record) float64 { return r.Kind.Worth })
+		share := func(list []*peers.Record) float64 { return figure.Ratio(earned(list, (*peers.Record).Worth), offered) }
+		list := []figure.Figure{
+			figure.New("requests", float64(len(own)), ""),
+			figure.New("worth-bound", figure.Ratio(peers.Bound(cfg), offered), ""),
+		}
+		best := 0.0
+		for _, p := range peers.Policies {
+			list = append(list, figure.New("worth-"+p, share(played[p]), ""))
+			if !slices.Contains(peers.Own, p) {
+				best = max(best, share(played[p]))
+			}
+		}
+		list = append(list, figure.New("worth-over-best-rule", share(own)/best, "").With(figure.AtLeast, 1, "issue 9"))
+		for _, k := range cfg.Kinds {
+			part := only(own, func(r *peers.Record) bool { return r.Kind.Name == k.Name })
+			list = append(list, figure.New("worth-of-"+k.Name, worthShare(part), ""))
+		}
+		list = append(list, deciles(own)...)
+		return Result{Figures: append(list, heavySums(own)...)}
+	}
+}
+
+// heavySums returns the worst second of the load, the refusals and the work that was thrown away.
+func heavySums(list []*peers.Record) []figure.Figure {
+	worst, refusals, wasted, tokens := 1.0, 0, 0, 0
+	for at := time.Duration(0); at < heavyLast; at += time.Second {
+		worst = min(worst, worthShare(only(list, func(r *peers.Record) bool { return r.At >= at && r.At < at+time.Second })))
+	}
+	for _, r := range list {
+		refusals += r.Refused
+		wasted += r.Wasted
+		tokens += r.Prompt + r.Output
+	}
+	return []figure.Figure{
+		figure.New("worth-of-worst-second", worst, ""), figure.New("refusals", float64(refusals), ""),
+		figure.New("tokens-thrown-away", figure.Ratio(float64(wasted), float64(tokens)), ""),
+	}
+}
+
+// deciles returns the worth by the size of requests, a tenth of them each, from the smallest ones on.
+func deciles(list []*peers.Record) []figure.Figure {
+	bySize := slices.Clone(list)
+	slices.SortStableFunc(bySize, func(a, b *peers.Record) int { return cmp.Compare(a.Prompt, b.Prompt) })
+	var figures []figure.Figure
+	for i := range 10 {
+		part := bySize[len(bySize)*i/10 : len(bySize)*(i+1)/10]
+		figures = append(figures, figure.New(fmt.Sprintf("worth-of-size-decile-%d", i+1), worthShare(part), ""))
+	}
+	return figures
+}
+
+// worthShare returns the worth that requests earned, as a part of what they could.
+func worthShare(list []*peers.Record) float64 {
+	return figure.Ratio(earned(list, (*peers.Record).Worth), earned(list, func(r *peers.Record) float64 { return r.Kind.Worth }))
+}
+
+func earned(list []*peers.Record, worth func(*peers.Record) float64) float64 {
+	sum := 0.0
+	for _, r := range list {
+		sum += worth(r)
+	}
+	return sum
+}
+
+func only(list []*peers.Record, keep func(*peers.Record) bool) []*peers.Record {
+	var out []*peers.Record
+	for _, r := range list {
+		if keep(r) {
+			out = append(out, r)
+		}
+	}
+	return out
+}
--- a/measure/scenario/scenario.go
+++ b/measure/scenario/scenario.go
@@ -45,6 +45,8 @@
 		{"instance-loss", "an entry instance dies, then the home", planned(instanceLoss)},
 		{"tokachi-data-centre-move", "a data centre is taken out and returns cold", planned(dataCentreMove)},
 		{"tokachi-rollout", "good versions and five kinds of bad version over 20 seeds", tokachiRollout},
+		{"qasr-heavy", "instances without a home at twice the load, with a slow engine, a lost one and a lost instance", heavy(qasrHeavy)},
+		{"tokachi-heavy", "the same for the other site, whose first events take longer", heavy(tokachiHeavy)},
 		{"store-outage", "ten minutes without the store, with lost answers; the home lives on, or dies", storeOutage},
 	}
 }
