--- a/measure/peers/node.go
+++ b/measure/peers/node.go
@@ -103,7 +103,7 @@
 		}
 	}
 	n.board.SetOthers(others)
-	n.board.SetNodes(alive)
+	n.board.SetNodes(alive, 1)
 	// A word is up to one interval old when it comes and holds for another one.
 	lag := 2 * n.w.cfg.Word.Seconds()
 	n.board.SetUnheard(n.starts.PerSecond(n.w.Clock.Now()) * float64(alive-1) * lag / float64(len(n.w.servers)))
--- /dev/null
+++ b/mustardseam/entry/asking.go
@@ -0,0 +1,316 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/mustardseam/mustardseam/mustardseam/event"
+	"github.com/mustardseam/mustardseam/mustardseam/fleet"
+	"github.com/mustardseam/mustardseam/mustardseam/hub"
+	"github.com/mustardseam/mustardseam/mustardseam/place"
+)
+
+const (
+	// askWait is how long the hub may hold a message while requests wait.
+	askWait = 100 * time.Millisecond
+	// askPause is how long requests are placed here after the hub did not answer. A hub that is down is replaced meanwhile.
+	askPause = 300 * time.Millisecond
+	// beganTime is how long news of first events may wait for other news; they only tell which prompts are read.
+	beganTime = 30 * time.Millisecond
+)
+
+// asking lets the hub place the requests of this instance to engines, and tells it of their course. While the hub does not
+// answer, requests are placed here.
+type asking struct {
+	i    *Instance
+	kick chan struct{}
+
+	mu       sync.Mutex
+	next     int64                 // Of the ids; guarded by mu, as all that follow.
+	running  map[int64]hub.Running // Requests at backend servers.
+	asks     map[int64]*openAsk
+	news     hub.News
+	sequence int64
+	hub      string    // That knows what runs; empty for none.
+	paused   time.Time // Until then.
+	polling  bool
+}
+
+// openAsk is a request that the hub has not decided on.
+type openAsk struct {
+	service string
+	job     *place.Job
+	sent    bool
+	decided chan hub.Decision
+}
+
+func newAsking(i *Instance) *asking {
+	return &asking{i: i, kick: make(chan struct{}, 1), running: map[int64]hub.Running{}, asks: map[int64]*openAsk{}}
+}
+
+// Obtain returns what the hub decides on a job, and false when no hub answers.
+func (a *asking) Obtain(ctx context.Context, service string, j *place.Job) (*Grant, error, bool) {
+	c := a.i.view.Load().Config
+	if c == nil {
+		return nil, nil, false
+	}
+	svc := c.Service(service)
+	if svc == nil || !svc.Engine || !a.open() {
+		return nil, nil, false
+	}
+	id, ask := a.add(service, j)
+	select {
+	case d := <-ask.decided:
+		switch {
+		case d.Void:
+			return nil, nil, false
+		case d.Server == fleet.Incarnation{}:
+			return nil, &place.Refusal{Reason: d.Reason, After: time.Duration(d.AfterMS) * time.Millisecond}, true
+		}
+		if g := a.i.scheduler.accept(svc, j, d); g != nil {
+			g.id = id
+			return g, nil, true
+		}
+		a.Ended(&Grant{id: id}, place.Outcome{Left: true})
+		return nil, nil, false
+	case <-ctx.Done():
+		a.withdraw(id, ask)
+		return nil, context.Cause(ctx), true
+	}
+}
+
+// open reports whether there is a hub to ask.
+func (a *asking) open() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := time.Now()
+	if now.Before(a.paused) {
+		return false
+	}
+	_, ok := a.i.gossip.desk(now)
+	return ok
+}
+
+// add keeps a job for the next message.
+func (a *asking) add(service string, j *place.Job) (int64, *openAsk) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.next++
+	ask := &openAsk{service: service, job: j, decided: make(chan hub.Decision, 1)}
+	a.asks[a.next] = ask
+	a.wake()
+	return a.next, ask
+}
+
+// withdraw takes an ask back; where it was decided meanwhile, the hub learns that its decision was not used.
+func (a *asking) withdraw(id int64, ask *openAsk) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.asks[id] == nil {
+		if d := <-ask.decided; (d.Server != fleet.Incarnation{}) {
+			a.end(id, place.Outcome{Left: true})
+		}
+		return
+	}
+	delete(a.asks, id)
+	if ask.sent {
+		a.news.Withdrawn = append(a.news.Withdrawn, id)
+		a.wake()
+	}
+}
+
+// Placed tells the hub of a request that was placed here.
+func (a *asking) Placed(g *Grant) {
+	if !g.Service.Engine {
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.next++
+	g.id = a.next
+	r := hub.Running{ID: g.id, Server: g.Server.Incarnation(), Route: g.job.Route, Team: g.job.Team, Prompt: g.job.Prompt}
+	a.running[g.id] = r
+	a.news.Running = append(a.news.Running, r)
+	a.wake()
+}
+
+// Began tells the hub of the first event of a request.
+func (a *asking) Began(g *Grant, first time.Duration) {
+	if g.id == 0 {
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	r := a.running[g.id]
+	r.Prompt = 0
+	a.running[g.id] = r
+	a.news.Began = append(a.news.Began, hub.Began{ID: g.id, FirstUS: first.Microseconds()})
+	if len(a.news.Began) == 1 {
+		time.AfterFunc(beganTime, a.wake)
+	}
+}
+
+// Ended tells the hub of the end of a request.
+func (a *asking) Ended(g *Grant, o place.Outcome) {
+	if g.id == 0 {
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.end(g.id, o)
+}
+
+// end tells the hub that a request has ended; mu is held.
+func (a *asking) end(id int64, o place.Outcome) {
+	delete(a.running, id)
+	a.news.Ended = append(a.news.Ended, hub.Ended{ID: id, Outcome: o})
+	a.wake()
+}
+
+// wake lets the next message go.
+func (a *asking) wake() {
+	select {
+	case a.kick <- struct{}{}:
+	default:
+	}
+}
+
+// told reports whether a hub knows the requests of this instance.
+func (a *asking) told(to string) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.hub != "" && a.hub == to
+}
+
+// run sends news until the instance ends; what comes up meanwhile goes with the next message.
+func (a *asking) run() {
+	for {
+		select {
+		case <-a.i.ctx.Done():
+			return
+		case <-a.kick:
+			a.send()
+		}
+	}
+}
+
+// send tells the hub what there is to tell.
+func (a *asking) send() {
+	a.mu.Lock()
+	now := time.Now()
+	to, ok := a.i.gossip.desk(now)
+	if !ok || now.Before(a.paused) {
+		a.drop(now, 0)
+		a.mu.Unlock()
+		return
+	}
+	n := a.message(to.Name)
+	a.mu.Unlock()
+	d, err := a.i.gossip.client.Place(to.Address, n)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !a.take(to.Name, d, err) && n.Fresh {
+		a.paused = time.Now().Add(askPause)
+	}
+	if len(a.asks) > 0 && a.hub != "" && !a.polling {
+		a.polling = true
+		a.i.tasks.Go(func() { a.poll(to) })
+	}
+}
+
+// message makes the next message to a hub; mu is held.
+func (a *asking) message(to string) hub.News {
+	n := a.news
+	a.news = hub.News{}
+	if a.hub != to {
+		n = hub.News{Fresh: true}
+		for _, r := range a.running {
+			n.Running = append(n.Running, r)
+		}
+	}
+	a.sequence++
+	n.Node, n.Run, n.Sequence = a.i.cfg.Name, a.i.run, a.sequence
+	now := time.Now()
+	for id, ask := range a.asks {
+		if !ask.sent {
+			ask.sent = true
+			n.Asks = append(n.Asks, askOf(now, id, ask))
+		}
+	}
+	return n
+}
+
+// askOf translates a job.
+func askOf(now time.Time, id int64, a *openAsk) hub.Ask {
+	j := a.job
+	return hub.Ask{
+		ID: id, Service: a.service, Route: j.Route, Team: j.Team, Tier: j.Tier, Rank: j.Rank, DataCentre: j.DataCentre,
+		Prompt: j.Prompt, Output: j.Output, Hint: j.Hint, GapMS: j.Gap.Milliseconds(), AgeMS: now.Sub(j.Arrived).Milliseconds(),
+		ObjectiveMS: j.Objective.Sub(now).Milliseconds(), DeadlineMS: j.Deadline.Sub(now).Milliseconds(), Tried: j.Tried,
+	}
+}
+
+// take takes in the answer of a hub and reports whether it places for this instance; mu is held.
+func (a *asking) take(from string, d hub.Decisions, err error) bool {
+	now := time.Now()
+	if err != nil {
+		event.PlacingLost.On(a.i.log()).Str("hub", from).Int("asks", len(a.asks)).Err(err).Send()
+		a.drop(now, askPause)
+		return false
+	}
+	if !d.Known {
+		a.drop(now, 0)
+		return false
+	}
+	if a.hub != from {
+		a.hub = from
+		event.PlacingFound.On(a.i.log()).Str("hub", from).Int("running", len(a.running)).Send()
+	}
+	for _, decision := range d.Decisions {
+		if ask := a.asks[decision.ID]; ask != nil {
+			delete(a.asks, decision.ID)
+			if (decision.Server != fleet.Incarnation{}) {
+				a.running[decision.ID] = hub.Running{
+					ID: decision.ID, Server: decision.Server, Route: ask.job.Route, Team: ask.job.Team, Prompt: ask.job.Prompt,
+				}
+			}
+			ask.decided <- decision
+			continue
+		}
+		if (decision.Server != fleet.Incarnation{}) {
+			a.end(decision.ID, place.Outcome{Left: true})
+		}
+	}
+	return true
+}
+
+// drop leaves the requests that wait at the hub to this instance; mu is held.
+func (a *asking) drop(now time.Time, pause time.Duration) {
+	a.hub, a.news = "", hub.News{}
+	a.paused = now.Add(pause)
+	for id, ask := range a.asks {
+		delete(a.asks, id)
+		ask.decided <- hub.Decision{ID: id, Void: true}
+	}
+}
+
+// poll asks a hub for decisions while requests wait there.
+func (a *asking) poll(to fleet.Node) {
+	for a.i.ctx.Err() == nil && a.waits(to.Name) {
+		d, err := a.i.gossip.client.Place(to.Address, hub.News{Node: a.i.cfg.Name, Run: a.i.run, WaitMS: askWait.Milliseconds()})
+		a.mu.Lock()
+		if a.hub == to.Name {
+			a.take(to.Name, d, err)
+		}
+		a.mu.Unlock()
+	}
+}
+
+// waits reports whether to go on polling a hub.
+func (a *asking) waits(at string) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.polling = a.hub == at && len(a.asks) > 0
+	return a.polling
+}
--- a/mustardseam/entry/gossip.go
+++ b/mustardseam/entry/gossip.go
@@ -83,6 +83,28 @@
 	return g.hub != "" && now.Sub(g.heard) < relaySilence && g.heardAge+now.Sub(g.heard) < relayAge
 }
 
+// desk returns the hub, if it answers.
+func (g *gossip) desk(now time.Time) (fleet.Node, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.hub == "" || now.Sub(g.heard) >= relaySilence {
+		return fleet.Node{}, false
+	}
+	n, ok := g.i.view.Load().Nodes[g.hub]
+	return n, ok
+}
+
+// place answers the news of another instance while this one is the hub.
+func (g *gossip) place(n hub.News) hub.Decisions {
+	g.mu.Lock()
+	leads := g.hub == ""
+	g.mu.Unlock()
+	if !leads || g.i.stopping.Load() != nil {
+		return hub.Decisions{}
+	}
+	return g.i.scheduler.Serve(n, g.i.cfg.Cores)
+}
+
 // own returns what this instance adds to the sum as the hub.
 func (g *gossip) own() (map[string]place.Load, []string) {
 	return g.i.scheduler.own(), g.i.scheduler.sick(time.Now())
@@ -155,7 +177,7 @@
 		others[id] = others[id].Minus(l)
 	}
 	g.i.scheduler.hear(now, hearing{
-		loads: others, paces: g.table.Paces(), nodes: nodes, sharers: sharers, sick: sum.Sick,
+		loads: others, of: sum.Of, paces: g.table.Paces(), nodes: nodes, sharers: sharers, sick: sum.Sick,
 		until: now.Add(sickWord),
 	})
 	samples := g.samples
--- a/mustardseam/entry/hearing.go
+++ b/mustardseam/entry/hearing.go
@@ -1,6 +1,8 @@
 package entry
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/mustardseam/mustardseam/mustardseam/fleet"
@@ -17,11 +19,12 @@
 
 // hearing is what an instance hears from the others.
 type hearing struct {
-	loads map[string]place.Load // That they have sent, by id of the backend server.
-	paces map[string]float64    // Milliseconds from token to token.
-	sick  map[string]int        // Instances that failed to reach a backend server, by its id.
-	until time.Time             // How long the word on sick ones holds.
-	nodes []string              // Instances that run, this one included.
+	loads map[string]place.Load            // That they have sent, by id of the backend server.
+	of    map[string]map[string]place.Load // What loads holds of each instance; nil when this one is not the hub.
+	paces map[string]float64               // Milliseconds from token to token.
+	sick  map[string]int                   // Instances that failed to reach a backend server, by its id.
+	until time.Time                        // How long the word on sick ones holds.
+	nodes []string                         // Instances that run, this one included.
 	// sharers is the number of instances that may send to the backend servers. It is above that of nodes while others are
 	// silent.
 	sharers int
@@ -53,18 +56,39 @@
 func (s *Scheduler) hear(now time.Time, h hearing) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.board.SetOthers(h.loads)
+	s.board.SetOthers(s.others(now, h))
 	s.heard = now
 	s.board.Teach(h.paces)
 	s.board.HearSick(now, h.sick, h.until)
 	s.nodes = h.nodes
 	s.sharers = h.sharers
-	s.board.SetNodes(h.sharers)
+	s.board.SetNodes(h.sharers, 1+len(s.desk.clients))
 	if h.used != nil {
 		s.quota.Hear(now, h.used)
 	}
 }
 
+// others returns what the other instances have sent. What the hub places for them it knows itself, without the delay of
+// their words. mu is held.
+func (s *Scheduler) others(now time.Time, h hearing) map[string]place.Load {
+	if h.of == nil {
+		s.closeDesk(now)
+		return h.loads
+	}
+	loads := maps.Clone(h.loads)
+	for node, c := range s.desk.clients {
+		if !slices.Contains(h.nodes, node) {
+			s.dropClient(now, node)
+			continue
+		}
+		for id, l := range h.of[node] {
+			loads[id] = loads[id].Minus(l)
+		}
+		c.loads(loads)
+	}
+	return loads
+}
+
 // lapse drops loads that are too old to tell which backend servers have room: an instance that is cut off from the others
 // while all are full would refuse everything until it hears of them again. It keeps to its part of the slots meanwhile. mu
 // is held.
@@ -117,7 +141,8 @@
 	if s.sharers > len(s.nodes) {
 		lag = max(lag, silentLag)
 	}
-	others := s.starts.PerSecond(now) * float64(max(0, s.sharers-1))
+	served := 1 + len(s.desk.clients)
+	others := s.starts.PerSecond(now) / float64(served) * float64(max(0, s.sharers-served))
 	s.board.SetUnheard(others * lag.Seconds() / float64(servers))
 }
 
--- a/mustardseam/entry/instance.go
+++ b/mustardseam/entry/instance.go
@@ -60,6 +60,7 @@
 	server    *http1.Server
 	peers     *hub.Server
 	gossip    *gossip
+	asking    *asking
 	rollouts  *rollouts
 	metrics   *meters
 	active    atomic.Int64
@@ -84,17 +85,20 @@
 	})
 	i.metrics = newMeters(i)
 	i.gossip = newGossip(i)
+	i.asking = newAsking(i)
+	i.scheduler.asks = i.asking
 	i.rollouts = &rollouts{i: i, conductors: map[string]*conduct.Conductor{}}
 	i.follower = store.NewFollower(store.FollowerConfig{
 		Client: cfg.Store, Relayed: i.gossip.relayed, Changed: i.changed,
 		Reached: func() { event.StoreBack.On(i.log()).Send() },
 		Lost:    func(err error) { event.StoreFailed.On(i.log()).Err(err).Send() },
 	})
-	i.peers = hub.NewServer(hub.ServerConfig{Listener: cfg.Peers, Answer: i.gossip.answer, Dump: i.Dump})
+	i.peers = hub.NewServer(hub.ServerConfig{Listener: cfg.Peers, Answer: i.gossip.answer, Place: i.gossip.place, Dump: i.Dump})
 	i.server = http1.NewServer(http1.ServerConfig{
 		Listener: cfg.Callers, Connections: cfg.Conns, Limits: i.limits, Handle: i.handle, Log: i.logger,
 	})
 	i.tasks.Go(i.gossip.run)
+	i.tasks.Go(i.asking.run)
 	i.tasks.Go(i.rollouts.run)
 	i.tasks.Go(i.register)
 	i.tasks.Go(i.sweep)
--- a/mustardseam/entry/obtain.go
+++ b/mustardseam/entry/obtain.go
@@ -4,41 +4,73 @@
 	"context"
 	"time"
 
+	"github.com/mustardseam/mustardseam/mustardseam/fleet"
+	"github.com/mustardseam/mustardseam/mustardseam/hub"
 	"github.com/mustardseam/mustardseam/mustardseam/place"
 )
 
 // Obtain waits until a backend server of a service has room for a job; the error is a *place.Refusal, or the cause of the
-// end of the context.
+// end of the context. Another instance that knows all requests decides while it answers in time, and else this one.
 func (s *Scheduler) Obtain(ctx context.Context, service string, j *place.Job) (*Grant, error) {
-	now := time.Now()
+	if s.asks != nil {
+		if g, err, ok := s.asks.Obtain(ctx, service, j); ok {
+			return g, err
+		}
+	}
+	type decision struct {
+		grant   *Grant
+		refusal *place.Refusal
+	}
+	decided := make(chan decision, 1)
 	s.mu.Lock()
+	w := s.ask(time.Now(), service, j, func(g *Grant, r *place.Refusal) { decided <- decision{g, r} })
+	s.mu.Unlock()
+	select {
+	case d := <-decided:
+		if d.refusal != nil {
+			return nil, d.refusal
+		}
+		if s.asks != nil {
+			s.asks.Placed(d.grant)
+		}
+		return d.grant, nil
+	case <-ctx.Done():
+		if s.withdraw(service, w) {
+			return nil, context.Cause(ctx)
+		}
+		if d := <-decided; d.grant != nil {
+			s.Finish(d.grant, place.Outcome{Left: true})
+		}
+		return nil, context.Cause(ctx)
+	}
+}
+
+// ask places a job or lets it wait; decided is called with mu held, with a grant or a refusal. It returns the entry of a
+// job that waits. mu is held.
+func (s *Scheduler) ask(now time.Time, service string, j *place.Job, decided func(*Grant, *place.Refusal)) *place.Waiting {
 	q := s.queue(service)
 	// Those that wait go first, unless this job goes before all of them.
 	if wait, known := q.Wait(now, j); known && wait == 0 {
 		if g := s.place(now, service, j, false); g != nil {
-			s.mu.Unlock()
-			return g, nil
+			decided(g, nil)
+			return nil
 		}
 	}
 	if r := q.Refuse(now, j); r != nil {
-		s.mu.Unlock()
-		return nil, r
+		decided(nil, r)
+		return nil
 	}
-	granted := make(chan *Grant, 1)
 	w := &place.Waiting{Job: j, Until: j.Until()}
 	q.Add(w)
-	s.grants[w] = granted
-	s.keepPumping()
-	s.mu.Unlock()
-	select {
-	case g := <-granted:
+	s.waiting[w] = func(g *Grant) {
 		if g == nil {
-			return nil, s.giveUp(service, j)
+			decided(nil, q.GiveUp(time.Now(), j))
+			return
 		}
-		return g, nil
-	case <-ctx.Done():
-		return nil, s.withdraw(ctx, service, w, granted)
+		decided(g, nil)
 	}
+	s.keepPumping()
+	return w
 }
 
 // giveUp returns the refusal of a job that waited in vain.
@@ -48,16 +80,35 @@
 	return s.queue(service).GiveUp(time.Now(), j)
 }
 
-// withdraw takes back a job that waits and returns the cause.
-func (s *Scheduler) withdraw(ctx context.Context, service string, w *place.Waiting, granted <-chan *Grant) error {
+// withdraw takes back a job that waits; it is false when the job was decided.
+func (s *Scheduler) withdraw(service string, w *place.Waiting) bool {
 	s.mu.Lock()
-	removed := s.queue(service).Remove(w)
-	delete(s.grants, w)
-	s.mu.Unlock()
-	if !removed {
-		if g := <-granted; g != nil {
-			s.Finish(g, place.Outcome{Left: true})
-		}
+	defer s.mu.Unlock()
+	delete(s.waiting, w)
+	return s.queue(service).Remove(w)
+}
+
+// accept starts a job at the backend server that the hub chose. It returns nil where this instance knows that the backend
+// server is not to be used: the hub may not have heard of it yet.
+func (s *Scheduler) accept(svc *fleet.Service, j *place.Job, d hub.Decision) *Grant {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	v := s.cfg.view()
+	srv := v.Servers[d.Server.ID]
+	if srv == nil || srv.Incarnation() != d.Server || srv.Service != svc.Name || srv.Draining {
+		return nil
+	}
+	if _, out := v.Out[srv.DataCentre]; out {
+		return nil
+	}
+	if p := v.Progress[svc.Name]; p.State == fleet.RolledBack && p.Target == srv.Version {
+		return nil
+	}
+	if srv.Cold(now) && svc.ColdRate > 0 && !s.cold.Take(now, srv, s.cfg.node, s.cold.Allowed(svc.ColdRate, srv, s.cfg.node, s.nodes)) {
+		return nil
 	}
-	return context.Cause(ctx)
+	g := s.start(now, v, svc, srv, j)
+	g.First, g.Load = time.Duration(d.FirstMS)*time.Millisecond, d.Load
+	return g
 }
--- a/mustardseam/entry/pump.go
+++ b/mustardseam/entry/pump.go
@@ -40,9 +40,9 @@
 
 // hand gives a waiting request its answer; mu is held.
 func (s *Scheduler) hand(w *place.Waiting, g *Grant) {
-	if granted := s.grants[w]; granted != nil {
-		delete(s.grants, w)
-		granted <- g
+	if decided := s.waiting[w]; decided != nil {
+		delete(s.waiting, w)
+		decided(g)
 	}
 }
 
@@ -57,7 +57,7 @@
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		s.pump(time.Now())
-		if len(s.grants) == 0 {
+		if len(s.waiting) == 0 {
 			s.pumping = false
 			return
 		}
@@ -74,13 +74,19 @@
 		return nil
 	}
 	s.lapse(now)
-	srv := s.board.Choose(now, s.candidates(now, v, svc), j, j.Deep(now), waiting)
+	srv := s.board.Choose(now, s.candidates(now, v, svc, s.placedFor(j)), j, j.Deep(now), waiting)
 	if srv == nil {
 		return nil
 	}
 	if srv.Cold(now) && svc.ColdRate > 0 {
-		s.cold.Take(now, srv, s.cold.Allowed(svc.ColdRate, srv, s.cfg.node, s.nodes))
+		node := s.placedFor(j)
+		s.cold.Take(now, srv, node, s.cold.Allowed(svc.ColdRate, srv, node, s.nodes))
 	}
+	return s.start(now, v, svc, srv, j)
+}
+
+// start records that a job is sent to a backend server; mu is held.
+func (s *Scheduler) start(now time.Time, v *fleet.View, svc *fleet.Service, srv *fleet.Server, j *place.Job) *Grant {
 	g := &Grant{Server: srv, Service: svc, First: s.board.First(svc, srv, j), Load: s.board.Load(srv), job: j}
 	s.board.Start(now, srv, j)
 	if svc.Engine {
@@ -91,8 +97,17 @@
 	return g
 }
 
-// candidates returns the backend servers that may get work; cold ones and those whose entries lapsed are spare.
-func (s *Scheduler) candidates(now time.Time, v *fleet.View, svc *fleet.Service) place.Candidates {
+// placedFor returns the instance that sends a job.
+func (s *Scheduler) placedFor(j *place.Job) string {
+	if j.Instance != "" {
+		return j.Instance
+	}
+	return s.cfg.node
+}
+
+// candidates returns the backend servers that may get work from an instance; cold ones and those whose entries lapsed are
+// spare.
+func (s *Scheduler) candidates(now time.Time, v *fleet.View, svc *fleet.Service, node string) place.Candidates {
 	c := place.Candidates{Service: svc}
 	versions := s.versions(now, v, svc.Name)
 	for _, srv := range v.Of(svc.Name) {
@@ -100,7 +115,7 @@
 		switch {
 		case srv.Draining || out || !versions(srv.Version):
 		case srv.Cold(now) && svc.ColdRate > 0:
-			if s.cold.Free(now, srv, s.cold.Allowed(svc.ColdRate, srv, s.cfg.node, s.nodes)) {
+			if s.cold.Free(now, srv, node, s.cold.Allowed(svc.ColdRate, srv, node, s.nodes)) {
 				c.Spare = append(c.Spare, srv)
 			}
 		case !srv.Lapsed.IsZero():
--- a/mustardseam/entry/report.go
+++ b/mustardseam/entry/report.go
@@ -35,6 +35,7 @@
 		Node: g.i.cfg.Name, From: g.i.node(), Run: g.i.run, Sequence: g.sequence, Revision: g.i.follower.Revision(),
 		AgeMS: g.i.storeAge(), Used: g.pending, Loads: own, Paces: paces, Samples: g.samples,
 		Sick: g.i.scheduler.sick(time.Now()), Stopping: g.i.stopping.Load() != nil,
+		Placed: g.i.asking.told(to.Name),
 	}
 	if r.Revision > g.hubItems && to.Name == g.hub && g.hubItems > 0 {
 		if items, whole, _ := g.i.follower.After(g.hubItems); !whole && len(items) <= catchUpItems {
@@ -139,6 +140,9 @@
 	if leads {
 		g.i.rollouts.observe(r.Samples)
 	}
+	if !r.Placed {
+		g.i.scheduler.leave(r.Node)
+	}
 	g.i.scheduler.use(now, used)
 	if len(r.Items) > 0 && r.AgeMS >= 0 {
 		g.i.follower.Hear(r.Items, false, g.i.follower.Revision(), r.Revision, time.Duration(r.AgeMS)*time.Millisecond)
--- a/mustardseam/entry/scheduler.go
+++ b/mustardseam/entry/scheduler.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"fmt"
 	"sync"
 	"time"
@@ -12,13 +13,14 @@
 
 // Scheduler decides which request goes to which backend server and when; its methods are safe for concurrent use.
 type Scheduler struct {
-	cfg schedulerConfig
+	cfg  schedulerConfig
+	asks asker // Places requests elsewhere; nil when there is nobody to ask.
 
 	mu        sync.Mutex
-	board     *place.Board                     // Guarded by mu, as all that follow.
-	queues    map[string]*place.Queue          // By service.
-	grants    map[*place.Waiting]chan<- *Grant // Of waiting requests.
-	running   map[string]int                   // By team.
+	board     *place.Board                    // Guarded by mu, as all that follow.
+	queues    map[string]*place.Queue         // By service.
+	waiting   map[*place.Waiting]func(*Grant) // Called with mu held when it is decided; nil when the time is over.
+	running   map[string]int                  // By team.
 	quota     *share.Quota
 	budget    *share.Budget
 	cold      *share.Cold
@@ -26,6 +28,7 @@
 	sharers   int       // Instances that may send to the backend servers, silent ones included.
 	nodes     []string  // Instances that are believed to run, this one included.
 	pumping   bool
+	desk      *desk
 	starts    place.Rate          // Requests that this instance sent to engines.
 	exposures map[string]exposure // By service.
 }
@@ -44,15 +47,29 @@
 	First   time.Duration // Predicted time to the first event.
 	Load    place.Load    // Of the backend server before, by all instances.
 	job     *place.Job
+	id      int64 // By which the hub knows the request; 0 when it was not told of it.
+	began   bool  // The first event of a request of another instance has come.
+}
+
+// asker lets another instance place requests.
+type asker interface {
+	// Obtain returns what the other instance decides, and false when there is none that answers.
+	Obtain(ctx context.Context, service string, j *place.Job) (*Grant, error, bool)
+	// Placed tells of a request that was placed here.
+	Placed(g *Grant)
+	// Began tells of the first event of a request.
+	Began(g *Grant, first time.Duration)
+	// Ended tells of the end of a request.
+	Ended(g *Grant, o place.Outcome)
 }
 
 func newScheduler(cfg schedulerConfig) *Scheduler {
 	cfg.bounds.Quota.Start = time.Now()
 	return &Scheduler{
 		cfg: cfg, board: place.NewBoard(place.BoardConfig{Self: cfg.node}), queues: map[string]*place.Queue{},
-		grants: map[*place.Waiting]chan<- *Grant{}, running: map[string]int{}, nodes: []string{cfg.node},
+		waiting: map[*place.Waiting]func(*Grant){}, running: map[string]int{}, nodes: []string{cfg.node},
 		quota: share.NewQuota(cfg.bounds.Quota), budget: share.NewBudget(cfg.bounds.Budget),
-		cold: share.NewCold(cfg.bounds.Cold), exposures: map[string]exposure{},
+		cold: share.NewCold(cfg.bounds.Cold), exposures: map[string]exposure{}, desk: &desk{clients: map[string]*client{}},
 	}
 }
 
@@ -97,6 +114,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.board.Began(time.Now(), g.Service, g.Server, g.job, g.Load, first)
+	if s.asks != nil {
+		s.asks.Began(g, first)
+	}
 }
 
 // Paced records the pace of a stream that goes on.
@@ -111,11 +131,19 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
+	s.finish(now, g, o)
+	if s.asks != nil {
+		s.asks.Ended(g, o)
+	}
+	s.pump(now)
+}
+
+// finish records the end of a request; mu is held.
+func (s *Scheduler) finish(now time.Time, g *Grant, o place.Outcome) {
 	s.board.Finish(now, g.Service, g.Server, g.job, o)
 	if s.running[g.job.Team]--; s.running[g.job.Team] <= 0 {
 		delete(s.running, g.job.Team)
 	}
-	s.pump(now)
 }
 
 // Answered returns when the backend server of a grant last showed a sign of life.
@@ -129,7 +157,7 @@
 func (s *Scheduler) Waiting() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return len(s.grants)
+	return len(s.waiting)
 }
 
 func (s *Scheduler) queue(service string) *place.Queue {
--- a/mustardseam/event/catalogue.go
+++ b/mustardseam/event/catalogue.go
@@ -71,6 +71,8 @@
 	Registered   = Event{7009, "instance-registered", zerolog.InfoLevel, "instance is registered in the store"}
 	StoreRefused = Event{7010, "store-write-failed", zerolog.WarnLevel, "item could not be written to the store and is tried again"}
 	StopStep     = Event{7011, "stop-progress", zerolog.InfoLevel, "planned stop goes on"}
+	PlacingFound = Event{7012, "placing-found", zerolog.InfoLevel, "hub places the requests of this instance to engines"}
+	PlacingLost  = Event{7013, "placing-lost", zerolog.WarnLevel, "hub does not place any more; the instance places its requests itself"}
 )
 
 // All returns every event in the order of the numbers.
@@ -83,5 +85,6 @@
 		NotRun, Resumed, Incomplete, Unreported, ReportFailed, Ordered, OrderDelayed, OrderFailed,
 		RolledBack, RolloutStep, RolloutDone, RolloutLate, RolloutWrite,
 		Answered, Retried, Reloaded, ReloadFailed, BadItem, Believed, HubChosen, HubLost, Registered, StoreRefused, StopStep,
+		PlacingFound, PlacingLost,
 	}
 }
--- a/mustardseam/fleet/server.go
+++ b/mustardseam/fleet/server.go
@@ -25,6 +25,6 @@
 
 // Incarnation tells the runs of a backend server apart, since one may start again under its old id.
 type Incarnation struct {
-	ID   string
-	Born int64
+	ID   string `json:"id"`
+	Born int64  `json:"born,omitempty"`
 }
--- a/mustardseam/hub/report.go
+++ b/mustardseam/hub/report.go
@@ -24,6 +24,7 @@
 	Sick     []string              `json:"sick,omitempty"`  // Ids of backend servers that failed contacts.
 	Samples  []Sample              `json:"samples,omitempty"`
 	Stopping bool                  `json:"stopping,omitempty"`
+	Placed   bool                  `json:"placed,omitempty"` // The hub knows the requests of the instance from its news.
 }
 
 // Sample is the outcome of a request to a service with a rollout.
--- a/mustardseam/hub/server.go
+++ b/mustardseam/hub/server.go
@@ -22,6 +22,7 @@
 type ServerConfig struct {
 	Listener net.Listener
 	Answer   func(r Report) Digest
+	Place    func(n News) Decisions
 	Dump     func() any // State of the instance, for GET /state.
 }
 
@@ -37,13 +38,20 @@
 	app := fiber.New(fiber.Config{
 		BodyLimit: maxBody, ReadTimeout: serverTime, WriteTimeout: serverTime, IdleTimeout: 2 * maxIdle,
 	})
-	app.Post(path, func(c fiber.Ctx) error {
+	app.Post(reportPath, func(c fiber.Ctx) error {
 		var r Report
 		if err := json.Unmarshal(c.Body(), &r); err != nil || r.Node == "" {
 			return c.SendStatus(fiber.StatusBadRequest)
 		}
 		return c.JSON(cfg.Answer(r))
 	})
+	app.Post(placePath, func(c fiber.Ctx) error {
+		var n News
+		if err := json.Unmarshal(c.Body(), &n); err != nil || n.Node == "" {
+			return c.SendStatus(fiber.StatusBadRequest)
+		}
+		return c.JSON(cfg.Place(n))
+	})
 	app.Get("/state", func(c fiber.Ctx) error { return c.JSON(cfg.Dump()) })
 	s := &Server{app: app, done: make(chan struct{})}
 	go func() {
--- a/mustardseam/place/account.go
+++ b/mustardseam/place/account.go
@@ -40,6 +40,14 @@
 // avoided reports whether the backend server should get no request.
 func (a *account) avoided(now time.Time) bool { return now.Before(a.avoid) || now.Before(a.word) }
 
+// part returns the part of the load that a job belongs to.
+func (a *account) part(j *Job) *Load {
+	if j.Instance != "" {
+		return &a.others
+	}
+	return &a.own
+}
+
 func (a *account) load() Load { return a.own.Plus(a.others) }
 
 // miss takes in a contact that failed: no connection, or else a reset or silence.
--- a/mustardseam/place/board.go
+++ b/mustardseam/place/board.go
@@ -26,6 +26,7 @@
 	self     string
 	unheard  float64
 	nodes    int
+	served   int              // Instances for which this one places, itself included.
 	parts    map[list]float64 // How much of the free slots the instances may use; until the next word.
 }
 
@@ -50,7 +51,7 @@
 	return &Board{
 		accounts: map[fleet.Incarnation]*account{}, known: map[*fleet.Server]*account{},
 		engines: map[string]*engineModel{}, outputs: map[string]average{}, parts: map[list]float64{},
-		random: cfg.Random, self: cfg.Self,
+		random: cfg.Random, self: cfg.Self, served: 1,
 	}
 }
 
--- a/mustardseam/place/board_test.go
+++ b/mustardseam/place/board_test.go
@@ -203,7 +203,7 @@
 	sent := 0
 	for i := range nodes {
 		b := NewBoard(BoardConfig{Self: fmt.Sprintf("n%d", i)})
-		b.SetNodes(nodes)
+		b.SetNodes(nodes, 1)
 		for range 10 {
 			j := job(1000, 100)
 			if s := b.Choose(start, Candidates{Service: engine, Servers: servers}, j, 2, true); s != nil {
@@ -226,7 +226,7 @@
 	}
 	for i := range nodes {
 		b := NewBoard(BoardConfig{Self: fmt.Sprintf("n%d", i)})
-		b.SetNodes(nodes)
+		b.SetNodes(nodes, 1)
 		b.SetUnheard(0.5)
 		placed := 0
 		for range 10 {
--- a/mustardseam/place/job.go
+++ b/mustardseam/place/job.go
@@ -12,7 +12,8 @@
 	Team       string
 	Tier       int    // Of the team, where it has one, else of the route.
 	Rank       int    // Tier of the route, which orders jobs of one tier.
-	DataCentre string // Of this instance.
+	Instance   string // That it is placed for; empty for this one.
+	DataCentre string // Of the instance that it came to.
 	Prompt     int    // Tokens to read.
 	Output     int    // Tokens to write, at most.
 	Hint       int    // Tokens to write, as the caller expects; 0 when it does not say.
--- a/mustardseam/place/outcome.go
+++ b/mustardseam/place/outcome.go
@@ -12,8 +12,9 @@
 // Start records that a job is sent to a backend server.
 func (b *Board) Start(now time.Time, s *fleet.Server, j *Job) {
 	a := b.account(s)
-	a.own.Requests++
-	a.own.Prompt += j.Prompt
+	l := a.part(j)
+	l.Requests++
+	l.Prompt += j.Prompt
 	a.recent++
 	a.used = now
 }
@@ -21,7 +22,8 @@
 // Began records the first event of a job, whose prompt is read; ahead is what the backend server had when it was sent.
 func (b *Board) Began(now time.Time, svc *fleet.Service, s *fleet.Server, j *Job, ahead Load, first time.Duration) {
 	a, m := b.account(s), b.model(svc.Name)
-	a.own.Prompt = max(0, a.own.Prompt-j.Prompt)
+	l := a.part(j)
+	l.Prompt = max(0, l.Prompt-j.Prompt)
 	a.answered = now
 	// A request that found no free slot waited, which does not tell how fast prompts are read.
 	if svc.Engine && j.Prompt > 0 && ahead.Requests < s.Slots {
@@ -31,24 +33,25 @@
 
 // Outcome is how a job ended at a backend server.
 type Outcome struct {
-	Answered  bool          // An answer came, good or not.
-	OK        bool          // The answer was a success and complete.
-	Refused   bool          // The backend server said that it did not run the job.
-	Unreached bool          // No connection could be made.
-	Left      bool          // The caller left or the deadline passed, which says nothing of the backend server.
-	First     bool          // The first event has come.
-	Total     time.Duration // From the sending to the end.
-	Pace      time.Duration // From token to token; 0 when unknown.
-	Output    int           // Tokens that were written.
+	Answered  bool          `json:"answered,omitempty"`  // An answer came, good or not.
+	OK        bool          `json:"ok,omitempty"`        // The answer was a success and complete.
+	Refused   bool          `json:"refused,omitempty"`   // The backend server said that it did not run the job.
+	Unreached bool          `json:"unreached,omitempty"` // No connection could be made.
+	Left      bool          `json:"left,omitempty"`      // The caller left or the deadline passed, which says nothing of the backend server.
+	First     bool          `json:"first,omitempty"`     // The first event has come.
+	Total     time.Duration `json:"total-ns,omitempty"`  // From the sending to the end.
+	Pace      time.Duration `json:"pace-ns,omitempty"`   // From token to token; 0 when unknown.
+	Output    int           `json:"output,omitempty"`    // Tokens that were written.
 }
 
 // Finish records the end of a job that was started.
 func (b *Board) Finish(now time.Time, svc *fleet.Service, s *fleet.Server, j *Job, o Outcome) {
 	a, m := b.account(s), b.model(svc.Name)
-	a.own.Requests = max(0, a.own.Requests-1)
+	l := a.part(j)
+	l.Requests = max(0, l.Requests-1)
 	a.freed++
 	if !o.First {
-		a.own.Prompt = max(0, a.own.Prompt-j.Prompt)
+		l.Prompt = max(0, l.Prompt-j.Prompt)
 	}
 	switch {
 	case o.Left:
--- a/mustardseam/place/overload_test.go
+++ b/mustardseam/place/overload_test.go
@@ -44,7 +44,7 @@
 	}
 	for i := range overloadNodes {
 		b := NewBoard(BoardConfig{Self: fmt.Sprintf("n%d", i), Random: func() float64 { return 1 }})
-		b.SetNodes(overloadNodes)
+		b.SetNodes(overloadNodes, 1)
 		b.SetUnheard(1) // As before the overload.
 		o.boards = append(o.boards, b)
 	}
--- a/mustardseam/place/room.go
+++ b/mustardseam/place/room.go
@@ -53,6 +53,6 @@
 	if free <= 0 {
 		return false
 	}
-	own := l.part * float64(max(0, free+a.recent-a.freed)) / float64(max(1, b.nodes))
-	return b.nodes <= 1 || float64(a.recent)+a.draw < float64(a.freed)+own
+	own := l.part * float64(max(0, free+a.recent-a.freed)) * float64(b.served) / float64(max(1, b.nodes))
+	return b.nodes <= b.served || float64(a.recent)+a.draw < float64(a.freed)+own
 }
--- a/mustardseam/place/word.go
+++ b/mustardseam/place/word.go
@@ -12,8 +12,8 @@
 	heardSick = 250 * time.Millisecond
 )
 
-// SetNodes says how many instances there are, this one included.
-func (b *Board) SetNodes(n int) { b.nodes = n }
+// SetNodes says how many instances there are, this one included, and for how many of them this one places.
+func (b *Board) SetNodes(n, served int) { b.nodes, b.served = n, max(1, served) }
 
 // SetUnheard says how many requests the others send to a backend server, on average, before this instance hears of them.
 func (b *Board) SetUnheard(n float64) { b.unheard = n }
--- a/mustardseam/share/cold.go
+++ b/mustardseam/share/cold.go
@@ -23,12 +23,18 @@
 // Cold admits requests to cold backend servers; it is not safe for concurrent use.
 type Cold struct {
 	cfg     ColdConfig
-	servers map[fleet.Incarnation]*window
+	windows map[coldKey]*window
+}
+
+// coldKey is a backend server and the instance that uses it; the hub counts for each instance for which it places.
+type coldKey struct {
+	server fleet.Incarnation
+	node   string
 }
 
 // NewCold returns a bound without accounts.
 func NewCold(cfg ColdConfig) *Cold {
-	return &Cold{cfg: cfg, servers: map[fleet.Incarnation]*window{}}
+	return &Cold{cfg: cfg, windows: map[coldKey]*window{}}
 }
 
 // Configure replaces the bounds; the accounts stay.
@@ -45,27 +51,28 @@
 	return int(bound / float64(holders))
 }
 
-// Take takes one of allowed requests in a second to a cold backend server.
-func (c *Cold) Take(now time.Time, s *fleet.Server, allowed int) bool {
-	w := c.servers[s.Incarnation()]
+// Take takes one of allowed requests in a second from an instance to a cold backend server.
+func (c *Cold) Take(now time.Time, s *fleet.Server, node string, allowed int) bool {
+	key := coldKey{server: s.Incarnation(), node: node}
+	w := c.windows[key]
 	if w == nil {
 		w = &window{}
-		c.servers[s.Incarnation()] = w
+		c.windows[key] = w
 	}
 	return w.take(now, allowed)
 }
 
 // Free reports whether a request could be taken.
-func (c *Cold) Free(now time.Time, s *fleet.Server, allowed int) bool {
-	w := c.servers[s.Incarnation()]
+func (c *Cold) Free(now time.Time, s *fleet.Server, node string, allowed int) bool {
+	w := c.windows[coldKey{server: s.Incarnation(), node: node}]
 	return allowed > 0 && (w == nil || w.used(now) < allowed)
 }
 
 // Sweep forgets backend servers that got nothing lately.
 func (c *Cold) Sweep(now time.Time) {
-	for id, w := range c.servers {
+	for key, w := range c.windows {
 		if w.used(now) == 0 {
-			delete(c.servers, id)
+			delete(c.windows, key)
 		}
 	}
 }
--- a/mustardseam/share/share_test.go
+++ b/mustardseam/share/share_test.go
@@ -145,8 +145,8 @@
 				c := NewCold(cfg)
 				for step := range 300 {
 					now := start.Add(time.Duration(step) * 10 * time.Millisecond)
-					if c.Free(now, s, c.Allowed(rate, s, name, names)) {
-						assert.Assert(t, c.Take(now, s, c.Allowed(rate, s, name, names)))
+					if c.Free(now, s, name, c.Allowed(rate, s, name, names)) {
+						assert.Assert(t, c.Take(now, s, name, c.Allowed(rate, s, name, names)))
 						times = append(times, now)
 					}
 				}
