Let the hub place requests to engines while it answers

Cause: instances shared the free slots by parts and ordered their own requests only.

Change: an instance asks its hub where to send a request to an engine and tells it when requests begin and end. The hub keeps one queue and one account for all (entry/desk.go), from its own view, cold shares and exposure. After a lost message it tells all that runs anew. What the hub places needs no loads in reports, so these are left out mostly.

--- a/mustardseam/entry/asking.go
+++ b/mustardseam/entry/asking.go
@@ -5,6 +5,9 @@
 	"sync"
 	"time"
 
+	"github.com/rs/zerolog"
+	"github.com/sourcegraph/conc"
+
 	"github.com/mustardseam/mustardseam/mustardseam/event"
 	"github.com/mustardseam/mustardseam/mustardseam/fleet"
 	"github.com/mustardseam/mustardseam/mustardseam/hub"
@@ -13,7 +16,7 @@
 
 const (
 	// askWait is how long the hub may hold a message while requests wait.
-	askWait = 100 * time.Millisecond
+	askWait = 200 * time.Millisecond
 	// askPause is how long requests are placed here after the hub did not answer. A hub that is down is replaced meanwhile.
 	askPause = 300 * time.Millisecond
 	// beganTime is how long news of first events may wait for other news; they only tell which prompts are read.
@@ -23,10 +26,10 @@
 // asking lets the hub place the requests of this instance to engines, and tells it of their course. While the hub does not
 // answer, requests are placed here.
 type asking struct {
-	i    *Instance
+	cfg  askingConfig
 	kick chan struct{}
 
-	mu       sync.Mutex
+	mu       sync.Mutex            // Taken while that of the scheduler is held, so neither that nor that of gossip is taken under it.
 	next     int64                 // Of the ids; guarded by mu, as all that follow.
 	running  map[int64]hub.Running // Requests at backend servers.
 	asks     map[int64]*openAsk
@@ -37,6 +40,16 @@
 	polling  bool
 }
 
+// askingConfig says who is asked and who sends the requests.
+type askingConfig struct {
+	node      string
+	run       int64 // Tells the runs of this instance apart.
+	scheduler *Scheduler
+	hub       func(now time.Time) (fleet.Node, bool) // False when none answers.
+	place     func(address string, n hub.News) (hub.Decisions, error)
+	log       *zerolog.Logger
+}
+
 // openAsk is a request that the hub has not decided on.
 type openAsk struct {
 	service string
@@ -45,51 +58,50 @@
 	decided chan hub.Decision
 }
 
-func newAsking(i *Instance) *asking {
-	return &asking{i: i, kick: make(chan struct{}, 1), running: map[int64]hub.Running{}, asks: map[int64]*openAsk{}}
+func newAsking(cfg askingConfig) *asking {
+	return &asking{cfg: cfg, kick: make(chan struct{}, 1), running: map[int64]hub.Running{}, asks: map[int64]*openAsk{}}
 }
 
 // Obtain returns what the hub decides on a job, and false when no hub answers.
-func (a *asking) Obtain(ctx context.Context, service string, j *place.Job) (*Grant, error, bool) {
-	c := a.i.view.Load().Config
+func (a *asking) Obtain(ctx context.Context, service string, j *place.Job) (*Grant, bool, error) {
+	c := a.cfg.scheduler.cfg.view().Config
 	if c == nil {
-		return nil, nil, false
+		return nil, false, nil
 	}
 	svc := c.Service(service)
 	if svc == nil || !svc.Engine || !a.open() {
-		return nil, nil, false
+		return nil, false, nil
 	}
 	id, ask := a.add(service, j)
 	select {
 	case d := <-ask.decided:
 		switch {
 		case d.Void:
-			return nil, nil, false
+			return nil, false, nil
 		case d.Server == fleet.Incarnation{}:
-			return nil, &place.Refusal{Reason: d.Reason, After: time.Duration(d.AfterMS) * time.Millisecond}, true
+			return nil, true, &place.Refusal{Reason: d.Reason, After: time.Duration(d.AfterMS) * time.Millisecond}
 		}
-		if g := a.i.scheduler.accept(svc, j, d); g != nil {
+		if g := a.cfg.scheduler.accept(svc, j, d); g != nil {
 			g.id = id
-			return g, nil, true
+			return g, true, nil
 		}
 		a.Ended(&Grant{id: id}, place.Outcome{Left: true})
-		return nil, nil, false
+		return nil, false, nil
 	case <-ctx.Done():
 		a.withdraw(id, ask)
-		return nil, context.Cause(ctx), true
+		return nil, true, context.Cause(ctx)
 	}
 }
 
 // open reports whether there is a hub to ask.
 func (a *asking) open() bool {
-	a.mu.Lock()
-	defer a.mu.Unlock()
 	now := time.Now()
-	if now.Before(a.paused) {
+	if _, ok := a.cfg.hub(now); !ok {
 		return false
 	}
-	_, ok := a.i.gossip.desk(now)
-	return ok
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return !now.Before(a.paused)
 }
 
 // add keeps a job for the next message.
@@ -184,39 +196,44 @@
 }
 
 // run sends news until the instance ends; what comes up meanwhile goes with the next message.
-func (a *asking) run() {
+func (a *asking) run(ctx context.Context) {
+	var polls conc.WaitGroup
+	defer polls.Wait()
 	for {
 		select {
-		case <-a.i.ctx.Done():
+		case <-ctx.Done():
 			return
 		case <-a.kick:
-			a.send()
+			if to, ok := a.send(); ok {
+				polls.Go(func() { a.poll(ctx, to) })
+			}
 		}
 	}
 }
 
-// send tells the hub what there is to tell.
-func (a *asking) send() {
-	a.mu.Lock()
+// send tells the hub what there is to tell. It returns the hub that is to be polled for decisions, and false for none.
+func (a *asking) send() (fleet.Node, bool) {
 	now := time.Now()
-	to, ok := a.i.gossip.desk(now)
+	to, ok := a.cfg.hub(now)
+	a.mu.Lock()
 	if !ok || now.Before(a.paused) {
 		a.drop(now, 0)
 		a.mu.Unlock()
-		return
+		return to, false
 	}
 	n := a.message(to.Name)
 	a.mu.Unlock()
-	d, err := a.i.gossip.client.Place(to.Address, n)
+	d, err := a.cfg.place(to.Address, n)
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if !a.take(to.Name, d, err) && n.Fresh {
 		a.paused = time.Now().Add(askPause)
 	}
-	if len(a.asks) > 0 && a.hub != "" && !a.polling {
-		a.polling = true
-		a.i.tasks.Go(func() { a.poll(to) })
+	if len(a.asks) == 0 || a.hub == "" || a.polling {
+		return to, false
 	}
+	a.polling = true
+	return to, true
 }
 
 // message makes the next message to a hub; mu is held.
@@ -230,7 +247,7 @@
 		}
 	}
 	a.sequence++
-	n.Node, n.Run, n.Sequence = a.i.cfg.Name, a.i.run, a.sequence
+	n.Node, n.Run, n.Sequence = a.cfg.node, a.cfg.run, a.sequence
 	now := time.Now()
 	for id, ask := range a.asks {
 		if !ask.sent {
@@ -255,7 +272,7 @@
 func (a *asking) take(from string, d hub.Decisions, err error) bool {
 	now := time.Now()
 	if err != nil {
-		event.PlacingLost.On(a.i.log()).Str("hub", from).Int("asks", len(a.asks)).Err(err).Send()
+		event.PlacingLost.On(a.cfg.log).Str("hub", from).Int("asks", len(a.asks)).Err(err).Send()
 		a.drop(now, askPause)
 		return false
 	}
@@ -265,7 +282,7 @@
 	}
 	if a.hub != from {
 		a.hub = from
-		event.PlacingFound.On(a.i.log()).Str("hub", from).Int("running", len(a.running)).Send()
+		event.PlacingFound.On(a.cfg.log).Str("hub", from).Int("running", len(a.running)).Send()
 	}
 	for _, decision := range d.Decisions {
 		if ask := a.asks[decision.ID]; ask != nil {
@@ -288,7 +305,9 @@
 // drop leaves the requests that wait at the hub to this instance; mu is held.
 func (a *asking) drop(now time.Time, pause time.Duration) {
 	a.hub, a.news = "", hub.News{}
-	a.paused = now.Add(pause)
+	if pause > 0 {
+		a.paused = now.Add(pause)
+	}
 	for id, ask := range a.asks {
 		delete(a.asks, id)
 		ask.decided <- hub.Decision{ID: id, Void: true}
@@ -296,9 +315,9 @@
 }
 
 // poll asks a hub for decisions while requests wait there.
-func (a *asking) poll(to fleet.Node) {
-	for a.i.ctx.Err() == nil && a.waits(to.Name) {
-		d, err := a.i.gossip.client.Place(to.Address, hub.News{Node: a.i.cfg.Name, Run: a.i.run, WaitMS: askWait.Milliseconds()})
+func (a *asking) poll(ctx context.Context, to fleet.Node) {
+	for ctx.Err() == nil && a.waits(to.Name) {
+		d, err := a.cfg.place(to.Address, hub.News{Node: a.cfg.node, Run: a.cfg.run, WaitMS: askWait.Milliseconds()})
 		a.mu.Lock()
 		if a.hub == to.Name {
 			a.take(to.Name, d, err)
--- a/mustardseam/entry/client.go
+++ b/mustardseam/entry/client.go
@@ -37,8 +37,9 @@
 	}
 }
 
-// loads adds what the client has at backend servers.
-func (c *client) loads(sum map[string]place.Load) {
+// loads returns what the client has at backend servers.
+func (c *client) loads() map[string]place.Load {
+	sum := map[string]place.Load{}
 	for _, g := range c.grants {
 		l := place.Load{Requests: 1}
 		if !g.began {
@@ -46,4 +47,5 @@
 		}
 		sum[g.Server.ID] = sum[g.Server.ID].Plus(l)
 	}
+	return sum
 }
--- a/mustardseam/entry/desk.go
+++ b/mustardseam/entry/desk.go
@@ -73,6 +73,7 @@
 		s.dropClient(now, n.Node)
 		c = newClient(n)
 		s.desk.clients[n.Node] = c
+		s.board.SetNodes(s.sharers, 1+len(s.desk.clients))
 	}
 	if c == nil || c.run != n.Run {
 		return nil
@@ -162,6 +163,7 @@
 		return
 	}
 	delete(s.desk.clients, node)
+	s.board.SetNodes(s.sharers, 1+len(s.desk.clients))
 	for _, w := range c.waiting {
 		delete(s.waiting, w.entry)
 		s.queue(w.service).Remove(w.entry)
--- a/mustardseam/entry/gossip.go
+++ b/mustardseam/entry/gossip.go
@@ -106,8 +106,8 @@
 }
 
 // own returns what this instance adds to the sum as the hub.
-func (g *gossip) own() (map[string]place.Load, []string) {
-	return g.i.scheduler.own(), g.i.scheduler.sick(time.Now())
+func (g *gossip) own() (of map[string]map[string]place.Load, sick []string) {
+	return g.i.scheduler.known(), g.i.scheduler.sick(time.Now())
 }
 
 // leads reports whether this instance is the hub.
@@ -177,7 +177,7 @@
 		others[id] = others[id].Minus(l)
 	}
 	g.i.scheduler.hear(now, hearing{
-		loads: others, of: sum.Of, paces: g.table.Paces(), nodes: nodes, sharers: sharers, sick: sum.Sick,
+		loads: others, leads: true, of: sum.Of, paces: g.table.Paces(), nodes: nodes, sharers: sharers, sick: sum.Sick,
 		until: now.Add(sickWord),
 	})
 	samples := g.samples
--- a/mustardseam/entry/hearing.go
+++ b/mustardseam/entry/hearing.go
@@ -20,7 +20,8 @@
 // hearing is what an instance hears from the others.
 type hearing struct {
 	loads map[string]place.Load            // That they have sent, by id of the backend server.
-	of    map[string]map[string]place.Load // What loads holds of each instance; nil when this one is not the hub.
+	leads bool                             // This instance is the hub.
+	of    map[string]map[string]place.Load // What loads holds of each instance, at the hub.
 	paces map[string]float64               // Milliseconds from token to token.
 	sick  map[string]int                   // Instances that failed to reach a backend server, by its id.
 	until time.Time                        // How long the word on sick ones holds.
@@ -45,19 +46,25 @@
 	return s.board.SickIDs(now)
 }
 
-// own returns what this instance has sent.
-func (s *Scheduler) own() map[string]place.Load {
+// known returns what this instance and those for which it places have sent, by instance.
+func (s *Scheduler) known() map[string]map[string]place.Load {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.board.Own()
+	of := map[string]map[string]place.Load{s.cfg.node: s.board.Own()}
+	for node, c := range s.desk.clients {
+		of[node] = c.loads()
+	}
+	return of
 }
 
 // hear takes in what the others said.
 func (s *Scheduler) hear(now time.Time, h hearing) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.board.SetOthers(s.others(now, h))
-	s.heard = now
+	if loads := s.others(now, h); loads != nil {
+		s.board.SetOthers(loads)
+		s.heard = now
+	}
 	s.board.Teach(h.paces)
 	s.board.HearSick(now, h.sick, h.until)
 	s.nodes = h.nodes
@@ -68,23 +75,25 @@
 	}
 }
 
-// others returns what the other instances have sent. What the hub places for them it knows itself, without the delay of
-// their words. mu is held.
+// others returns what the other instances have sent. What the hub places for them it knows without the delay of their
+// words. mu is held.
 func (s *Scheduler) others(now time.Time, h hearing) map[string]place.Load {
-	if h.of == nil {
+	if !h.leads {
 		s.closeDesk(now)
 		return h.loads
 	}
 	loads := maps.Clone(h.loads)
 	for node, c := range s.desk.clients {
+		for id, l := range h.of[node] {
+			loads[id] = loads[id].Minus(l)
+		}
 		if !slices.Contains(h.nodes, node) {
 			s.dropClient(now, node)
 			continue
 		}
-		for id, l := range h.of[node] {
-			loads[id] = loads[id].Minus(l)
+		for id, l := range c.loads() {
+			loads[id] = loads[id].Plus(l)
 		}
-		c.loads(loads)
 	}
 	return loads
 }
--- a/mustardseam/entry/hearing_test.go
+++ b/mustardseam/entry/hearing_test.go
@@ -19,10 +19,12 @@
 	s := newScheduler(schedulerConfig{node: "n0", view: func() *fleet.View { return v }})
 	now := time.Now()
 	j := &place.Job{Tier: 2, Prompt: 1000, Output: 100, Arrived: now, Objective: now.Add(time.Hour), Deadline: now.Add(time.Hour)}
-	g := s.place(now, "pool", j, false)
+	g, _ := s.place(now, "pool", j, false)
 	assert.Assert(t, g != nil)
 	s.Finish(g, place.Outcome{Answered: true, OK: true})
 	s.hear(now, hearing{loads: map[string]place.Load{"s0": {Requests: 4}}, sharers: 2})
-	assert.Assert(t, s.place(now.Add(wordTime), "pool", j, false) == nil, "the word of the others counts")
-	assert.Assert(t, s.place(now.Add(wordTime+time.Millisecond), "pool", j, false) != nil, "the word is too old")
+	g, _ = s.place(now.Add(wordTime), "pool", j, false)
+	assert.Assert(t, g == nil, "the word of the others counts")
+	g, _ = s.place(now.Add(wordTime+time.Millisecond), "pool", j, false)
+	assert.Assert(t, g != nil, "the word is too old")
 }
--- a/mustardseam/entry/instance.go
+++ b/mustardseam/entry/instance.go
@@ -85,7 +85,9 @@
 	})
 	i.metrics = newMeters(i)
 	i.gossip = newGossip(i)
-	i.asking = newAsking(i)
+	i.asking = newAsking(askingConfig{
+		node: cfg.Name, run: i.run, scheduler: i.scheduler, hub: i.gossip.desk, place: i.gossip.client.Place, log: i.log(),
+	})
 	i.scheduler.asks = i.asking
 	i.rollouts = &rollouts{i: i, conductors: map[string]*conduct.Conductor{}}
 	i.follower = store.NewFollower(store.FollowerConfig{
@@ -98,7 +100,7 @@
 		Listener: cfg.Callers, Connections: cfg.Conns, Limits: i.limits, Handle: i.handle, Log: i.logger,
 	})
 	i.tasks.Go(i.gossip.run)
-	i.tasks.Go(i.asking.run)
+	i.tasks.Go(func() { i.asking.run(i.ctx) })
 	i.tasks.Go(i.rollouts.run)
 	i.tasks.Go(i.register)
 	i.tasks.Go(i.sweep)
--- a/mustardseam/entry/obtain.go
+++ b/mustardseam/entry/obtain.go
@@ -13,7 +13,7 @@
 // end of the context. Another instance that knows all requests decides while it answers in time, and else this one.
 func (s *Scheduler) Obtain(ctx context.Context, service string, j *place.Job) (*Grant, error) {
 	if s.asks != nil {
-		if g, err, ok := s.asks.Obtain(ctx, service, j); ok {
+		if g, ok, err := s.asks.Obtain(ctx, service, j); ok {
 			return g, err
 		}
 	}
@@ -51,7 +51,7 @@
 	q := s.queue(service)
 	// Those that wait go first, unless this job goes before all of them.
 	if wait, known := q.Wait(now, j); known && wait == 0 {
-		if g := s.place(now, service, j, false); g != nil {
+		if g, _ := s.place(now, service, j, false); g != nil {
 			decided(g, nil)
 			return nil
 		}
--- a/mustardseam/entry/pump.go
+++ b/mustardseam/entry/pump.go
@@ -27,9 +27,17 @@
 			s.hand(w, nil)
 		}
 		team := func(name string) int { return s.running[name] }
+		full := -1
 		q.Place(now, team, func(w *place.Waiting) bool {
-			g := s.place(now, service, w.Job, true)
+			deep := w.Job.Deep(now)
+			if deep <= full {
+				return false
+			}
+			g, same := s.place(now, service, w.Job, true)
 			if g == nil {
+				if same {
+					full = deep
+				}
 				return false
 			}
 			s.hand(w, g)
@@ -66,23 +74,26 @@
 	time.AfterFunc(pumpEvery, again)
 }
 
-// place starts a job at a backend server with room, or returns nil; mu is held.
-func (s *Scheduler) place(now time.Time, service string, j *place.Job, waiting bool) *Grant {
+// place starts a job at a backend server with room, or returns nil; then same reports whether there is none either for
+// other jobs that may fill backend servers as far. mu is held.
+func (s *Scheduler) place(now time.Time, service string, j *place.Job, waiting bool) (g *Grant, same bool) {
 	v := s.cfg.view()
 	svc := v.Config.Service(service)
 	if svc == nil {
-		return nil
+		return nil, true
 	}
 	s.lapse(now)
-	srv := s.board.Choose(now, s.candidates(now, v, svc, s.placedFor(j)), j, j.Deep(now), waiting)
+	c, cold := s.candidates(now, v, svc, s.placedFor(j))
+	srv := s.board.Choose(now, c, j, j.Deep(now), waiting)
 	if srv == nil {
-		return nil
+		// Jobs differ in the backend servers that had them, and their instances in the cold ones that they may use.
+		return nil, len(j.Tried) == 0 && !cold
 	}
 	if srv.Cold(now) && svc.ColdRate > 0 {
 		node := s.placedFor(j)
 		s.cold.Take(now, srv, node, s.cold.Allowed(svc.ColdRate, srv, node, s.nodes))
 	}
-	return s.start(now, v, svc, srv, j)
+	return s.start(now, v, svc, srv, j), false
 }
 
 // start records that a job is sent to a backend server; mu is held.
@@ -105,16 +116,17 @@
 	return s.cfg.node
 }
 
-// candidates returns the backend servers that may get work from an instance; cold ones and those whose entries lapsed are
-// spare.
-func (s *Scheduler) candidates(now time.Time, v *fleet.View, svc *fleet.Service, node string) place.Candidates {
-	c := place.Candidates{Service: svc}
+// candidates returns the backend servers that may get work from an instance, and whether there are cold ones. Those and
+// the ones whose entries lapsed are spare.
+func (s *Scheduler) candidates(now time.Time, v *fleet.View, svc *fleet.Service, node string) (c place.Candidates, cold bool) {
+	c.Service = svc
 	versions := s.versions(now, v, svc.Name)
 	for _, srv := range v.Of(svc.Name) {
 		_, out := v.Out[srv.DataCentre]
 		switch {
 		case srv.Draining || out || !versions(srv.Version):
 		case srv.Cold(now) && svc.ColdRate > 0:
+			cold = true
 			if s.cold.Free(now, srv, node, s.cold.Allowed(svc.ColdRate, srv, node, s.nodes)) {
 				c.Spare = append(c.Spare, srv)
 			}
@@ -124,5 +136,5 @@
 			c.Servers = append(c.Servers, srv)
 		}
 	}
-	return c
+	return c, cold
 }
--- a/mustardseam/entry/report.go
+++ b/mustardseam/entry/report.go
@@ -18,6 +18,9 @@
 	sickWord = 400 * time.Millisecond
 	// pacesEvery is how many reports pass until the hub tells all paces, which change slowly.
 	pacesEvery = 16
+	// loadsTime is how often the hub tells an instance for which it places the loads, which that only needs when the hub is
+	// lost; it is below the time for which loads are used.
+	loadsTime = wordTime / 2
 	// catchUpItems bounds the items that an instance passes up to its hub.
 	catchUpItems = 64
 )
@@ -25,6 +28,10 @@
 // report tells the hub what this instance knows and takes its answer in.
 func (g *gossip) report(to fleet.Node) {
 	own, paces, used := g.i.scheduler.told()
+	placed := g.i.asking.told(to.Name)
+	if placed {
+		own = nil // The hub knows it from news.
+	}
 	g.mu.Lock()
 	for team, u := range used {
 		g.pending[team] = g.pending[team].Plus(u)
@@ -35,7 +42,7 @@
 		Node: g.i.cfg.Name, From: g.i.node(), Run: g.i.run, Sequence: g.sequence, Revision: g.i.follower.Revision(),
 		AgeMS: g.i.storeAge(), Used: g.pending, Loads: own, Paces: paces, Samples: g.samples,
 		Sick: g.i.scheduler.sick(time.Now()), Stopping: g.i.stopping.Load() != nil,
-		Placed: g.i.asking.told(to.Name),
+		Placed: placed,
 	}
 	if r.Revision > g.hubItems && to.Name == g.hub && g.hubItems > 0 {
 		if items, whole, _ := g.i.follower.After(g.hubItems); !whole && len(items) <= catchUpItems {
@@ -99,8 +106,8 @@
 	if first {
 		g.i.scheduler.adopt(now, d.Levels)
 	}
-	others := map[string]place.Load{}
-	if err := json.Unmarshal(d.Loads, &others); err != nil {
+	var others map[string]place.Load // Nil when the hub left them out.
+	if err := decodeLoads(d.Loads, &others); err != nil {
 		event.HubLost.On(g.i.log()).Str("hub", to.Name).Err(eris.Wrap(err, "decode loads")).Send()
 		return
 	}
@@ -112,6 +119,14 @@
 	})
 }
 
+// decodeLoads decodes loads, if there are any.
+func decodeLoads(raw json.RawMessage, loads *map[string]place.Load) error {
+	if len(raw) == 0 {
+		return nil
+	}
+	return json.Unmarshal(raw, loads)
+}
+
 // answer is the hub's part of a report.
 func (g *gossip) answer(r hub.Report) hub.Digest {
 	now := time.Now()
@@ -130,8 +145,12 @@
 		event.HubLost.On(g.i.log()).Str("hub", g.i.cfg.Name).Err(err).Send()
 	}
 	d := hub.Digest{
-		Hub: g.i.cfg.Name, Run: g.i.run, Nodes: g.table.Nodes(now), Known: g.table.Known(), Loads: sum.JSON,
-		Own: sum.Of[r.Node], Sick: sum.Sick, From: r.Revision,
+		Hub: g.i.cfg.Name, Run: g.i.run, Nodes: g.table.Nodes(now), Known: g.table.Known(),
+		Sick: sum.Sick, From: r.Revision,
+	}
+	every := max(1, int64(loadsTime/hub.Interval(len(d.Nodes), g.i.cfg.Cores)))
+	if !r.Placed || r.Sequence%every == 0 {
+		d.Loads, d.Own = sum.JSON, sum.Of[r.Node]
 	}
 	if r.Sequence%pacesEvery == 1 {
 		d.Paces = g.table.Paces()
--- a/mustardseam/entry/scheduler.go
+++ b/mustardseam/entry/scheduler.go
@@ -54,7 +54,7 @@
 // asker lets another instance place requests.
 type asker interface {
 	// Obtain returns what the other instance decides, and false when there is none that answers.
-	Obtain(ctx context.Context, service string, j *place.Job) (*Grant, error, bool)
+	Obtain(ctx context.Context, service string, j *place.Job) (g *Grant, ok bool, err error)
 	// Placed tells of a request that was placed here.
 	Placed(g *Grant)
 	// Began tells of the first event of a request.
--- a/mustardseam/hub/hub_test.go
+++ b/mustardseam/hub/hub_test.go
@@ -57,7 +57,7 @@
 	assert.Equal(t, len(table.Nodes(start)), 2)
 }
 
-func nothing() (map[string]place.Load, []string) { return nil, nil }
+func nothing() (map[string]map[string]place.Load, []string) { return nil, nil }
 
 // TestOrder guards against instances that choose different hubs from the same list, and against a small one as the hub.
 func TestOrder(t *testing.T) {
@@ -132,3 +132,18 @@
 func BenchmarkDigest8(b *testing.B)   { benchmarkDigest(b, 8, 15, 5) }
 func BenchmarkDigest60(b *testing.B)  { benchmarkDigest(b, 60, 143, 16) }
 func BenchmarkDigest350(b *testing.B) { benchmarkDigest(b, 350, 2400, 510) }
+
+// TestSumKnown guards against loads that count twice, by a report and by the news of requests that the hub placed.
+func TestSumKnown(t *testing.T) {
+	table := NewTable("n0")
+	start := time.Unix(1000, 0)
+	for _, node := range []string{"n1", "n2"} {
+		table.Take(start, Report{Node: node, Run: 1, Sequence: 1, Loads: map[string]place.Load{"s": {Requests: 2}}})
+	}
+	sum, err := table.Sum(start, func() (map[string]map[string]place.Load, []string) {
+		return map[string]map[string]place.Load{"n0": {"s": {Requests: 1}}, "n1": {"s": {Requests: 5}}}, nil
+	})
+	assert.NilError(t, err)
+	assert.Equal(t, sum.Loads["s"].Requests, 1+5+2)
+	assert.Equal(t, sum.Of["n1"]["s"].Requests, 5)
+}
--- a/mustardseam/hub/report.go
+++ b/mustardseam/hub/report.go
@@ -44,7 +44,7 @@
 	Nodes    []string              `json:"nodes"`            // Instances that reported lately, the hub included.
 	Known    map[string]share.Use  `json:"known"`            // By team, over all instances, since the hub's start.
 	Levels   map[string]float64    `json:"levels,omitempty"` // Of quotas, for an instance that has just started.
-	Loads    json.RawMessage       `json:"loads"`            // A map of place.Load by backend server, over all instances.
+	Loads    json.RawMessage       `json:"loads,omitempty"`  // A map of place.Load by backend server, over all instances; not always told.
 	Paces    map[string]float64    `json:"paces,omitempty"`
 	Own      map[string]place.Load `json:"own,omitempty"`  // What Loads holds of the instance that reported.
 	Sick     map[string]int        `json:"sick,omitempty"` // Instances that failed to reach a backend server.
--- a/mustardseam/hub/table.go
+++ b/mustardseam/hub/table.go
@@ -104,16 +104,15 @@
 	return nodes
 }
 
-// Sum returns the sum of the latest reports, own loads and sick backend servers included; it may be up to sumEvery old.
-func (t *Table) Sum(now time.Time, own func() (loads map[string]place.Load, sick []string)) (Sum, error) {
+// Sum returns the sum of the latest reports; it may be up to sumEvery old. Own returns what this instance knows itself: its
+// loads and those of instances for which it places, by instance, which go before the reports, and sick backend servers.
+func (t *Table) Sum(now time.Time, own func() (of map[string]map[string]place.Load, sick []string)) (Sum, error) {
 	if now.Sub(t.summed) < sumEvery && !t.summed.IsZero() {
 		return t.sum, nil
 	}
-	loads, ids := own()
-	sum := Sum{Loads: maps.Clone(loads), Sick: map[string]int{}, Of: map[string]map[string]place.Load{t.self: loads}}
-	if sum.Loads == nil {
-		sum.Loads = map[string]place.Load{}
-	}
+	of, ids := own()
+	sum := Sum{Loads: map[string]place.Load{}, Sick: map[string]int{}, Of: map[string]map[string]place.Load{}}
+	maps.Copy(sum.Of, of)
 	for _, id := range ids {
 		sum.Sick[id]++
 	}
@@ -121,14 +120,18 @@
 		if now.Sub(e.at) >= current {
 			continue
 		}
-		sum.Of[e.report.Node] = e.report.Loads
-		for id, l := range e.report.Loads {
-			sum.Loads[id] = sum.Loads[id].Plus(l)
+		if _, known := of[e.report.Node]; !known {
+			sum.Of[e.report.Node] = e.report.Loads
 		}
 		for _, id := range e.report.Sick {
 			sum.Sick[id]++
 		}
 	}
+	for _, loads := range sum.Of {
+		for id, l := range loads {
+			sum.Loads[id] = sum.Loads[id].Plus(l)
+		}
+	}
 	var err error
 	if sum.JSON, err = json.Marshal(sum.Loads); err != nil {
 		return Sum{}, eris.Wrap(err, "encode loads")
