Make a decision as fast at 2,400 backend servers as at 140

Cause: each decision looked at all backend servers, twice: 111 us at 2,400 (target 10 us), and the list of candidates was made anew for each request.

Change: a job of a service with 400 and more chooses among a spread part of them, another one each time; all are looked at where that has no room (TestSample). What is alike for all of them is computed once.

No deployment measured so far has 400 backend servers.

--- a/mustardseam/entry/pump.go
+++ b/mustardseam/entry/pump.go
@@ -119,22 +119,12 @@
 // candidates returns the backend servers that may get work from an instance, and whether there are cold ones. Those and
 // the ones whose entries lapsed are spare.
 func (s *Scheduler) candidates(now time.Time, v *fleet.View, svc *fleet.Service, node string) (c place.Candidates, cold bool) {
-	c.Service = svc
-	versions := s.versions(now, v, svc.Name)
-	for _, srv := range v.Of(svc.Name) {
-		_, out := v.Out[srv.DataCentre]
-		switch {
-		case srv.Draining || out || !versions(srv.Version):
-		case srv.Cold(now) && svc.ColdRate > 0:
-			cold = true
-			if s.cold.Free(now, srv, node, s.cold.Allowed(svc.ColdRate, srv, node, s.nodes)) {
-				c.Spare = append(c.Spare, srv)
-			}
-		case !srv.Lapsed.IsZero():
-			c.Spare = append(c.Spare, srv)
-		default:
-			c.Servers = append(c.Servers, srv)
+	l := s.listing(now, v, svc)
+	c = place.Candidates{Service: svc, Servers: l.warm, Spare: l.lapsed}
+	for _, srv := range l.cold {
+		if s.cold.Free(now, srv, node, s.cold.Allowed(svc.ColdRate, srv, node, s.nodes)) {
+			c.Spare = append(c.Spare[:len(c.Spare):len(c.Spare)], srv)
 		}
 	}
-	return c, cold
+	return c, len(l.cold) > 0
 }
--- a/mustardseam/entry/scheduler.go
+++ b/mustardseam/entry/scheduler.go
@@ -29,6 +29,7 @@
 	nodes     []string  // Instances that are believed to run, this one included.
 	pumping   bool
 	desk      *desk
+	listings  map[string]*listing // By service.
 	starts    place.Rate          // Requests that this instance sent to engines.
 	exposures map[string]exposure // By service.
 }
@@ -70,6 +71,7 @@
 		waiting: map[*place.Waiting]func(*Grant){}, running: map[string]int{}, nodes: []string{cfg.node},
 		quota: share.NewQuota(cfg.bounds.Quota), budget: share.NewBudget(cfg.bounds.Budget),
 		cold: share.NewCold(cfg.bounds.Cold), exposures: map[string]exposure{}, desk: &desk{clients: map[string]*client{}},
+		listings: map[string]*listing{},
 	}
 }
 
--- a/mustardseam/place/board.go
+++ b/mustardseam/place/board.go
@@ -12,6 +12,11 @@
 	// similar is the part by which another choice may be worse and still be taken at random, so that instances that know the
 	// same do not all choose the same backend server.
 	similar = 0.12
+	// sampleFrom is the number of backend servers of a service from which on a job chooses among a part of them, so that a
+	// decision takes no longer at 2,400 than at 140. Where none of these has room, all are looked at.
+	sampleFrom = 400
+	// sampleSize is the least size of that part. The best of so many is mostly among the best fiftieth of all.
+	sampleSize = 64
 	// retention is how long the account of an incarnation that is no longer listed is kept.
 	retention = time.Minute
 )
@@ -74,11 +79,14 @@
 
 // choose returns the backend server of a list for a job, or nil.
 func (b *Board) choose(now time.Time, svc *fleet.Service, servers []*fleet.Server, j *Job, l limits) *fleet.Server {
-	best, second := b.cheapest(now, svc, servers, j, l)
+	best, second := b.sample(now, svc, servers, j, l)
+	if best.server == nil {
+		best, second = b.cheapest(now, svc, servers, j, l, 0, 1)
+	}
 	if best.server == nil && !b.anyHealthy(now, servers, j) {
 		// All look sick or were tried: better a doubtful one than none. Where healthy ones are merely full, the job waits.
 		l.doubtful = true
-		best, second = b.cheapest(now, svc, servers, j, l)
+		best, second = b.cheapest(now, svc, servers, j, l, 0, 1)
 	}
 	if second.server != nil && second.cost <= best.cost*(1+similar) && b.random() < 0.5 {
 		return second.server
@@ -86,6 +94,15 @@
 	return best.server
 }
 
+// sample returns the cheapest candidates of a part of a long list, another one each time, and none for a short list.
+func (b *Board) sample(now time.Time, svc *fleet.Service, servers []*fleet.Server, j *Job, l limits) (best, second choice) {
+	if len(servers) < sampleFrom {
+		return best, second
+	}
+	step := len(servers) / sampleSize
+	return b.cheapest(now, svc, servers, j, l, min(step-1, int(b.random()*float64(step))), step)
+}
+
 // choice is a backend server with its expected cost in milliseconds.
 type choice struct {
 	server *fleet.Server
@@ -102,12 +119,13 @@
 	return false
 }
 
-// cheapest returns the two candidates with the least expected cost.
+// cheapest returns the two candidates with the least expected cost among those from one on, a number of steps apart.
 func (b *Board) cheapest(
-	now time.Time, svc *fleet.Service, servers []*fleet.Server, j *Job, l limits,
+	now time.Time, svc *fleet.Service, servers []*fleet.Server, j *Job, l limits, from, step int,
 ) (best, second choice) {
-	m := b.model(svc.Name)
-	for _, s := range servers {
+	p := b.prospect(svc, j)
+	for i := from; i < len(servers); i += step {
+		s := servers[i]
 		a := b.account(s)
 		if now.Before(a.full) || !b.room(a, svc, s, l) {
 			continue
@@ -115,7 +133,7 @@
 		if !l.doubtful && (a.avoided(now) || j.tried(s.Incarnation())) {
 			continue
 		}
-		c := choice{server: s, cost: b.cost(a, m, svc, s, j)}
+		c := choice{server: s, cost: b.cost(a, p, s)}
 		switch {
 		case best.server == nil || c.cost < best.cost:
 			best, second = c, best
--- a/mustardseam/place/cost.go
+++ b/mustardseam/place/cost.go
@@ -37,30 +37,45 @@
 	leastBias = 0.005
 )
 
+// prospect is what all backend servers of a service have in common for a job.
+type prospect struct {
+	service *fleet.Service
+	job     *Job
+	model   *engineModel
+	base    float64 // Milliseconds to the first event beside the prompt.
+	read    float64 // Milliseconds that a token of a prompt takes at average pace.
+	output  float64 // Tokens that the job writes.
+}
+
+func (b *Board) prospect(svc *fleet.Service, j *Job) prospect {
+	p := prospect{service: svc, job: j, model: b.model(svc.Name), output: b.output(j)}
+	p.base, p.read = p.model.first.fit()
+	return p
+}
+
 // cost predicts what a job takes at a backend server, in milliseconds: the wait for a slot, the reading of the prompts
 // before it and its own, and a part of its output.
-func (b *Board) cost(a *account, m *engineModel, svc *fleet.Service, s *fleet.Server, j *Job) float64 {
-	load := a.load()
+func (b *Board) cost(a *account, p prospect, s *fleet.Server) float64 {
+	load, m, j := a.load(), p.model, p.job
 	cost := failPenalty*a.failures*a.failures + unheardBias*max(leastBias, min(1, b.unheard))*a.bias
 	if s.DataCentre != j.DataCentre {
 		cost += zonePenalty
 	}
 	slots := max(1, s.Slots)
-	if !svc.Engine {
+	if !p.service.Engine {
 		latency := a.latency.or(m.service.or(defaultLatency))
 		return cost + latency*(1+float64(load.Requests)/float64(slots))
 	}
 	speed := b.speed(a, m)
-	base, read := m.first.fit()
-	first := base + speed*float64(load.Prompt+j.Prompt)*read
+	first := p.base + speed*float64(load.Prompt+j.Prompt)*p.read
 	if load.Requests >= slots {
 		first += speed * m.service.or(defaultService) * float64(load.Requests-slots+1) / float64(slots)
 	}
 	pace := a.pace.or(m.pace.or(defaultPace))
-	cost += first + paceWeight*pace*b.output(j)
+	cost += first + paceWeight*pace*p.output
 	if j.Gap > 0 && load.Requests > 0 && j.Prompt > chunk {
-		step := pace + speed*chunk*read
-		if step*float64(max(1, svc.Stride)) > 0.8*float64(j.Gap.Milliseconds()) {
+		step := pace + speed*chunk*p.read
+		if step*float64(max(1, p.service.Stride)) > 0.8*float64(j.Gap.Milliseconds()) {
 			cost += pausePenalty
 		}
 	}
