Play overload with one place that decides

A test that guards the gain of placing by the hub with a load: no request waits at a backend server, and the slots are used to 97 of 100. Instances that share the slots pass with one in a hundred late and 90 of 100.

--- a/mustardseam/entry/pump_test.go
+++ b/mustardseam/entry/pump_test.go
@@ -27,7 +27,7 @@
 		j := placingJob(i % 4)
 		j.Arrived, j.Objective = now, now.Add(time.Hour)
 		s.mu.Lock()
-		s.ask(now, "pool", j, func(g *Grant, r *place.Refusal) {
+		s.ask(now, "pool", j, func(g *Grant, _ *place.Refusal) {
 			if g != nil {
 				grants = append(grants, g)
 			}
--- a/mustardseam/place/overload_test.go
+++ b/mustardseam/place/overload_test.go
@@ -37,14 +37,14 @@
 	overloadNodes = 60
 )
 
-func newOverload(servers int) *overload {
-	o := &overload{running: map[string][]run{}, waiting: make([]int, overloadNodes), told: make([]map[string]Load, overloadNodes)}
+func newOverload(servers, nodes int) *overload {
+	o := &overload{running: map[string][]run{}, waiting: make([]int, nodes), told: make([]map[string]Load, nodes)}
 	for i := range servers {
 		o.servers = append(o.servers, server(fmt.Sprintf("s%d", i)))
 	}
-	for i := range overloadNodes {
+	for i := range nodes {
 		b := NewBoard(BoardConfig{Self: fmt.Sprintf("n%d", i), Random: func() float64 { return 1 }})
-		b.SetNodes(overloadNodes, 1)
+		b.SetNodes(nodes, 1)
 		b.SetUnheard(1) // As before the overload.
 		o.boards = append(o.boards, b)
 	}
@@ -58,7 +58,7 @@
 		now := start.Add(time.Duration(step) * overloadStep)
 		o.end(now)
 		for due += perSecond * overloadStep.Seconds(); due >= 1; due-- {
-			o.waiting[next%overloadNodes]++
+			o.waiting[next%len(o.boards)]++
 			next++
 		}
 		for i, b := range o.boards {
@@ -125,10 +125,21 @@
 // other. Half as much again arrives as 140 backend servers work off; of what is placed, at most one in a hundred may wait at
 // its backend server for longer than its caller's objective, and the slots must not stay free.
 func TestOverload(t *testing.T) {
-	o := newOverload(140)
+	o := newOverload(140, overloadNodes)
 	capacity := 140 * 4 / overloadTime.Seconds()
 	const length = 4 * time.Second
 	o.play(1.5*capacity, length)
 	assert.Assert(t, o.late <= o.placed/100, "%d of %d requests were late", o.late, o.placed)
 	assert.Assert(t, float64(o.placed) >= 0.9*capacity*length.Seconds(), "%d requests placed", o.placed)
 }
+
+// TestOverloadOnePlace guards against a hub that places for all and leaves slots free or fills queues: it knows all loads,
+// so that no request may wait at a backend server and the slots are used to 97 of 100.
+func TestOverloadOnePlace(t *testing.T) {
+	o := newOverload(140, 1)
+	capacity := 140 * 4 / overloadTime.Seconds()
+	const length = 4 * time.Second
+	o.play(1.5*capacity, length)
+	assert.Equal(t, o.late, 0)
+	assert.Assert(t, float64(o.placed) >= 0.97*capacity*length.Seconds(), "%d requests placed", o.placed)
+}
