--- a/mustardseam/entry/asking.go
+++ b/mustardseam/entry/asking.go
@@ -55,6 +55,7 @@
 	service string
 	job     *place.Job
 	sent    bool
+	by      string // The hub that decided; valid once it has.
 	decided chan hub.Decision
 }
 
@@ -82,7 +83,7 @@
 			return nil, true, &place.Refusal{Reason: d.Reason, After: time.Duration(d.AfterMS) * time.Millisecond}
 		}
 		if g := a.cfg.scheduler.accept(svc, j, d); g != nil {
-			g.id = id
+			g.id, g.By = id, ask.by
 			return g, true, nil
 		}
 		a.Ended(&Grant{id: id}, place.Outcome{Left: true})
@@ -287,6 +288,7 @@
 	for _, decision := range d.Decisions {
 		if ask := a.asks[decision.ID]; ask != nil {
 			delete(a.asks, decision.ID)
+			ask.by = from
 			if (decision.Server != fleet.Incarnation{}) {
 				a.running[decision.ID] = hub.Running{
 					ID: decision.ID, Server: decision.Server, Route: ask.job.Route, Team: ask.job.Team, Prompt: ask.job.Prompt,
--- a/mustardseam/entry/attempt.go
+++ b/mustardseam/entry/attempt.go
@@ -23,6 +23,7 @@
 	paid     bool          // The next retry was taken from the budget, or needs none because the latest try reached no one.
 	last     string        // Id of the latest event that the caller has.
 	server   string        // Id of the latest backend server.
+	by       string        // Hub that placed it last; empty when this instance did.
 	waited   time.Duration // From the arrival to the latest placing.
 	expected time.Duration // Predicted from the latest placing to the first event.
 	load     place.Load    // Of the backend server when it was chosen, by all instances.
--- a/mustardseam/entry/desk.go
+++ b/mustardseam/entry/desk.go
@@ -45,6 +45,13 @@
 	return d
 }
 
+// Served returns the number of other instances for which this one places.
+func (s *Scheduler) Served() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.desk.clients)
+}
+
 // news takes in news and returns the client, or nil when this instance does not place for it.
 func (s *Scheduler) news(n hub.News, cores float64) *client {
 	s.mu.Lock()
--- a/mustardseam/entry/dump.go
+++ b/mustardseam/entry/dump.go
@@ -14,6 +14,7 @@
 	AgeMS    int64              `json:"store-age-ms"`
 	Hub      string             `json:"hub"`
 	Nodes    []string           `json:"instances"`
+	Served   int                `json:"instances-placed-for"`
 	Active   int64              `json:"requests-active"`
 	Waiting  int                `json:"requests-waiting"`
 	Servers  []place.Inspection `json:"backend-servers"`
@@ -35,7 +36,7 @@
 	i.gossip.mu.Unlock()
 	i.scheduler.mu.Lock()
 	defer i.scheduler.mu.Unlock()
-	d.Nodes = i.scheduler.nodes
+	d.Nodes, d.Served = i.scheduler.nodes, len(i.scheduler.desk.clients)
 	for _, s := range v.Servers {
 		d.Servers = append(d.Servers, i.scheduler.board.Inspect(time.Now(), s))
 	}
--- a/mustardseam/entry/handler.go
+++ b/mustardseam/entry/handler.go
@@ -124,7 +124,8 @@
 			i.unplaced(a, errTimeout)
 			return
 		}
-		a.server = g.Server.ID
+		a.server, a.by = g.Server.ID, g.By
+		i.metrics.placed(g)
 		a.waited, a.expected, a.load = time.Since(a.exchange.Arrived), g.First, g.Load
 		switch i.try(ctx, a, g) {
 		case answered, left:
--- a/mustardseam/entry/log.go
+++ b/mustardseam/entry/log.go
@@ -15,7 +15,8 @@
 	if a.team != nil {
 		team = a.team.Name
 	}
-	event.Answered.On(i.log()).Str("request", a.meta.ID).Str("route", route).Str("team", team).Str("server", a.server).Int("status", a.status).
+	event.Answered.On(i.log()).Str("request", a.meta.ID).Str("route", route).Str("team", team).Str("server", a.server).
+		Str("placed-by", a.by).Int("status", a.status).
 		Str("reason", a.reason).Int("sends", a.sends).Int("runs", a.runs).Str("last-event", a.last).
 		Int64("wait-ms", a.waited.Milliseconds()).Int64("expected-ms", a.expected.Milliseconds()).
 		Int("load", a.load.Requests).Int("load-prompt", a.load.Prompt).Int("prompt", a.meta.Prompt).Int("output", a.meta.Output).
--- a/mustardseam/entry/scheduler.go
+++ b/mustardseam/entry/scheduler.go
@@ -47,6 +47,7 @@
 	Service *fleet.Service
 	First   time.Duration // Predicted time to the first event.
 	Load    place.Load    // Of the backend server before, by all instances.
+	By      string        // Hub that placed the request; empty when this instance did.
 	job     *place.Job
 	id      int64 // By which the hub knows the request; 0 when it was not told of it.
 	began   bool  // The first event of a request of another instance has come.
