--- a/measure/scenario/heavy.go
+++ b/measure/scenario/heavy.go
@@ -1,7 +1,6 @@
 package scenario
 
 import (
-	"cmp"
 	"fmt"
 	"slices"
 	"time"
@@ -137,55 +136,3 @@
 		return Result{Figures: append(list, heavySums(own)...)}
 	}
 }
-
-// heavySums returns the worst second of the load, the refusals and the work that was thrown away.
-func heavySums(list []*peers.Record) []figure.Figure {
-	worst, refusals, wasted, tokens := 1.0, 0, 0, 0
-	for at := time.Duration(0); at < heavyLast; at += time.Second {
-		worst = min(worst, worthShare(only(list, func(r *peers.Record) bool { return r.At >= at && r.At < at+time.Second })))
-	}
-	for _, r := range list {
-		refusals += r.Refused
-		wasted += r.Wasted
-		tokens += r.Prompt + r.Output
-	}
-	return []figure.Figure{
-		figure.New("worth-of-worst-second", worst, ""), figure.New("refusals", float64(refusals), ""),
-		figure.New("tokens-thrown-away", figure.Ratio(float64(wasted), float64(tokens)), ""),
-	}
-}
-
-// deciles returns the worth by the size of requests, a tenth of them each, from the smallest ones on.
-func deciles(list []*peers.Record) []figure.Figure {
-	bySize := slices.Clone(list)
-	slices.SortStableFunc(bySize, func(a, b *peers.Record) int { return cmp.Compare(a.Prompt, b.Prompt) })
-	var figures []figure.Figure
-	for i := range 10 {
-		part := bySize[len(bySize)*i/10 : len(bySize)*(i+1)/10]
-		figures = append(figures, figure.New(fmt.Sprintf("worth-of-size-decile-%d", i+1), worthShare(part), ""))
-	}
-	return figures
-}
-
-// worthShare returns the worth that requests earned, as a part of what they could.
-func worthShare(list []*peers.Record) float64 {
-	return figure.Ratio(earned(list, (*peers.Record).Worth), earned(list, func(r *peers.Record) float64 { return r.Kind.Worth }))
-}
-
-func earned(list []*peers.Record, worth func(*peers.Record) float64) float64 {
-	sum := 0.0
-	for _, r := range list {
-		sum += worth(r)
-	}
-	return sum
-}
-
-func only(list []*peers.Record, keep func(*peers.Record) bool) []*peers.Record {
-	var out []*peers.Record
-	for _, r := range list {
-		if keep(r) {
-			out = append(out, r)
-		}
-	}
-	return out
-}
