--- a/measure/peers/bound.go
+++ b/measure/peers/bound.go
@@ -114,9 +114,9 @@
 		slack[i] = b.capacity[i]
 	}
 	for _, d := range b.jobs {
-		read, later, write := b.cheapest(d.from, d.first), b.cheapest(d.from, d.target), b.cheapest(d.from, d.target)
+		read, write := b.cheapest(d.from, d.first), b.cheapest(d.from, d.target)
 		inTime := d.worth - d.read*b.prices[read] - d.write*b.prices[write]
-		late := d.late - d.read*b.prices[later] - d.write*b.prices[write]
+		late := d.late - (d.read+d.write)*b.prices[write]
 		switch {
 		case inTime >= late && inTime > 0:
 			sum += inTime
@@ -124,8 +124,7 @@
 			slack[write] -= d.write
 		case late > 0:
 			sum += late
-			slack[later] -= d.read
-			slack[write] -= d.write
+			slack[write] -= d.read + d.write
 		}
 	}
 	return sum, slack
--- a/measure/scenario/heavy.go
+++ b/measure/scenario/heavy.go
@@ -115,19 +115,18 @@
 		}
 		own := played[peers.Policies[0]]
 		offered := earned(own, func(r *peers.Record) float64 { return r.Kind.Worth })
-		share := func(list []*peers.Record) float64 { return figure.Ratio(earned(list, (*peers.Record).Worth), offered) }
 		list := []figure.Figure{
 			figure.New("requests", float64(len(own)), ""),
 			figure.New("worth-bound", figure.Ratio(peers.Bound(cfg), offered), ""),
 		}
 		best := 0.0
 		for _, p := range peers.Policies {
-			list = append(list, figure.New("worth-"+p, share(played[p]), ""))
+			list = append(list, figure.New("worth-"+p, worthShare(played[p]), ""))
 			if !slices.Contains(peers.Own, p) {
-				best = max(best, share(played[p]))
+				best = max(best, worthShare(played[p]))
 			}
 		}
-		list = append(list, figure.New("worth-over-best-rule", share(own)/best, "").With(figure.AtLeast, 1, "issue 9"))
+		list = append(list, figure.New("worth-over-best-rule", worthShare(own)/best, "").With(figure.AtLeast, 1, "issue 9"))
 		for _, k := range cfg.Kinds {
 			part := only(own, func(r *peers.Record) bool { return r.Kind.Name == k.Name })
 			list = append(list, figure.New("worth-of-"+k.Name, worthShare(part), ""))
--- /dev/null
+++ b/mustardseam/place/sample_test.go
@@ -0,0 +1,50 @@
+package place
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/mustardseam/mustardseam/mustardseam/fleet"
+)
+
+// TestSample guards against a large service that looks full because a part of it is, and against choices that are bad
+// because only a part is looked at.
+func TestSample(t *testing.T) {
+	var servers []*fleet.Server
+	full, paces := map[string]Load{}, map[string]float64{}
+	b := NewBoard(BoardConfig{Self: "n"})
+	for i := range 2400 {
+		s := server(fmt.Sprintf("s%d", i))
+		servers = append(servers, s)
+		b.account(s)
+		full[s.ID] = Load{Requests: 4}
+		paces[s.ID] = 4 + float64(i*7%2400)/100 // From 4 to 28 ms.
+	}
+	b.Teach(paces)
+	for range 100 {
+		s := b.Choose(start, Candidates{Service: engine, Servers: servers}, job(1000, 100), 0, false)
+		assert.Assert(t, paces[s.ID] < 6, "pace %v ms", paces[s.ID])
+	}
+	delete(full, "s1234")
+	b.SetOthers(full)
+	for range 100 {
+		assert.Equal(t, b.Choose(start, Candidates{Service: engine, Servers: servers}, job(1000, 100), 0, false).ID, "s1234")
+	}
+}
+
+func benchmarkChoose(b *testing.B, count int) {
+	servers := make([]*fleet.Server, count)
+	board := NewBoard(BoardConfig{Self: "n"})
+	for i := range servers {
+		servers[i] = server(fmt.Sprintf("s%d", i))
+	}
+	j := job(3700, 120)
+	for b.Loop() {
+		board.Choose(start, Candidates{Service: engine, Servers: servers}, j, 0, false)
+	}
+}
+
+func BenchmarkChoose140(b *testing.B)  { benchmarkChoose(b, 140) }
+func BenchmarkChoose2400(b *testing.B) { benchmarkChoose(b, 2400) }
