Follow what backend servers say of themselves in answers

Cause: new rules of the platform. A backend server that leaves says so in each answer, and one that refuses a request with 503 may name a time in which it wants nothing more from this instance. The old code knew of a planned end only from the store, and passed a refusing backend server over for 0.2 s.

Change: an answer that says so makes the incarnation leave in the view, for good and without the store; reports carry it to the hub and digests to the others. The time is kept with the account of the incarnation, by instance, so that the hub keeps it for each instance for which it places. An instance checks a decision of the hub against its own accounts. Where all backend servers want nothing for longer than a request may wait, it is refused at once with the time that is left.

Ruled out: writing it to the store. The store may be away, and the entry of a backend server is its own.

--- a/mustardseam/entry/change.go
+++ b/mustardseam/entry/change.go
@@ -1,6 +1,9 @@
 package entry
 
 import (
+	"slices"
+	"time"
+
 	"github.com/mustardseam/mustardseam/mustardseam/event"
 	"github.com/mustardseam/mustardseam/mustardseam/fleet"
 	"github.com/mustardseam/mustardseam/mustardseam/store"
@@ -31,6 +34,35 @@
 	l.Send()
 }
 
+// leaving takes in that a backend server said that it leaves. It gets nothing from then on, whatever the store says.
+func (i *Instance) leaving(ids ...fleet.Incarnation) {
+	known := i.view.Load().Leaving
+	ids = slices.DeleteFunc(ids, func(id fleet.Incarnation) bool { _, ok := known[id]; return ok })
+	if len(ids) == 0 {
+		return
+	}
+	i.changing.Lock()
+	defer i.changing.Unlock()
+	v, now := i.view.Load(), time.Now()
+	for _, id := range ids {
+		v = v.With(fleet.Change{Leaving: &id, Time: now})
+		event.Believed.On(i.log()).Str("server", id.ID).Int64("born", id.Born).Str("state", "leaving").Send()
+	}
+	i.view.Store(v)
+}
+
+// toldLeaving returns the backend servers of which the other instances are to know that they leave.
+func (i *Instance) toldLeaving() []fleet.Incarnation {
+	v := i.view.Load()
+	var ids []fleet.Incarnation
+	for id := range v.Leaving {
+		if s := v.Servers[id.ID]; s != nil && s.Incarnation() == id {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
 // Forget removes an instance from what this one believes, until the store or another instance names it again.
 func (i *Instance) Forget(node string) {
 	i.changing.Lock()
--- a/mustardseam/entry/desk_test.go
+++ b/mustardseam/entry/desk_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"testing"
 	"time"
 
@@ -45,6 +46,27 @@
 	}
 }
 
+// TestQuietInstance guards against a hub that sends an instance to a backend server that wants nothing from it, against one
+// that keeps others from it for that, and against an instance that follows a hub that does not know.
+func TestQuietInstance(t *testing.T) {
+	p := newPlacing(t, 2)
+	first := p.nodes[0].scheduler
+	g, err := first.Obtain(context.Background(), "pool", placingJob(0))
+	assert.NilError(t, err)
+	assert.Equal(t, g.By, "hub")
+	first.Finish(g, place.Outcome{Refused: true, Quiet: time.Hour})
+	eventually(t, "load", 0, p.load)
+	_, err = first.Obtain(context.Background(), "pool", placingJob(0))
+	var r *place.Refusal
+	assert.Assert(t, errors.As(err, &r), "%v", err)
+	assert.Assert(t, r.After > 0)
+	g, err = p.nodes[1].scheduler.Obtain(context.Background(), "pool", placingJob(0))
+	assert.NilError(t, err)
+	p.nodes[1].scheduler.Finish(g, place.Outcome{Answered: true, OK: true})
+	svc := p.view.Config.Service("pool")
+	assert.Assert(t, first.accept(svc, placingJob(0), hub.Decision{Server: fleet.Incarnation{ID: "s0"}}) == nil)
+}
+
 // TestOvertaken guards against a late message that undoes what a later one said, and against the run of an instance that
 // has ended.
 func TestOvertaken(t *testing.T) {
--- a/mustardseam/entry/obtain.go
+++ b/mustardseam/entry/obtain.go
@@ -56,7 +56,11 @@
 			return nil
 		}
 	}
-	if r := q.Refuse(now, j); r != nil {
+	r := q.Refuse(now, j)
+	if r == nil {
+		r = place.RefuseQuiet(now, j, s.quiet(now, service, j))
+	}
+	if r != nil {
 		decided(nil, r)
 		return nil
 	}
@@ -105,6 +109,9 @@
 	if p := v.Progress[svc.Name]; p.State == fleet.RolledBack && p.Target == srv.Version {
 		return nil
 	}
+	if !s.board.Takes(now, srv, j) {
+		return nil
+	}
 	if srv.Cold(now) && svc.ColdRate > 0 {
 		if !s.cold.Take(now, srv, s.cfg.node, s.cold.Allowed(svc.ColdRate, srv, s.cfg.node, s.nodes)) {
 			return nil
--- a/mustardseam/entry/pump.go
+++ b/mustardseam/entry/pump.go
@@ -86,8 +86,9 @@
 	c, cold := s.candidates(now, v, svc, s.placedFor(j))
 	srv := s.board.Choose(now, c, j, j.Deep(now), waiting)
 	if srv == nil {
-		// Jobs differ in the backend servers that had them, and their instances in the cold ones that they may use.
-		return nil, len(j.Tried) == 0 && !cold
+		// Jobs differ in the backend servers that had them, and their instances in the cold ones that they may use and in
+		// those that want nothing from them.
+		return nil, len(j.Tried) == 0 && !cold && !s.board.AnyQuiet(now)
 	}
 	if srv.Cold(now) && svc.ColdRate > 0 {
 		node := s.placedFor(j)
@@ -96,6 +97,17 @@
 	return s.start(now, v, svc, srv, j), false
 }
 
+// quiet returns for how long all backend servers of a service want nothing from the instance of a job; mu is held.
+func (s *Scheduler) quiet(now time.Time, service string, j *place.Job) time.Duration {
+	v := s.cfg.view()
+	svc := v.Config.Service(service)
+	if svc == nil {
+		return 0
+	}
+	c, _ := s.candidates(now, v, svc, s.placedFor(j))
+	return s.board.Quiet(now, c, j)
+}
+
 // start records that a job is sent to a backend server; mu is held.
 func (s *Scheduler) start(now time.Time, v *fleet.View, svc *fleet.Service, srv *fleet.Server, j *place.Job) *Grant {
 	g := &Grant{Server: srv, Service: svc, First: s.board.First(svc, srv, j), Load: s.board.Load(srv), job: j}
--- a/mustardseam/entry/report.go
+++ b/mustardseam/entry/report.go
@@ -42,7 +42,7 @@
 		Node: g.i.cfg.Name, From: g.i.node(), Run: g.i.run, Sequence: g.sequence, Revision: g.i.follower.Revision(),
 		AgeMS: g.i.storeAge(), Used: g.pending, Loads: own, Paces: paces, Samples: g.samples,
 		Sick: g.i.scheduler.sick(time.Now()), Stopping: g.i.stopping.Load() != nil,
-		Placed: placed,
+		Placed: placed, Leaving: g.i.toldLeaving(),
 	}
 	if r.Revision > g.hubItems && to.Name == g.hub && g.hubItems > 0 {
 		if items, whole, _ := g.i.follower.After(g.hubItems); !whole && len(items) <= catchUpItems {
@@ -80,6 +80,7 @@
 func (g *gossip) take(to fleet.Node, r hub.Report, d hub.Digest) {
 	now := time.Now()
 	age := time.Duration(d.AgeMS) * time.Millisecond
+	g.i.leaving(d.Leaving...)
 	if d.AgeMS >= 0 {
 		g.i.follower.Hear(d.Items, d.Whole, d.From, d.Revision, age)
 	}
@@ -131,6 +132,7 @@
 func (g *gossip) answer(r hub.Report) hub.Digest {
 	now := time.Now()
 	g.i.learn(r.From)
+	g.i.leaving(r.Leaving...)
 	g.mu.Lock()
 	used := g.table.Take(now, r)
 	leads := g.hub == ""
@@ -146,7 +148,7 @@
 	}
 	d := hub.Digest{
 		Hub: g.i.cfg.Name, Run: g.i.run, Nodes: g.table.Nodes(now), Known: g.table.Known(),
-		Sick: sum.Sick, From: r.Revision,
+		Sick: sum.Sick, From: r.Revision, Leaving: g.i.toldLeaving(),
 	}
 	every := max(1, int64(loadsTime/hub.Interval(len(d.Nodes), g.i.cfg.Cores)))
 	if !r.Placed || r.Sequence%every == 0 {
--- a/mustardseam/entry/try.go
+++ b/mustardseam/entry/try.go
@@ -34,13 +34,17 @@
 	}
 	defer resp.Close()
 	verdict := i.cfg.Wire.Verdict(&resp.Header)
+	notice := i.cfg.Wire.Notice(&resp.Header)
+	if notice.Leaving && verdict != Elsewhere {
+		i.leaving(g.Server.Incarnation())
+	}
 	status := resp.Header.StatusCode()
 	switch {
 	case verdict == NotRun || verdict == Elsewhere:
 		_, _ = resp.Body(maxAnswer)
 		a.reason = "backend server did not run the request"
 		// Another backend server at the address means that the entry is outdated: this one is gone.
-		i.scheduler.Finish(g, place.Outcome{Refused: verdict == NotRun})
+		i.scheduler.Finish(g, place.Outcome{Refused: verdict == NotRun, Quiet: notice.Quiet})
 		return again
 	case verdict == Unsigned || len(resp.Header.Peek(fasthttp.HeaderContentEncoding)) > 0:
 		a.runs++
--- a/mustardseam/entry/wire.go
+++ b/mustardseam/entry/wire.go
@@ -20,6 +20,8 @@
 	Own(h *fasthttp.ResponseHeader, id string) bool
 	// Verdict says what an answer tells about the run.
 	Verdict(h *fasthttp.ResponseHeader) Verdict
+	// Notice reads what a backend server says of itself in an answer.
+	Notice(h *fasthttp.ResponseHeader) Notice
 	// Answer makes the header for the caller of the one that the backend server sent.
 	Answer(h *fasthttp.ResponseHeader) http1.Head
 }
@@ -56,6 +58,12 @@
 	Resumed   bool          // LastEvent goes before what the caller sent.
 }
 
+// Notice is what a backend server says of itself in an answer.
+type Notice struct {
+	Leaving bool          // It ends soon and is to get no further requests.
+	Quiet   time.Duration // It wants no requests from this instance for so long; 0 when it does not say.
+}
+
 // Verdict says what an answer tells about the run.
 type Verdict int
 
--- a/mustardseam/fleet/change.go
+++ b/mustardseam/fleet/change.go
@@ -7,9 +7,10 @@
 	Revision int64
 	Config   *Config
 	Server   *Server
-	Gone     string // Id of a backend server that has left.
-	Lapse    bool   // The entry of Gone may have run out because the store was away.
-	Out      string // Data centre that is taken out, or taken back when Removed.
+	Gone     string       // Id of a backend server that has left.
+	Leaving  *Incarnation // Backend server that said itself that it leaves.
+	Lapse    bool         // The entry of Gone may have run out because the store was away.
+	Out      string       // Data centre that is taken out, or taken back when Removed.
 	Rollout  *Rollout
 	Progress *Progress
 	Service  string // That Progress is about.
--- a/mustardseam/fleet/view.go
+++ b/mustardseam/fleet/view.go
@@ -9,13 +9,18 @@
 // of living backend servers come back within two seconds; one that is leaving must get nothing later than that.
 const lapse = 1800 * time.Millisecond
 
+// leavingRetention is how long it is kept that an incarnation leaves after its entry is gone. It covers copies of the store
+// that still list it; a planned end takes seconds.
+const leavingRetention = 10 * time.Minute
+
 // View is what an instance believes at a moment; it is immutable.
 type View struct {
 	Revision int64 // Of the store.
 	Config   *Config
-	Servers  map[string]*Server // By id.
-	Out      map[string]int64   // Data centres that are taken out, with the revision of the order.
-	Rollouts map[string]Rollout // By service.
+	Servers  map[string]*Server        // By id.
+	Leaving  map[Incarnation]time.Time // Backend servers that said that they leave, with when this instance learned of it.
+	Out      map[string]int64          // Data centres that are taken out, with the revision of the order.
+	Rollouts map[string]Rollout        // By service.
 	Progress map[string]Progress
 	Nodes    map[string]Node // Instances of this system by name.
 	services map[string][]*Server
@@ -24,7 +29,7 @@
 // NewView returns an empty view.
 func NewView() *View {
 	return &View{
-		Servers: map[string]*Server{}, Out: map[string]int64{}, Rollouts: map[string]Rollout{},
+		Servers: map[string]*Server{}, Leaving: map[Incarnation]time.Time{}, Out: map[string]int64{}, Rollouts: map[string]Rollout{},
 		Progress: map[string]Progress{}, Nodes: map[string]Node{}, services: map[string][]*Server{},
 	}
 }
@@ -43,8 +48,10 @@
 		}
 	case c.Server != nil:
 		next.Servers = maps.Clone(v.Servers)
-		next.Servers[c.Server.ID] = inherit(v.Servers[c.Server.ID], c.Server)
+		next.Servers[c.Server.ID] = v.inherit(c.Server)
 		next.index()
+	case c.Leaving != nil:
+		next.leave(*c.Leaving, c.Time)
 	case c.Gone != "":
 		next.Servers = maps.Clone(v.Servers)
 		delete(next.Servers, c.Gone)
@@ -114,13 +121,34 @@
 	}
 }
 
-// inherit keeps what an older entry of the same incarnation knew better.
-func inherit(old, s *Server) *Server {
-	if old == nil || old.Incarnation() != s.Incarnation() {
-		return s
-	}
+// inherit keeps what is known better of the incarnation of an entry.
+func (v *View) inherit(s *Server) *Server {
 	next := *s
-	next.Seen = old.Seen
-	next.Draining = s.Draining || old.Draining
+	if old := v.Servers[s.ID]; old != nil && old.Incarnation() == s.Incarnation() {
+		next.Seen = old.Seen
+		next.Draining = s.Draining || old.Draining
+	}
+	if _, leaving := v.Leaving[s.Incarnation()]; leaving {
+		next.Draining = true
+	}
 	return &next
 }
+
+// leave records on a view in the making that an incarnation leaves.
+func (v *View) leave(id Incarnation, now time.Time) {
+	leaving := map[Incarnation]time.Time{}
+	for other, at := range v.Leaving {
+		if s := v.Servers[other.ID]; s != nil && s.Incarnation() == other || now.Sub(at) < leavingRetention {
+			leaving[other] = at
+		}
+	}
+	leaving[id] = now
+	v.Leaving = leaving
+	if s := v.Servers[id.ID]; s != nil && s.Incarnation() == id && !s.Draining {
+		next := *s
+		next.Draining = true
+		v.Servers = maps.Clone(v.Servers)
+		v.Servers[id.ID] = &next
+		v.index()
+	}
+}
--- a/mustardseam/fleet/view_test.go
+++ b/mustardseam/fleet/view_test.go
@@ -59,6 +59,52 @@
 	assert.Assert(t, !v.Servers["s"].Draining)
 }
 
+// TestLeaving guards against a backend server that said that it leaves and looks ready again because its entry was written
+// again, came back after an outage of the store or arrived late; another incarnation under its id starts afresh.
+func TestLeaving(t *testing.T) {
+	id := Incarnation{ID: "s", Born: 1}
+	listed := &Server{ID: "s", Service: "pool", Born: 1}
+	tests := []struct {
+		name    string
+		changes []Change
+		want    bool
+	}{
+		{"listed", []Change{{Server: listed}, {Leaving: &id}}, true},
+		{"written again", []Change{{Server: listed}, {Leaving: &id}, {Server: listed}}, true},
+		{"came back", []Change{{Server: listed}, {Leaving: &id}, {Gone: "s"}, {Server: listed}}, true},
+		{"listed later", []Change{{Leaving: &id}, {Server: listed}}, true},
+		{"started again", []Change{{Server: listed}, {Leaving: &id}, {Server: &Server{ID: "s", Service: "pool", Born: 2}}}, false},
+		{"of an earlier run", []Change{{Server: &Server{ID: "s", Service: "pool", Born: 2}}, {Leaving: &id}}, false},
+		{"another one at the address", []Change{
+			{Server: &Server{ID: "s", Address: "10.0.0.1:80", Born: 1}},
+			{Leaving: &id},
+			{Gone: "s"},
+			{Server: &Server{ID: "t", Address: "10.0.0.1:80", Born: 1}},
+		}, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			v := NewView()
+			for _, c := range test.changes {
+				c.Time = start
+				v = v.With(c)
+			}
+			for _, s := range v.Servers {
+				assert.Equal(t, s.Draining, test.want)
+			}
+		})
+	}
+}
+
+// TestLeavingForgotten guards against a record of leaving backend servers that grows for ever.
+func TestLeavingForgotten(t *testing.T) {
+	v := NewView()
+	for n := range 1000 {
+		v = v.With(Change{Leaving: &Incarnation{ID: "s", Born: int64(n)}, Time: start.Add(time.Duration(n) * time.Minute)})
+	}
+	assert.Assert(t, len(v.Leaving) <= 11, "%d kept", len(v.Leaving))
+}
+
 // TestRoute guards against requests on the wrong route.
 func TestRoute(t *testing.T) {
 	c := NewConfig(1, []Route{
--- a/mustardseam/hub/report.go
+++ b/mustardseam/hub/report.go
@@ -18,10 +18,11 @@
 	Revision int64                 `json:"revision"` // Of the copy of the store.
 	AgeMS    int64                 `json:"age-ms"`   // Of the copy of the store; -1 without one.
 	Items    []store.Item          `json:"items,omitempty"`
-	Used     map[string]share.Use  `json:"used,omitempty"`  // By team since the latest report that was answered.
-	Loads    map[string]place.Load `json:"loads,omitempty"` // By id of the backend server.
-	Paces    map[string]float64    `json:"paces,omitempty"` // Milliseconds from token to token, measured since the latest report.
-	Sick     []string              `json:"sick,omitempty"`  // Ids of backend servers that failed contacts.
+	Used     map[string]share.Use  `json:"used,omitempty"`    // By team since the latest report that was answered.
+	Loads    map[string]place.Load `json:"loads,omitempty"`   // By id of the backend server.
+	Paces    map[string]float64    `json:"paces,omitempty"`   // Milliseconds from token to token, measured since the latest report.
+	Sick     []string              `json:"sick,omitempty"`    // Ids of backend servers that failed contacts.
+	Leaving  []fleet.Incarnation   `json:"leaving,omitempty"` // Backend servers that said that they leave.
 	Samples  []Sample              `json:"samples,omitempty"`
 	Stopping bool                  `json:"stopping,omitempty"`
 	Placed   bool                  `json:"placed,omitempty"` // The hub knows the requests of the instance from its news.
@@ -46,9 +47,10 @@
 	Levels   map[string]float64    `json:"levels,omitempty"` // Of quotas, for an instance that has just started.
 	Loads    json.RawMessage       `json:"loads,omitempty"`  // A map of place.Load by backend server, over all instances; not always told.
 	Paces    map[string]float64    `json:"paces,omitempty"`
-	Own      map[string]place.Load `json:"own,omitempty"`  // What Loads holds of the instance that reported.
-	Sick     map[string]int        `json:"sick,omitempty"` // Instances that failed to reach a backend server.
-	From     int64                 `json:"from"`           // Revision that the items follow.
+	Own      map[string]place.Load `json:"own,omitempty"`     // What Loads holds of the instance that reported.
+	Sick     map[string]int        `json:"sick,omitempty"`    // Instances that failed to reach a backend server.
+	Leaving  []fleet.Incarnation   `json:"leaving,omitempty"` // As in reports.
+	From     int64                 `json:"from"`              // Revision that the items follow.
 	Revision int64                 `json:"revision"`
 	AgeMS    int64                 `json:"age-ms"`
 	DirectMS int64                 `json:"direct-ms"` // Since the store answered the hub itself; -1 if never.
--- a/mustardseam/place/account.go
+++ b/mustardseam/place/account.go
@@ -18,12 +18,13 @@
 
 // account is what is known of one incarnation of a backend server.
 type account struct {
-	bias     float64   // Of this instance against the backend server, in [0, 1).
-	full     time.Time // It refused for want of room; no request until then.
-	untold   bool      // The pace has changed since it was told.
-	recent   int       // Requests that this instance sent since the latest word of the others.
-	freed    int       // Requests of this instance that ended since then.
-	draw     float64   // In [0, 1), another one with each word of the others; it rounds this instance's part of the slots.
+	bias     float64              // Of this instance against the backend server, in [0, 1).
+	full     time.Time            // It refused for want of room; no request until then.
+	quiet    map[string]time.Time // Until when it wants nothing, by instance; the empty name is this one.
+	untold   bool                 // The pace has changed since it was told.
+	recent   int                  // Requests that this instance sent since the latest word of the others.
+	freed    int                  // Requests of this instance that ended since then.
+	draw     float64              // In [0, 1), another one with each word of the others; it rounds this instance's part of the slots.
 	own      Load
 	others   Load
 	pace     average       // Milliseconds from token to token.
@@ -40,6 +41,24 @@
 // avoided reports whether the backend server should get no request.
 func (a *account) avoided(now time.Time) bool { return now.Before(a.avoid) || now.Before(a.word) }
 
+// quietFor returns for how long the backend server wants nothing from the instance that sends a job.
+func (a *account) quietFor(now time.Time, j *Job) time.Duration { return a.quiet[j.Instance].Sub(now) }
+
+// hush takes in that the backend server wants nothing from an instance for some time.
+func (a *account) hush(now time.Time, instance string, d time.Duration) {
+	if a.quiet == nil {
+		a.quiet = map[string]time.Time{}
+	}
+	for name, until := range a.quiet {
+		if !until.After(now) {
+			delete(a.quiet, name)
+		}
+	}
+	if until := now.Add(d); until.After(a.quiet[instance]) {
+		a.quiet[instance] = until
+	}
+}
+
 // part returns the part of the load that a job belongs to.
 func (a *account) part(j *Job) *Load {
 	if j.Instance != "" {
--- a/mustardseam/place/board.go
+++ b/mustardseam/place/board.go
@@ -30,6 +30,7 @@
 	random   func() float64
 	self     string
 	unheard  float64
+	quiet    time.Time // Until then a backend server may want nothing from some instance.
 	nodes    int
 	served   int              // Instances for which this one places, itself included.
 	parts    map[list]float64 // How much of the free slots the instances may use; until the next word.
@@ -112,13 +113,38 @@
 // anyHealthy reports whether there is a backend server that is not avoided and has not had the job.
 func (b *Board) anyHealthy(now time.Time, servers []*fleet.Server, j *Job) bool {
 	for _, s := range servers {
-		if !j.tried(s.Incarnation()) && !b.account(s).avoided(now) {
+		if a := b.account(s); !j.tried(s.Incarnation()) && !a.avoided(now) && a.quietFor(now, j) <= 0 {
 			return true
 		}
 	}
 	return false
 }
 
+// Quiet returns for how long all candidates want nothing from the instance that sends a job; 0 when one takes requests.
+func (b *Board) Quiet(now time.Time, c Candidates, j *Job) time.Duration {
+	least := time.Duration(0)
+	for _, list := range [][]*fleet.Server{c.Servers, c.Spare} {
+		for _, s := range list {
+			left := b.account(s).quietFor(now, j)
+			if left <= 0 {
+				return 0
+			}
+			if least == 0 || left < least {
+				least = left
+			}
+		}
+	}
+	return least
+}
+
+// AnyQuiet reports whether instances may differ in the backend servers that take their requests.
+func (b *Board) AnyQuiet(now time.Time) bool { return now.Before(b.quiet) }
+
+// Takes reports whether a backend server takes requests from the instance that sends a job, whatever its room.
+func (b *Board) Takes(now time.Time, s *fleet.Server, j *Job) bool {
+	return b.account(s).quietFor(now, j) <= 0
+}
+
 // cheapest returns the two candidates with the least expected cost among those from one on, a number of steps apart.
 func (b *Board) cheapest(
 	now time.Time, svc *fleet.Service, servers []*fleet.Server, j *Job, l limits, from, step int,
@@ -127,7 +153,7 @@
 	for i := from; i < len(servers); i += step {
 		s := servers[i]
 		a := b.account(s)
-		if now.Before(a.full) || !b.room(a, svc, s, l) {
+		if now.Before(a.full) || a.quietFor(now, j) > 0 || !b.room(a, svc, s, l) {
 			continue
 		}
 		if !l.doubtful && (a.avoided(now) || j.tried(s.Incarnation())) {
--- a/mustardseam/place/outcome.go
+++ b/mustardseam/place/outcome.go
@@ -36,6 +36,7 @@
 	Answered  bool          `json:"answered,omitempty"`  // An answer came, good or not.
 	OK        bool          `json:"ok,omitempty"`        // The answer was a success and complete.
 	Refused   bool          `json:"refused,omitempty"`   // The backend server said that it did not run the job.
+	Quiet     time.Duration `json:"quiet-ns,omitempty"`  // The backend server wants nothing from the instance for so long.
 	Unreached bool          `json:"unreached,omitempty"` // No connection could be made.
 	Left      bool          `json:"left,omitempty"`      // The caller left or the deadline passed; no word on the backend server.
 	First     bool          `json:"first,omitempty"`     // The first event has come.
@@ -58,6 +59,12 @@
 	case o.Refused:
 		a.answered = now
 		a.full = now.Add(fullPause)
+		if o.Quiet > 0 {
+			a.hush(now, j.Instance, o.Quiet)
+			if until := now.Add(o.Quiet); until.After(b.quiet) {
+				b.quiet = until
+			}
+		}
 	case o.Answered:
 		a.answer(now, o.OK)
 	default:
--- a/mustardseam/place/wait.go
+++ b/mustardseam/place/wait.go
@@ -43,6 +43,15 @@
 	return max(0, min(max(after, leastReturn), left))
 }
 
+// RefuseQuiet returns the refusal of a job whose backend servers all want nothing for longer than the job may wait, and nil
+// when it may wait.
+func RefuseQuiet(now time.Time, j *Job, quiet time.Duration) *Refusal {
+	if quiet <= 0 || now.Add(quiet).Before(j.Until()) {
+		return nil
+	}
+	return &Refusal{Reason: "all backend servers want no requests", After: j.comeBack(now, quiet)}
+}
+
 // Refuse returns a refusal when a job would wait for longer than its caller is willing to, and nil when it may wait.
 func (q *Queue) Refuse(now time.Time, j *Job) *Refusal {
 	until := j.Until()
