Bound what has no end, and keep one bad message from ending a process

Cause, each shown by a test that fails on the commit before:

- A trailer was read without a bound: 2.6 GB in the 10 s of the test (TestEndless).
An event without an end was no broken answer but an unknown error (TestEndlessEvents).
Answers were bounded each, 8 MB, not together: 30 of them take an instance of 184 MB.
- Comments of a stream counted as events: a backend server that sent comments kept a stream for ever (TestStalledStreamGoesOn).
- A body that ends with its connection was passed on with a length or a last chunk, which says that it is complete (TestCutEnd).
- A panic in the handling of a request ended the process (TestUnexpectedError).
An answer of another instance with loads of its own and no sum ended the exchange of reports for good (TestMalformedDigest).
- The entry of a backend server that was overwritten by one that cannot be read left the old one in use (TestUnreadableEntry): the change was made and not applied.

A request without an id, or sent to a backend server once more, gets a connection of its own: the id cannot tell a late second copy there (TestSecondCopy, new code). An idle connection is read once more before it is closed.

Ruled out: TestEndlessAnswers, TestMalformedMessages and TestStopUnderLoad pass on the old code as well; they stay as guards.

Before and after: the tests above, failed on the old code, pass now.

--- a/mustardseam/entry/attempt.go
+++ b/mustardseam/entry/attempt.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"slices"
 	"time"
 
 	"github.com/mustardseam/mustardseam/mustardseam/fleet"
@@ -32,6 +33,7 @@
 	pause    time.Duration // Longest between events.
 	status   int           // That the caller got.
 	reason   string
+	grant    *Grant // Of the try that goes on; nil between tries.
 }
 
 // fate is how a try at a backend server ended.
@@ -44,6 +46,9 @@
 	left                 // The caller has gone.
 )
 
+// tried reports whether a backend server has had the request.
+func (a *attempt) tried(s *fleet.Server) bool { return slices.Contains(a.job.Tried, s.Incarnation()) }
+
 // mayRepeat reports whether the request may go to another backend server.
 func (a *attempt) mayRepeat() bool {
 	return a.runs == 0 || a.route.Repeatable() && a.runs < max(1, a.route.Attempts)
--- a/mustardseam/entry/conduct.go
+++ b/mustardseam/entry/conduct.go
@@ -39,7 +39,7 @@
 		}
 		v := r.i.view.Load()
 		for service, order := range v.Rollouts {
-			r.step(v, service, order)
+			r.i.contain("rollout", func() { r.step(v, service, order) })
 		}
 	}
 }
--- a/mustardseam/entry/gossip.go
+++ b/mustardseam/entry/gossip.go
@@ -63,12 +63,14 @@
 	for g.i.ctx.Err() == nil {
 		now := time.Now()
 		target, ok := g.target(now)
-		if ok {
-			g.report(target)
-		} else {
-			g.lead(now)
-		}
-		g.i.scheduler.Pump()
+		g.i.contain("report", func() {
+			if ok {
+				g.report(target)
+			} else {
+				g.lead(now)
+			}
+			g.i.scheduler.Pump()
+		})
 		g.mu.Lock()
 		n := g.nodes
 		g.mu.Unlock()
--- a/mustardseam/entry/handler.go
+++ b/mustardseam/entry/handler.go
@@ -34,7 +34,9 @@
 	i.metrics.requests.Inc()
 	i.active.Add(1)
 	defer i.active.Add(-1)
-	i.answer(a)
+	if !i.contain("request", func() { i.answer(a) }) {
+		i.contain("end of a request", func() { i.abandon(a) })
+	}
 	i.metrics.done(a)
 	i.logDone(a)
 }
--- a/mustardseam/entry/instance.go
+++ b/mustardseam/entry/instance.go
@@ -81,7 +81,7 @@
 	i.view.Store(fleet.NewView())
 	i.bounds.Store(&cfg.Bounds)
 	i.scheduler = newScheduler(schedulerConfig{
-		node: cfg.Name, bounds: cfg.Bounds, view: i.view.Load,
+		node: cfg.Name, bounds: cfg.Bounds, view: i.view.Load, contain: i.contain,
 	})
 	i.metrics = newMeters(i)
 	i.gossip = newGossip(i)
@@ -95,7 +95,9 @@
 		Reached: func() { event.StoreBack.On(i.log()).Send() },
 		Lost:    func(err error) { event.StoreFailed.On(i.log()).Err(err).Send() },
 	})
-	i.peers = hub.NewServer(hub.ServerConfig{Listener: cfg.Peers, Answer: i.gossip.answer, Place: i.gossip.place, Dump: i.Dump})
+	i.peers = hub.NewServer(hub.ServerConfig{
+		Listener: cfg.Peers, Answer: i.gossip.answer, Place: i.gossip.place, Dump: i.Dump, Contain: i.contain,
+	})
 	i.server = http1.NewServer(http1.ServerConfig{
 		Listener: cfg.Callers, Connections: cfg.Conns, Limits: i.limits, Handle: i.handle, Log: i.logger,
 	})
@@ -132,16 +134,17 @@
 	now := time.Now()
 	v := i.view.Load()
 	for _, item := range items {
-		c, ours, err := i.cfg.Codec.Decode(item, lapse, now)
-		if err != nil {
-			event.BadItem.On(i.log()).Str("key", item.Key).Int64("revision", item.Revision).Err(err).Send()
-			continue
-		}
-		if !ours {
-			continue
-		}
-		v = v.With(c)
-		i.logChange(item, c)
+		i.contain("item of the store", func() {
+			c, ours, err := i.cfg.Codec.Decode(item, lapse, now)
+			if err != nil {
+				event.BadItem.On(i.log()).Str("key", item.Key).Int64("revision", item.Revision).Err(err).Send()
+			}
+			if !ours {
+				return
+			}
+			v = v.With(c)
+			i.logChange(item, c)
+		})
 	}
 	i.view.Store(v)
 	i.scheduler.Pump()
@@ -158,13 +161,15 @@
 			return
 		case <-ticker.C:
 		}
-		now := time.Now()
-		i.dropLapsed(now)
-		if now.Sub(swept) >= sweepEvery {
-			swept = now
-			i.client.Sweep(now, i.listed)
-			i.scheduler.sweep(now, i.listed)
-		}
+		i.contain("sweep", func() {
+			now := time.Now()
+			i.dropLapsed(now)
+			if now.Sub(swept) >= sweepEvery {
+				swept = now
+				i.client.Sweep(now, i.listed)
+				i.scheduler.sweep(now, i.listed)
+			}
+		})
 	}
 }
 
--- a/mustardseam/entry/metrics.go
+++ b/mustardseam/entry/metrics.go
@@ -13,6 +13,7 @@
 	requests *metrics.Counter
 	retries  *metrics.Counter
 	resumed  *metrics.Counter
+	panics   *metrics.Counter // That were contained.
 	byHub    *metrics.Counter
 	byItself *metrics.Counter
 	first    *metrics.Histogram // Seconds from the arrival to the first event.
@@ -32,6 +33,7 @@
 		requests: set.NewCounter("mustardseam_requests_total"),
 		retries:  set.NewCounter("mustardseam_retries_total"),
 		resumed:  set.NewCounter("mustardseam_streams_resumed_total"),
+		panics:   set.NewCounter("mustardseam_panics_total"),
 		byHub:    set.NewCounter(`mustardseam_placed_total{by="hub"}`),
 		byItself: set.NewCounter(`mustardseam_placed_total{by="itself"}`),
 		first:    set.NewHistogram("mustardseam_first_event_seconds"),
--- a/mustardseam/entry/pump.go
+++ b/mustardseam/entry/pump.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"slices"
 	"time"
 
 	"github.com/mustardseam/mustardseam/mustardseam/fleet"
@@ -64,7 +65,7 @@
 	again = func() {
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		s.pump(time.Now())
+		s.cfg.contain("placing of waiting requests", func() { s.pump(time.Now()) })
 		if len(s.waiting) == 0 {
 			s.pumping = false
 			return
@@ -97,6 +98,22 @@
 	return s.start(now, v, svc, srv, j), false
 }
 
+// elsewhere reports whether another backend server has room for the request of a grant.
+func (s *Scheduler) elsewhere(g *Grant) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now, v := time.Now(), s.cfg.view()
+	svc := v.Config.Service(g.Service.Name)
+	if svc == nil {
+		return false
+	}
+	j := *g.job
+	j.Tried = append(slices.Clone(j.Tried), g.Server.Incarnation())
+	c, _ := s.candidates(now, v, svc, s.placedFor(&j))
+	srv := s.board.Choose(now, c, &j, j.Deep(now), false)
+	return srv != nil && !slices.Contains(j.Tried, srv.Incarnation())
+}
+
 // quiet returns for how long all backend servers of a service want nothing from the instance of a job; mu is held.
 func (s *Scheduler) quiet(now time.Time, service string, j *place.Job) time.Duration {
 	v := s.cfg.view()
--- a/mustardseam/entry/report.go
+++ b/mustardseam/entry/report.go
@@ -107,25 +107,31 @@
 	if first {
 		g.i.scheduler.adopt(now, d.Levels)
 	}
-	var others map[string]place.Load // Nil when the hub left them out.
-	if err := decodeLoads(d.Loads, &others); err != nil {
-		event.HubLost.On(g.i.log()).Str("hub", to.Name).Err(eris.Wrap(err, "decode loads")).Send()
+	others, err := decodeLoads(d)
+	if err != nil {
+		event.HubLost.On(g.i.log()).Str("hub", to.Name).Err(err).Send()
 		return
 	}
-	for id, own := range d.Own {
-		others[id] = others[id].Minus(own)
-	}
 	g.i.scheduler.hear(now, hearing{
 		loads: others, paces: d.Paces, nodes: d.Nodes, sharers: len(d.Nodes), used: used, sick: d.Sick, until: now.Add(sickWord),
 	})
 }
 
-// decodeLoads decodes loads, if there are any.
-func decodeLoads(raw json.RawMessage, loads *map[string]place.Load) error {
-	if len(raw) == 0 {
-		return nil
+// decodeLoads returns what the other instances have sent, or nil when the hub left it out.
+func decodeLoads(d hub.Digest) (map[string]place.Load, error) {
+	if len(d.Loads) == 0 {
+		return nil, nil
+	}
+	others := map[string]place.Load{}
+	if err := json.Unmarshal(d.Loads, &others); err != nil {
+		return nil, eris.Wrap(err, "decode loads")
+	}
+	for id, own := range d.Own {
+		if l, ok := others[id]; ok {
+			others[id] = l.Minus(own)
+		}
 	}
-	return json.Unmarshal(raw, loads)
+	return others, nil
 }
 
 // answer is the hub's part of a report.
--- a/mustardseam/entry/scheduler.go
+++ b/mustardseam/entry/scheduler.go
@@ -39,9 +39,11 @@
 	node   string
 	bounds Bounds
 	view   func() *fleet.View
+	// contain runs a task so that a panic in it does not end the process.
+	contain func(task string, f func()) bool
 }
 
-// Grant is the right to send a request to a backend server; Finish must be called for it.
+// Grant is the right to send a request to a backend server; Finish must be called for it and counts once.
 type Grant struct {
 	Server  *fleet.Server
 	Service *fleet.Service
@@ -51,6 +53,7 @@
 	job     *place.Job
 	id      int64 // By which the hub knows the request; 0 when it was not told of it.
 	began   bool  // The first event of a request of another instance has come.
+	ended   bool  // Finish was called; guarded by the mutex of the scheduler.
 }
 
 // asker lets another instance place requests.
@@ -67,6 +70,9 @@
 
 func newScheduler(cfg schedulerConfig) *Scheduler {
 	cfg.bounds.Quota.Start = time.Now()
+	if cfg.contain == nil {
+		cfg.contain = func(_ string, f func()) bool { f(); return true }
+	}
 	return &Scheduler{
 		cfg: cfg, board: place.NewBoard(place.BoardConfig{Self: cfg.node}), queues: map[string]*place.Queue{},
 		waiting: map[*place.Waiting]func(*Grant){}, running: map[string]int{}, nodes: []string{cfg.node},
@@ -133,6 +139,10 @@
 func (s *Scheduler) Finish(g *Grant, o place.Outcome) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if g.ended {
+		return
+	}
+	g.ended = true
 	now := time.Now()
 	s.finish(now, g, o)
 	if s.asks != nil {
--- a/mustardseam/entry/stream.go
+++ b/mustardseam/entry/stream.go
@@ -7,6 +7,8 @@
 	"strconv"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/mustardseam/mustardseam/mustardseam/http1"
 	"github.com/mustardseam/mustardseam/mustardseam/place"
 )
@@ -15,6 +17,9 @@
 // tell others that its backend server is slow.
 var paceAfter = map[int]bool{3: true, 6: true, 12: true, 24: true, 48: true, 96: true, 192: true}
 
+// maxComments bounds the comments before the first event, in bytes, which are held until it comes.
+const maxComments = 4 << 10
+
 // stream hands on the events of an answer. Where the request was sent before, the events go on after the last one that
 // the caller has.
 func (i *Instance) stream(ctx context.Context, a *attempt, g *Grant, resp *http1.Response, sent time.Time, w *watch) fate {
@@ -22,16 +27,34 @@
 	events := http1.NewEvents(resp)
 	o := place.Outcome{Answered: true}
 	var first, latest time.Time
+	var comments []byte // Before the first event.
 	n := 0
 	for {
-		raw, id, err := events.Next()
+		ev, err := events.Next()
 		switch {
-		case errors.Is(err, io.EOF) && (n > 0 || resp.Framed()):
+		case errors.Is(err, io.EOF) && i.ends(a, resp, n):
+			if len(comments) > 0 && !a.exchange.Started() {
+				i.begin(a, resp)
+				_ = a.exchange.Send(comments) // A caller that has gone shows at the end.
+			}
 			return i.complete(a, g, resp, o, sent, first, latest, n)
 		case err != nil:
 			return i.broken(ctx, a, g, o, err)
 		}
-		if number, err := strconv.ParseInt(id, 10, 64); err == nil {
+		if ev.Comment && !a.exchange.Started() {
+			// Comments are no sign that the request is worked on, so the answer does not begin with them.
+			if comments = append(comments, ev.Raw...); len(comments) > maxComments {
+				return i.broken(ctx, a, g, o, eris.Wrap(http1.ErrBroken, "comments without an event"))
+			}
+			continue
+		}
+		if ev.Comment {
+			if err := a.exchange.Send(ev.Raw); err != nil {
+				return i.gone(a, g, o)
+			}
+			continue
+		}
+		if number, err := strconv.ParseInt(ev.ID, 10, 64); err == nil {
 			if done, err := strconv.ParseInt(a.last, 10, 64); err == nil && number <= done {
 				continue
 			}
@@ -53,27 +76,43 @@
 		}
 		w.seen(latest)
 		if !a.exchange.Started() {
-			a.status = resp.Header.StatusCode()
 			i.metrics.first.UpdateDuration(a.exchange.Arrived)
-			a.exchange.Begin(i.cfg.Wire.Answer(&resp.Header))
+			i.begin(a, resp)
 		}
-		if err := a.exchange.Send(raw); err != nil {
-			a.reason = "caller has gone"
-			o.Left = true
-			i.scheduler.Finish(g, o)
-			return left
+		if err := a.exchange.Send(append(comments, ev.Raw...)); err != nil {
+			return i.gone(a, g, o)
 		}
-		if id != "" {
-			a.last = id
+		comments = nil
+		if ev.ID != "" {
+			a.last = ev.ID
 		}
 	}
 }
 
+// begin sends the header of a stream to the caller.
+func (i *Instance) begin(a *attempt, resp *http1.Response) {
+	a.status = resp.Header.StatusCode()
+	a.exchange.Begin(i.cfg.Wire.Answer(&resp.Header), resp.Framed())
+}
+
+// ends reports whether the end of the connection may be the end of a stream of which n events came. A stream that does not
+// tell where it ends may have been cut; its caller must not get an end that says it is complete.
+func (i *Instance) ends(a *attempt, resp *http1.Response, n int) bool {
+	return resp.Framed() || n > 0 && (!a.exchange.Started() || !a.exchange.Framed())
+}
+
+// gone ends a stream whose caller has left.
+func (i *Instance) gone(a *attempt, g *Grant, o place.Outcome) fate {
+	a.reason = "caller has gone"
+	o.Left = true
+	i.scheduler.Finish(g, o)
+	return left
+}
+
 // complete ends a stream that the backend server ended.
 func (i *Instance) complete(a *attempt, g *Grant, resp *http1.Response, o place.Outcome, sent, first, latest time.Time, n int) fate {
 	if !a.exchange.Started() {
-		a.status = resp.Header.StatusCode()
-		a.exchange.Begin(i.cfg.Wire.Answer(&resp.Header))
+		i.begin(a, resp)
 	}
 	a.exchange.End()
 	a.reason = "answered"
@@ -92,10 +131,7 @@
 	a.reason = err.Error()
 	switch cause := context.Cause(ctx); {
 	case errors.Is(cause, http1.ErrGone):
-		o.Left = true
-		i.scheduler.Finish(g, o)
-		a.reason = "caller has gone"
-		return left
+		return i.gone(a, g, o)
 	case errors.Is(cause, errTimeout) || !time.Now().Before(a.job.Deadline):
 		o.Left = true
 		i.scheduler.Finish(g, o)
--- a/mustardseam/entry/try.go
+++ b/mustardseam/entry/try.go
@@ -25,12 +25,13 @@
 	defer cancel(nil)
 	sent := time.Now()
 	a.sends++
+	a.grant = g
 	w := i.watch(a, g, cancel)
 	a.paid = false
 	defer func() { a.paid = w.stop() || a.paid }()
 	resp, err := i.client.Do(ctx, i.call(a, g))
 	if err != nil {
-		return i.failed(ctx, a, g, err)
+		return i.failed(ctx, a, g, sent, err)
 	}
 	defer resp.Close()
 	verdict := i.cfg.Wire.Verdict(&resp.Header)
@@ -41,7 +42,7 @@
 	status := resp.Header.StatusCode()
 	switch {
 	case verdict == NotRun || verdict == Elsewhere:
-		_, _ = resp.Body(maxAnswer)
+		resp.Skip()
 		a.reason = "backend server did not run the request"
 		// Another backend server at the address means that the entry is outdated: this one is gone.
 		i.scheduler.Finish(g, place.Outcome{Refused: verdict == NotRun, Quiet: notice.Quiet})
@@ -70,14 +71,14 @@
 	}
 	call := http1.Call{
 		Server: g.Server, Head: i.cfg.Wire.Forward(a.exchange.Header, f), Body: a.exchange.Body, Deadline: a.job.Deadline,
-		Once: !a.route.Repeatable(),
-		Own:  func(h *fasthttp.ResponseHeader) bool { return i.cfg.Wire.Own(h, a.meta.ID) },
+		Once: !a.route.Repeatable(), Alone: a.meta.ID == "" || a.tried(g.Server),
+		Own: func(h *fasthttp.ResponseHeader) bool { return i.cfg.Wire.Own(h, a.meta.ID) },
 	}
 	return call
 }
 
 // failed judges a request without an answer.
-func (i *Instance) failed(ctx context.Context, a *attempt, g *Grant, err error) fate {
+func (i *Instance) failed(ctx context.Context, a *attempt, g *Grant, sent time.Time, err error) fate {
 	a.reason = err.Error()
 	if errors.Is(err, http1.ErrNotSent) {
 		// What never arrived does not count as a repeat; the number of sends keeps it from going on for ever.
@@ -91,19 +92,25 @@
 		a.reason = "caller has gone"
 		return left
 	case errors.Is(cause, errTimeout) || !time.Now().Before(a.job.Deadline):
-		// Silence up to the end speaks against the backend server only if it answered nothing else meanwhile.
-		i.scheduler.Finish(g, place.Outcome{Left: true})
+		// Silence up to the end speaks against the backend server only if it answered nothing else for a while.
+		i.scheduler.Finish(g, place.Outcome{Left: !i.silentSince(g, sent)})
 		return finished
 	}
 	i.scheduler.Finish(g, place.Outcome{Unreached: errors.Is(err, http1.ErrNotSent)})
 	return again
 }
 
+// silentSince reports whether a backend server has answered nothing since a request was sent to it, long enough to speak
+// against it. Bytes that make no answer do not count.
+func (i *Instance) silentSince(g *Grant, sent time.Time) bool {
+	return time.Since(sent) >= silenceLeast && !i.scheduler.Answered(g).After(sent)
+}
+
 // plain hands on an answer in one piece.
 func (i *Instance) plain(ctx context.Context, a *attempt, g *Grant, resp *http1.Response, sent time.Time) fate {
 	body, err := resp.Body(maxAnswer)
 	if err != nil {
-		return i.failed(ctx, a, g, err)
+		return i.failed(ctx, a, g, sent, err)
 	}
 	a.runs++
 	status := resp.Header.StatusCode()
@@ -120,7 +127,11 @@
 	}
 	a.status = status
 	a.reason = "answered"
-	a.exchange.Reply(i.cfg.Wire.Answer(&resp.Header), body)
+	if h := i.cfg.Wire.Answer(&resp.Header); resp.Framed() {
+		a.exchange.Reply(h, body)
+	} else {
+		a.exchange.ReplyToEnd(h, body)
+	}
 	return answered
 }
 
--- a/mustardseam/entry/watch.go
+++ b/mustardseam/entry/watch.go
@@ -52,8 +52,8 @@
 			w.timer.Reset(w.limit / 2)
 			return
 		}
-		if !i.scheduler.Retry(a.service) {
-			// Without a retry the request has nowhere to go; it may still be answered.
+		if !i.scheduler.elsewhere(g) || !i.scheduler.Retry(a.service) {
+			// Without a retry and a place the request has nowhere to go; it may still be answered.
 			w.timer.Reset(w.limit / 2)
 			return
 		}
--- a/mustardseam/entry/wire.go
+++ b/mustardseam/entry/wire.go
@@ -28,7 +28,8 @@
 
 // Codec translates the items of the store.
 type Codec interface {
-	// Decode returns the change that an item stands for, and false when it is none of this system's business.
+	// Decode returns the change that an item stands for, and false when it is none of this system's business. With an error,
+	// the change is what holds while the item cannot be read, if anything.
 	Decode(i store.Item, lapse bool, now time.Time) (fleet.Change, bool, error)
 	// Node returns the item under which an instance registers itself.
 	Node(n fleet.Node) (key string, value []byte, err error)
--- a/mustardseam/event/catalogue.go
+++ b/mustardseam/event/catalogue.go
@@ -73,6 +73,7 @@
 	StopStep     = Event{7011, "stop-progress", zerolog.InfoLevel, "planned stop goes on"}
 	PlacingFound = Event{7012, "placing-found", zerolog.InfoLevel, "hub places the requests of this instance to engines"}
 	PlacingLost  = Event{7013, "placing-lost", zerolog.WarnLevel, "hub does not place any more; the instance places its requests itself"}
+	Contained    = Event{7014, "panic-contained", zerolog.ErrorLevel, "unexpected error ended one task; the instance goes on"}
 )
 
 // All returns every event in the order of the numbers.
@@ -85,6 +86,6 @@
 		NotRun, Resumed, Incomplete, Unreported, ReportFailed, Ordered, OrderDelayed, OrderFailed,
 		RolledBack, RolloutStep, RolloutDone, RolloutLate, RolloutWrite,
 		Answered, Retried, Reloaded, ReloadFailed, BadItem, Believed, HubChosen, HubLost, Registered, StoreRefused, StopStep,
-		PlacingFound, PlacingLost,
+		PlacingFound, PlacingLost, Contained,
 	}
 }
--- a/mustardseam/http1/call.go
+++ b/mustardseam/http1/call.go
@@ -15,5 +15,6 @@
 	Body     []byte
 	Deadline time.Time
 	Once     bool                                  // The request may run only once.
+	Alone    bool                                  // The answer cannot be told from a late one to an earlier request, so the connection is new and carries nothing else.
 	Own      func(h *fasthttp.ResponseHeader) bool // Reports whether an answer is the one to this request.
 }
--- a/mustardseam/http1/client.go
+++ b/mustardseam/http1/client.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -31,6 +32,11 @@
 	resetTime = 50 * time.Millisecond
 	// maxIdle bounds the idle connections to one backend server.
 	maxIdle = 32
+	// maxHeld bounds the bytes of answers in one piece that are held in memory at a time beyond freeHeld for each. Without
+	// it a few backend servers whose answers have no end would take the memory of the instance.
+	maxHeld = 32 << 20
+	// freeHeld is what an answer may always hold; nearly all are shorter.
+	freeHeld = 64 << 10
 )
 
 // Client sends requests to backend servers and keeps connections open for further ones; its methods are safe for
@@ -41,6 +47,7 @@
 	idle   map[fleet.Incarnation][]*clientConn // Latest used last; guarded by mu.
 	stale  time.Duration                       // Least idle time after which a connection was found reset; guarded by mu.
 	dials  int                                 // Guarded by mu.
+	held   atomic.Int64                        // Bytes of answers beyond freeHeld for each.
 }
 
 // NewClient returns a client without connections.
@@ -88,7 +95,7 @@
 		cc.close()
 		return nil, err
 	}
-	r.client, r.server, r.stop = c, call.Server.Incarnation(), stop
+	r.client, r.server, r.stop, r.alone = c, call.Server.Incarnation(), stop, call.Alone
 	return r, nil
 }
 
@@ -129,7 +136,7 @@
 
 // connection returns an idle connection that is still open, or a new one.
 func (c *Client) connection(ctx context.Context, call Call) (*clientConn, error) {
-	for {
+	for !call.Alone {
 		cc := c.take(call.Server.Incarnation(), call.Once)
 		if cc == nil {
 			break
--- a/mustardseam/http1/events.go
+++ b/mustardseam/http1/events.go
@@ -8,8 +8,15 @@
 	"github.com/rotisserie/eris"
 )
 
-// maxEvent bounds an event of a stream in bytes.
-const maxEvent = 1 << 20
+// maxEvent bounds an event of a stream in bytes, with the comments before it. Events hold a few tokens.
+const maxEvent = 256 << 10
+
+// Event is a part of a stream that ends with an empty line.
+type Event struct {
+	Raw     []byte // With the empty line.
+	ID      string // Empty when it has none.
+	Comment bool   // It has no field, only comments or empty lines, which say nothing to the caller.
+}
 
 // Events splits a stream of events (text/event-stream) into whole events.
 type Events struct {
@@ -19,24 +26,25 @@
 // NewEvents reads events from a body.
 func NewEvents(r io.Reader) *Events { return &Events{br: bufio.NewReader(r)} }
 
-// Next returns the next event with its id, which is empty when it has none. The error is io.EOF after a complete stream;
-// a stream that ends inside an event is not complete.
-func (e *Events) Next() (raw []byte, id string, err error) {
+// Next returns the next event. The error is io.EOF after a complete stream; a stream that ends inside an event is not
+// complete.
+func (e *Events) Next() (Event, error) {
+	var raw []byte
 	for {
 		line, err := e.br.ReadSlice('\n')
 		raw = append(raw, line...)
 		switch {
-		case err == bufio.ErrBufferFull && len(raw) < maxEvent:
+		case len(raw) > maxEvent:
+			return Event{}, eris.Wrap(ErrBroken, "event is too long")
+		case err == bufio.ErrBufferFull:
 			continue
 		case err == io.EOF && len(bytes.TrimSpace(raw)) > 0:
-			return nil, "", eris.Wrap(ErrBroken, "stream ends inside an event")
+			return Event{}, eris.Wrap(ErrBroken, "stream ends inside an event")
 		case err != nil:
-			return nil, "", err
-		case len(raw) > maxEvent:
-			return nil, "", eris.Wrap(ErrBroken, "event is too long")
+			return Event{}, err
 		}
 		if bytes.HasSuffix(raw, []byte("\n\n")) || bytes.HasSuffix(raw, []byte("\r\n\r\n")) {
-			return raw, eventID(raw), nil
+			return Event{Raw: raw, ID: eventID(raw), Comment: isComment(raw)}, nil
 		}
 	}
 }
@@ -51,3 +59,13 @@
 	}
 	return id
 }
+
+// isComment reports whether no line is a field.
+func isComment(raw []byte) bool {
+	for line := range bytes.Lines(raw) {
+		if line[0] != ':' && len(bytes.TrimSpace(line)) > 0 {
+			return false
+		}
+	}
+	return true
+}
--- a/mustardseam/http1/exchange.go
+++ b/mustardseam/http1/exchange.go
@@ -16,6 +16,7 @@
 	conn    *serverConn
 	bw      *bufio.Writer
 	started bool
+	toEnd   bool // The answer ends with the connection.
 	ended   bool
 	failed  bool
 }
@@ -33,15 +34,41 @@
 	e.flush()
 }
 
-// Begin starts an answer whose length is not known.
-func (e *Exchange) Begin(h Head) {
-	e.header(h, -1)
+// ReplyToEnd answers with a body that ends with the connection. A body that came in this way may have been cut, and a
+// length would say that it was not.
+func (e *Exchange) ReplyToEnd(h Head, body []byte) {
+	e.toEnd = true
+	e.header(h, toEnd)
+	if !e.Request.Header.IsHead() {
+		e.write(body)
+	}
+	e.ended = true
+	e.flush()
+}
+
+// Begin starts an answer whose length is not known. It ends with the connection unless framed says that the caller is to
+// see whether it is complete.
+func (e *Exchange) Begin(h Head, framed bool) {
+	e.toEnd = !framed
+	if framed {
+		e.header(h, chunked)
+	} else {
+		e.header(h, toEnd)
+	}
 	e.flush()
 }
 
+// Framed reports whether an answer that was begun shows the caller whether it is complete.
+func (e *Exchange) Framed() bool { return !e.toEnd }
+
 // Send sends a piece of an answer that was begun; the error says that the caller has gone.
 func (e *Exchange) Send(piece []byte) error {
-	if len(piece) > 0 {
+	switch {
+	case len(piece) == 0:
+	case e.toEnd:
+		e.write(piece)
+		e.flush()
+	default:
 		e.write(strconv.AppendInt(nil, int64(len(piece)), 16))
 		e.write([]byte("\r\n"))
 		e.write(piece)
@@ -56,7 +83,9 @@
 
 // End completes an answer that was begun.
 func (e *Exchange) End() {
-	e.write([]byte("0\r\n\r\n"))
+	if !e.toEnd {
+		e.write([]byte("0\r\n\r\n"))
+	}
 	e.ended = true
 	e.flush()
 }
--- a/mustardseam/http1/head.go
+++ b/mustardseam/http1/head.go
@@ -24,19 +24,26 @@
 	return h
 }
 
-// bytes returns the header as sent; a length below 0 means that the body comes in chunks.
+// Framings of a body whose length is not known.
+const (
+	chunked = -1 // In chunks.
+	toEnd   = -2 // It ends with the connection.
+)
+
+// bytes returns the header as sent; a length below 0 is a framing.
 func (h Head) bytes(length int, last bool) []byte {
 	b := append([]byte("HTTP/1.1 "), strconv.Itoa(h.Status)...)
 	b = append(b, ' ')
 	b = append(b, fasthttp.StatusMessage(h.Status)...)
 	b = append(b, "\r\n"...)
 	b = appendFields(b, h.Fields)
-	if length >= 0 {
+	switch {
+	case length >= 0:
 		b = appendField(b, fasthttp.HeaderContentLength, strconv.Itoa(length))
-	} else {
+	case length == chunked:
 		b = appendField(b, fasthttp.HeaderTransferEncoding, "chunked")
 	}
-	if last {
+	if last || length == toEnd {
 		b = appendField(b, fasthttp.HeaderConnection, "close")
 	}
 	return append(b, "\r\n"...)
--- a/mustardseam/http1/response.go
+++ b/mustardseam/http1/response.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"io"
 	"net/http/httputil"
+	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -23,8 +24,19 @@
 	client *Client
 	server fleet.Incarnation
 	stop   func() bool
+	alone  bool // The connection carries no other request.
 }
 
+const (
+	// trailerBytes bounds the trailer of a chunked body.
+	trailerBytes = 16 << 10
+	// skipBytes and skipTime bound the reading of a body that is not needed. A connection whose body is longer is closed.
+	skipBytes = 16 << 10
+	skipTime  = 100 * time.Millisecond
+	// bodyStep is the least room for a read of a body.
+	bodyStep = 4 << 10
+)
+
 // open prepares the reading of the body.
 func (r *Response) open(head bool) {
 	switch n := r.Header.ContentLength(); {
@@ -55,16 +67,43 @@
 	return n, nil
 }
 
-// Body reads the whole body of at most limit bytes.
+// Body reads the whole body of at most limit bytes. It fails with ErrBroken as well when answers together would hold too
+// much memory.
 func (r *Response) Body(limit int) ([]byte, error) {
-	b, err := io.ReadAll(io.LimitReader(r, int64(limit)+1))
-	if err != nil {
-		return nil, err
+	if n := r.Header.ContentLength(); n > limit {
+		return nil, eris.Wrapf(ErrBroken, "body of backend server %s has %d bytes, more than %d", r.server.ID, n, limit)
 	}
-	if len(b) > limit {
-		return nil, eris.Wrapf(ErrBroken, "body of backend server %s is longer than %d bytes", r.server.ID, limit)
+	var held int64
+	defer func() { r.client.held.Add(-held) }()
+	b := make([]byte, 0, bodyStep)
+	for {
+		if cap(b)-len(b) < bodyStep {
+			b = slices.Grow(b, len(b)+bodyStep)
+			if more := int64(max(0, cap(b)-freeHeld)) - held; more > 0 {
+				held += more
+				if r.client.held.Add(more) > maxHeld {
+					return nil, eris.Wrapf(ErrBroken, "body of backend server %s: answers hold too much memory", r.server.ID)
+				}
+			}
+		}
+		n, err := r.Read(b[len(b):cap(b)])
+		b = b[:len(b)+n]
+		switch {
+		case len(b) > limit:
+			return nil, eris.Wrapf(ErrBroken, "body of backend server %s is longer than %d bytes", r.server.ID, limit)
+		case err == io.EOF:
+			return b, nil
+		case err != nil:
+			return nil, err
+		}
 	}
-	return b, nil
+}
+
+// Skip reads the rest of a short body that is not needed, so that the connection can carry another request.
+func (r *Response) Skip() {
+	r.SetReadDeadline(time.Now().Add(skipTime))
+	// An error shows when the connection is closed.
+	_, _ = io.Copy(io.Discard, io.LimitReader(r, skipBytes))
 }
 
 // SetReadDeadline bounds the wait for the next bytes.
@@ -74,7 +113,7 @@
 // backend server drop the request.
 func (r *Response) Close() {
 	interrupted := !r.stop()
-	if interrupted || !r.whole || !r.framed || r.Header.ConnectionClose() || r.conn.br.Buffered() > 0 || r.conn.keep <= 0 {
+	if interrupted || r.alone || !r.whole || !r.framed || r.Header.ConnectionClose() || r.conn.br.Buffered() > 0 || r.conn.keep <= 0 {
 		r.conn.close()
 		return
 	}
@@ -114,9 +153,9 @@
 	if err != io.EOF {
 		return n, err
 	}
-	for {
+	for read := 0; ; {
 		line, err := c.br.ReadSlice('\n')
-		if err != nil {
+		if read += len(line); err != nil || read > trailerBytes {
 			return n, io.ErrUnexpectedEOF
 		}
 		if len(line) <= len("\r\n") {
--- a/mustardseam/http1/serverconn.go
+++ b/mustardseam/http1/serverconn.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/sourcegraph/conc/panics"
 	"github.com/valyala/fasthttp"
 
 	"github.com/mustardseam/mustardseam/mustardseam/tcp"
@@ -17,6 +18,9 @@
 // headerSlack is the room beyond the limit on headers that lets fasthttp tell a header that is too large.
 const headerSlack = 512
 
+// lastLook is how long an idle connection is read before it is closed, in case a request has just arrived.
+const lastLook = time.Millisecond
+
 // serverConn is a connection of a caller.
 type serverConn struct {
 	server *Server
@@ -41,6 +45,13 @@
 func (c *serverConn) serve() {
 	defer c.server.forget(c)
 	defer func() { _ = c.conn.Close() }()
+	if caught := panics.Try(c.serveRequests); caught != nil {
+		c.server.cfg.Log.Error().Str("error", caught.String()).Msg("unexpected error ended a connection")
+	}
+}
+
+// serveRequests answers the requests on the connection until it ends.
+func (c *serverConn) serveRequests() {
 	for c.awaitRequest() {
 		e, status := c.read()
 		if e == nil {
@@ -53,6 +64,11 @@
 			c.breakOff(e)
 			return
 		}
+		if e.toEnd {
+			// A close with unread bytes would reset the connection, and the answer would look cut.
+			drainInput(c.conn)
+			return
+		}
 		if last {
 			return
 		}
@@ -80,7 +96,7 @@
 			idle = defaultIdleTime
 		}
 		if c.server.closesIdle(c.used) || time.Since(since) >= idle {
-			return false
+			return c.arrived()
 		}
 		c.setIdle(true, since.Add(idle))
 		_, err := c.br.Peek(1)
@@ -97,6 +113,14 @@
 	}
 }
 
+// arrived reports whether a request has come that crosses the close of an idle connection. The wait may have ended before it
+// looked.
+func (c *serverConn) arrived() bool {
+	_ = c.conn.SetReadDeadline(time.Now().Add(lastLook))
+	_, err := c.br.Peek(1)
+	return err == nil
+}
+
 // setIdle says whether the connection waits for a request, and until when.
 func (c *serverConn) setIdle(idle bool, until time.Time) {
 	c.mu.Lock()
--- a/mustardseam/hub/server.go
+++ b/mustardseam/hub/server.go
@@ -23,7 +23,8 @@
 	Listener net.Listener
 	Answer   func(r Report) Digest
 	Place    func(n News) Decisions
-	Dump     func() any // State of the instance, for GET /state.
+	Contain  func(task string, f func()) bool // Runs a task so that a panic in it does not end the process; false after one.
+	Dump     func() any                       // State of the instance, for GET /state.
 }
 
 // Server answers reports.
@@ -43,16 +44,16 @@
 		if err := json.Unmarshal(c.Body(), &r); err != nil || r.Node == "" {
 			return c.SendStatus(fiber.StatusBadRequest)
 		}
-		return c.JSON(cfg.Answer(r))
+		return contained(c, cfg, "report of another instance", func() any { return cfg.Answer(r) })
 	})
 	app.Post(placePath, func(c fiber.Ctx) error {
 		var n News
 		if err := json.Unmarshal(c.Body(), &n); err != nil || n.Node == "" {
 			return c.SendStatus(fiber.StatusBadRequest)
 		}
-		return c.JSON(cfg.Place(n))
+		return contained(c, cfg, "news of another instance", func() any { return cfg.Place(n) })
 	})
-	app.Get("/state", func(c fiber.Ctx) error { return c.JSON(cfg.Dump()) })
+	app.Get("/state", func(c fiber.Ctx) error { return contained(c, cfg, "state dump", cfg.Dump) })
 	s := &Server{app: app, done: make(chan struct{})}
 	go func() {
 		defer close(s.done)
@@ -61,6 +62,15 @@
 	return s
 }
 
+// contained answers with what a function returns, or with an error when it panicked.
+func contained(c fiber.Ctx, cfg ServerConfig, task string, answer func() any) error {
+	var a any
+	if !cfg.Contain(task, func() { a = answer() }) {
+		return c.SendStatus(fiber.StatusInternalServerError)
+	}
+	return c.JSON(a)
+}
+
 // Close ends the server.
 func (s *Server) Close() error {
 	err := s.app.ShutdownWithTimeout(closeTime)
