Share bounds with all that are registered until an instance is settled

Each believed to be alone until the first answer of a hub, 0.3 s later, and took the part of the tolerance that one instance may use after its start for itself: 2,490,872 tokens of one team in the half second from 13.5 s, 250,000 usually. Retries and cold backend servers were shared by the same number. Hubs that had just started told the others levels of which they knew nothing.

Change: for 2 s after its start, or until an instance that knows tells it what the quotas hold, an instance keeps to its standing share among all registered instances. A hub that was started alone is told by an instance that reports to it. A planned end leaves 0.5 s for the end of the process, since its last steps may take 0.3 s.

Ruled out: the burst of the team (the 6.2 s before the loss were within the bound), late reports (none arrived before the requests were admitted).

--- a/mustardseam/entry/gossip.go
+++ b/mustardseam/entry/gossip.go
@@ -34,21 +34,21 @@
 	i      *Instance
 	client *hub.Client
 
-	mu       sync.Mutex
-	table    *hub.Table
-	sequence int64
-	pending  map[string]share.Use // Use that was learned and not reported; guarded by mu, as all that follow.
-	samples  []hub.Sample
-	hub      string // Name of the hub that answered last; empty when this instance is the hub.
-	hubRun   int64
-	hubKnown map[string]share.Use
-	hubItems int64 // Revision of the hub's copy.
-	heard    time.Time
-	heardAge time.Duration        // Since the store answered the hub itself, when it was heard.
-	avoid    map[string]time.Time // Hubs that did not answer.
-	joined   bool                 // A hub has told what was used before this instance started.
-	nodes    int                  // Instances in the latest digest.
-	silent   silence
+	mu        sync.Mutex
+	table     *hub.Table
+	sequence  int64
+	pending   map[string]share.Use // Use that was learned and not reported; guarded by mu, as all that follow.
+	samples   []hub.Sample
+	hub       string // Name of the hub that answered last; empty when this instance is the hub.
+	hubRun    int64
+	hubKnown  map[string]share.Use
+	hubItems  int64 // Revision of the hub's copy.
+	heard     time.Time
+	heardAge  time.Duration        // Since the store answered the hub itself, when it was heard.
+	avoid     map[string]time.Time // Hubs that did not answer.
+	unsettled bool                 // The hub has just started and does not know what was used before.
+	nodes     int                  // Instances in the latest digest.
+	silent    silence
 }
 
 func newGossip(i *Instance) *gossip {
--- a/mustardseam/entry/hearing.go
+++ b/mustardseam/entry/hearing.go
@@ -67,9 +67,9 @@
 	}
 	s.board.Teach(h.paces)
 	s.board.HearSick(now, h.sick, h.until)
-	s.nodes = h.nodes
-	s.sharers = h.sharers
-	s.board.SetNodes(h.sharers, 1+len(s.desk.clients))
+	s.nodes, s.registered = h.nodes, nil
+	s.sharers = max(h.sharers, len(s.members(now)))
+	s.board.SetNodes(s.sharers, 1+len(s.desk.clients))
 	if h.used != nil {
 		s.quota.Hear(now, h.used)
 	}
@@ -115,13 +115,45 @@
 	s.quota.Hear(now, used)
 }
 
-// levels returns what the quotas hold.
+// levels returns what the quotas hold, and nil while this instance does not know it.
 func (s *Scheduler) levels(now time.Time) map[string]float64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if !s.quota.Settled(now) {
+		return nil
+	}
 	return s.quota.Levels(now)
 }
 
+// settled reports whether this instance knows what was used before its start, or has run for a while.
+func (s *Scheduler) settled(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.quota.Settled(now)
+}
+
+// members returns the instances that share the bounds with this one, itself included. Until it is settled, those that are
+// registered count as well: they may be starting at the same time. mu is held.
+func (s *Scheduler) members(now time.Time) []string {
+	if s.quota.Settled(now) {
+		return s.nodes
+	}
+	v := s.cfg.view()
+	if s.registered != v {
+		s.registered, s.starters = v, slices.Clone(s.nodes)
+		heard := map[string]bool{}
+		for _, name := range s.nodes {
+			heard[name] = true
+		}
+		for name := range v.Nodes {
+			if !heard[name] {
+				s.starters = append(s.starters, name)
+			}
+		}
+	}
+	return s.starters
+}
+
 // adopt takes over what the quotas hold according to another instance.
 func (s *Scheduler) adopt(now time.Time, levels map[string]float64) {
 	s.mu.Lock()
--- a/mustardseam/entry/obtain.go
+++ b/mustardseam/entry/obtain.go
@@ -113,7 +113,7 @@
 		return nil
 	}
 	if srv.Cold(now) && svc.ColdRate > 0 {
-		if !s.cold.Take(now, srv, s.cfg.node, s.cold.Allowed(svc.ColdRate, srv, s.cfg.node, s.nodes)) {
+		if !s.cold.Take(now, srv, s.cfg.node, s.cold.Allowed(svc.ColdRate, srv, s.cfg.node, s.members(now))) {
 			return nil
 		}
 	}
--- a/mustardseam/entry/pump.go
+++ b/mustardseam/entry/pump.go
@@ -93,7 +93,7 @@
 	}
 	if srv.Cold(now) && svc.ColdRate > 0 {
 		node := s.placedFor(j)
-		s.cold.Take(now, srv, node, s.cold.Allowed(svc.ColdRate, srv, node, s.nodes))
+		s.cold.Take(now, srv, node, s.cold.Allowed(svc.ColdRate, srv, node, s.members(now)))
 	}
 	return s.start(now, v, svc, srv, j), false
 }
@@ -151,7 +151,7 @@
 	l := s.listing(now, v, svc)
 	c = place.Candidates{Service: svc, Servers: l.warm, Spare: l.lapsed}
 	for _, srv := range l.cold {
-		if s.cold.Free(now, srv, node, s.cold.Allowed(svc.ColdRate, srv, node, s.nodes)) {
+		if s.cold.Free(now, srv, node, s.cold.Allowed(svc.ColdRate, srv, node, s.members(now))) {
 			c.Spare = append(c.Spare[:len(c.Spare):len(c.Spare)], srv)
 		}
 	}
--- a/mustardseam/entry/report.go
+++ b/mustardseam/entry/report.go
@@ -42,7 +42,10 @@
 		Node: g.i.cfg.Name, From: g.i.node(), Run: g.i.run, Sequence: g.sequence, Revision: g.i.follower.Revision(),
 		AgeMS: g.i.storeAge(), Used: g.pending, Loads: own, Paces: paces, Samples: g.samples,
 		Sick: g.i.scheduler.sick(time.Now()), Stopping: g.i.stopping.Load() != nil,
-		Placed: placed, Leaving: g.i.toldLeaving(),
+		Placed: placed, Leaving: g.i.toldLeaving(), Unsettled: !g.i.scheduler.settled(time.Now()),
+	}
+	if g.unsettled && to.Name == g.hub {
+		r.Levels = g.i.scheduler.levels(time.Now())
 	}
 	if r.Revision > g.hubItems && to.Name == g.hub && g.hubItems > 0 {
 		if items, whole, _ := g.i.follower.After(g.hubItems); !whole && len(items) <= catchUpItems {
@@ -101,12 +104,9 @@
 	}
 	g.nodes, g.silent = len(d.Nodes), silence{}
 	g.table.Use(used)
-	first := !g.joined
-	g.joined = true
+	g.unsettled = d.Unsettled
 	g.mu.Unlock()
-	if first {
-		g.i.scheduler.adopt(now, d.Levels)
-	}
+	g.settle(now, d.Levels)
 	others, err := decodeLoads(d)
 	if err != nil {
 		event.HubLost.On(g.i.log()).Str("hub", to.Name).Err(err).Send()
@@ -117,6 +117,13 @@
 	})
 }
 
+// settle takes over what the quotas hold according to another instance, if this one does not know.
+func (g *gossip) settle(now time.Time, levels map[string]float64) {
+	if levels != nil && !g.i.scheduler.settled(now) {
+		g.i.scheduler.adopt(now, levels)
+	}
+}
+
 // decodeLoads returns what the other instances have sent, or nil when the hub left it out.
 func decodeLoads(d hub.Digest) (map[string]place.Load, error) {
 	if len(d.Loads) == 0 {
@@ -174,7 +181,9 @@
 	if len(r.Items) > 0 && r.AgeMS >= 0 {
 		g.i.follower.Hear(r.Items, false, g.i.follower.Revision(), r.Revision, time.Duration(r.AgeMS)*time.Millisecond)
 	}
-	if r.Sequence == 1 {
+	g.settle(now, r.Levels)
+	d.Unsettled = !g.i.scheduler.settled(now)
+	if r.Unsettled {
 		d.Levels = g.i.scheduler.levels(now)
 	}
 	d.Items, d.Whole, d.Revision = g.i.follower.After(r.Revision)
--- /dev/null
+++ b/mustardseam/entry/restart_test.go
@@ -0,0 +1,133 @@
+package entry
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/mustardseam/mustardseam/mustardseam/fleet"
+	"github.com/mustardseam/mustardseam/mustardseam/place"
+	"github.com/mustardseam/mustardseam/mustardseam/share"
+)
+
+// restarts plays instances that share bounds over virtual time; all lose power at one moment.
+type restarts struct {
+	instances int
+	names     []string
+	view      *fleet.View
+	bounds    Bounds
+	nodes     []*Scheduler
+	told      []map[string]share.Use
+	began     time.Time // Of all instances.
+}
+
+func newRestarts(instances int, bounds Bounds) *restarts {
+	r := &restarts{instances: instances, bounds: bounds}
+	r.view = fleet.NewView().With(fleet.Change{Config: fleet.NewConfig(1, nil, nil, nil, fleet.Limits{})})
+	for i := range instances {
+		r.names = append(r.names, fmt.Sprintf("n%d", i))
+		r.view = r.view.With(fleet.Change{Node: &fleet.Node{Name: r.names[i], Cores: 1}})
+	}
+	return r
+}
+
+// start starts all instances anew; the first is the hub.
+func (r *restarts) start(now time.Time) {
+	r.began = now
+	r.nodes, r.told = nil, make([]map[string]share.Use, r.instances)
+	r.bounds.Quota.Start = now
+	for _, name := range r.names {
+		r.nodes = append(r.nodes, newScheduler(schedulerConfig{node: name, bounds: r.bounds, view: func() *fleet.View { return r.view }}))
+	}
+}
+
+// exchange lets a number of instances report; the use arrives at the others with the next exchange.
+func (r *restarts) exchange(now time.Time, reported int) {
+	total, uses := share.Use{}, make([]map[string]share.Use, r.instances)
+	for i, s := range r.nodes[:reported] {
+		_, _, uses[i] = s.told()
+		total = total.Plus(r.told[i]["a"])
+	}
+	for i, s := range r.nodes[:reported] {
+		s.hear(now, hearing{
+			nodes: r.names[:reported], sharers: reported, loads: map[string]place.Load{},
+			used: map[string]share.Use{"a": total.Minus(r.told[i]["a"])},
+		})
+		if levels := r.nodes[0].levels(now); levels != nil && !s.settled(now) {
+			s.adopt(now, levels)
+		}
+	}
+	r.told = uses
+}
+
+// TestAllRestart guards against a team that gets far more than its quota, and a service that gets far more retries than its
+// bound, when all instances lose power and start at once: none knows what was used before, nor that the others run.
+func TestAllRestart(t *testing.T) {
+	const (
+		instances = 60
+		step      = 10 * time.Millisecond
+		interval  = 200 * time.Millisecond
+		units     = 4000.0
+		load      = 1.5 // Times the rate.
+	)
+	random := rand.New(rand.NewPCG(1, 2))
+	// The team and the tolerances of the deployment on which this broke the bound.
+	quota := share.QuotaConfig{Window: 8 * time.Second, Excess: 0.1, Slack: 140000, Random: random.Float64}
+	budget := share.BudgetConfig{Ratio: 0.2, Extra: 160, Window: 10 * time.Second}
+	team := &fleet.Team{Name: "a", Rate: 460000, Burst: 1860000, Tokens: true}
+	bound := (team.Rate*8+team.Burst)*1.1 + quota.Slack
+	r := newRestarts(instances, Bounds{Quota: quota, Budget: budget})
+	start := time.Unix(1000, 0)
+	r.start(start.Add(-20 * time.Second))
+	var admitted []float64
+	due, next, retries, after := 0.0, 0, 0, 0.0
+	for n := range 1600 {
+		now := start.Add(time.Duration(n) * step)
+		if n == 800 {
+			r.start(now)
+		}
+		up := now.Sub(r.began)
+		if n%int(interval/step) == 0 {
+			switch {
+			case up < 300*time.Millisecond:
+			case up < 500*time.Millisecond:
+				r.exchange(now, 6)
+			default:
+				r.exchange(now, instances)
+			}
+		}
+		offered := load
+		if n >= 800 && up < time.Second {
+			offered *= 4 // The callers that were cut off come back at once.
+		}
+		sum := 0.0
+		for due += offered * team.Rate * step.Seconds() / units; due >= 1; due-- {
+			s := r.nodes[next%instances]
+			if s.admit(now, team, units) == nil {
+				sum += units
+			}
+			if n >= 800 && s.retry(now, "pool") {
+				retries++
+			}
+			next++
+		}
+		if n >= 1000 {
+			after += sum
+		}
+		admitted = append(admitted, sum)
+	}
+	window, most := 0.0, 0.0
+	for i, a := range admitted {
+		window += a
+		if i >= 800 {
+			window -= admitted[i-800]
+		}
+		most = max(most, window)
+	}
+	assert.Assert(t, most <= bound, "%.0f units in a window, bound %.0f", most, bound)
+	assert.Assert(t, float64(retries) <= budget.Extra, "%d retries, bound %.0f", retries, budget.Extra)
+	assert.Assert(t, after >= 0.9*6*team.Rate, "%.0f units in the 6 s from 2 s after the start", after)
+}
--- a/mustardseam/entry/scheduler.go
+++ b/mustardseam/entry/scheduler.go
@@ -16,22 +16,25 @@
 	cfg  schedulerConfig
 	asks asker // Places requests elsewhere; nil when there is nobody to ask.
 
-	mu        sync.Mutex
-	board     *place.Board                    // Guarded by mu, as all that follow.
-	queues    map[string]*place.Queue         // By service.
-	waiting   map[*place.Waiting]func(*Grant) // Called with mu held when it is decided; nil when the time is over.
-	running   map[string]int                  // By team.
-	quota     *share.Quota
-	budget    *share.Budget
-	cold      *share.Cold
-	heard     time.Time // Of the latest word of the others, or its lapse.
-	sharers   int       // Instances that may send to the backend servers, silent ones included.
-	nodes     []string  // Instances that are believed to run, this one included.
-	pumping   bool
-	desk      *desk
-	listings  map[string]*listing // By service.
-	starts    place.Rate          // Requests that this instance sent to engines.
-	exposures map[string]exposure // By service.
+	mu      sync.Mutex
+	board   *place.Board                    // Guarded by mu, as all that follow.
+	queues  map[string]*place.Queue         // By service.
+	waiting map[*place.Waiting]func(*Grant) // Called with mu held when it is decided; nil when the time is over.
+	running map[string]int                  // By team.
+	quota   *share.Quota
+	budget  *share.Budget
+	cold    *share.Cold
+	heard   time.Time // Of the latest word of the others, or its lapse.
+	sharers int       // Instances that may send to the backend servers, silent ones included.
+	nodes   []string  // Instances that are believed to run, this one included.
+	// starters is nodes with the registered instances of a view, while this instance is not settled.
+	starters   []string
+	registered *fleet.View
+	pumping    bool
+	desk       *desk
+	listings   map[string]*listing // By service.
+	starts     place.Rate          // Requests that this instance sent to engines.
+	exposures  map[string]exposure // By service.
 }
 
 // schedulerConfig says whom a scheduler asks.
@@ -69,7 +72,9 @@
 }
 
 func newScheduler(cfg schedulerConfig) *Scheduler {
-	cfg.bounds.Quota.Start = time.Now()
+	if cfg.bounds.Quota.Start.IsZero() {
+		cfg.bounds.Quota.Start = time.Now()
+	}
 	if cfg.contain == nil {
 		cfg.contain = func(_ string, f func()) bool { f(); return true }
 	}
@@ -84,10 +89,13 @@
 
 // Admit checks a request against the quota of its team.
 func (s *Scheduler) Admit(team *fleet.Team, units float64) error {
+	return s.admit(time.Now(), team, units)
+}
+
+func (s *Scheduler) admit(now time.Time, team *fleet.Team, units float64) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := time.Now()
-	ok, retry := s.quota.Admit(now, team, units, len(s.nodes))
+	ok, retry := s.quota.Admit(now, team, units, len(s.members(now)))
 	if !ok {
 		level, standing, asked := s.quota.Level(now, team.Name)
 		return &place.Refusal{After: retry, Reason: fmt.Sprintf(
@@ -108,14 +116,16 @@
 func (s *Scheduler) First(service string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.budget.First(service, len(s.nodes))
+	s.budget.First(service, len(s.members(time.Now())))
 }
 
 // Retry takes a retry from the budget of a service when it has one.
-func (s *Scheduler) Retry(service string) bool {
+func (s *Scheduler) Retry(service string) bool { return s.retry(time.Now(), service) }
+
+func (s *Scheduler) retry(now time.Time, service string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.budget.Allow(time.Now(), service, len(s.nodes))
+	return s.budget.Allow(now, service, len(s.members(now)))
 }
 
 // Began records the first event of a request.
--- a/mustardseam/entry/stop.go
+++ b/mustardseam/entry/stop.go
@@ -17,8 +17,9 @@
 	// streamTime is how long after the signal streams are still taken: callers that follow the balancer have left by then, and
 	// a stream of unknown length may not end within the rest of the grace period.
 	streamTime = unlistTime + 500*time.Millisecond
-	// exitBefore is kept from the grace period for the end of the process.
-	exitBefore = 300 * time.Millisecond
+	// exitBefore is kept from the grace period for the end of the process: open exchanges with other instances and the last log
+	// lines may take 300 ms.
+	exitBefore = 500 * time.Millisecond
 	// stopPoll is how often a stop looks whether all callers have left.
 	stopPoll = 50 * time.Millisecond
 	// closeLog bounds the writing of the last log lines.
--- a/mustardseam/hub/report.go
+++ b/mustardseam/hub/report.go
@@ -25,7 +25,10 @@
 	Leaving  []fleet.Incarnation   `json:"leaving,omitempty"` // Backend servers that said that they leave.
 	Samples  []Sample              `json:"samples,omitempty"`
 	Stopping bool                  `json:"stopping,omitempty"`
-	Placed   bool                  `json:"placed,omitempty"` // The hub knows the requests of the instance from its news.
+	// Unsettled says that the instance has just started and does not know what teams used before.
+	Unsettled bool               `json:"unsettled,omitempty"`
+	Levels    map[string]float64 `json:"levels,omitempty"` // Of quotas, for a hub that is unsettled.
+	Placed    bool               `json:"placed,omitempty"` // The hub knows the requests of the instance from its news.
 }
 
 // Sample is the outcome of a request to a service with a rollout.
@@ -40,20 +43,21 @@
 
 // Digest is what the hub answers.
 type Digest struct {
-	Hub      string                `json:"hub"`
-	Run      int64                 `json:"run"`
-	Nodes    []string              `json:"nodes"`            // Instances that reported lately, the hub included.
-	Known    map[string]share.Use  `json:"known"`            // By team, over all instances, since the hub's start.
-	Levels   map[string]float64    `json:"levels,omitempty"` // Of quotas, for an instance that has just started.
-	Loads    json.RawMessage       `json:"loads,omitempty"`  // A map of place.Load by backend server, over all instances; not always told.
-	Paces    map[string]float64    `json:"paces,omitempty"`
-	Own      map[string]place.Load `json:"own,omitempty"`     // What Loads holds of the instance that reported.
-	Sick     map[string]int        `json:"sick,omitempty"`    // Instances that failed to reach a backend server.
-	Leaving  []fleet.Incarnation   `json:"leaving,omitempty"` // As in reports.
-	From     int64                 `json:"from"`              // Revision that the items follow.
-	Revision int64                 `json:"revision"`
-	AgeMS    int64                 `json:"age-ms"`
-	DirectMS int64                 `json:"direct-ms"` // Since the store answered the hub itself; -1 if never.
-	Whole    bool                  `json:"whole"`     // The items are all there are.
-	Items    []store.Item          `json:"items,omitempty"`
+	Hub       string                `json:"hub"`
+	Run       int64                 `json:"run"`
+	Nodes     []string              `json:"nodes"`               // Instances that reported lately, the hub included.
+	Known     map[string]share.Use  `json:"known"`               // By team, over all instances, since the hub's start.
+	Unsettled bool                  `json:"unsettled,omitempty"` // As in reports.
+	Levels    map[string]float64    `json:"levels,omitempty"`    // Of quotas, for an instance that is unsettled.
+	Loads     json.RawMessage       `json:"loads,omitempty"`     // A map of place.Load by backend server, over all instances; not always told.
+	Paces     map[string]float64    `json:"paces,omitempty"`
+	Own       map[string]place.Load `json:"own,omitempty"`     // What Loads holds of the instance that reported.
+	Sick      map[string]int        `json:"sick,omitempty"`    // Instances that failed to reach a backend server.
+	Leaving   []fleet.Incarnation   `json:"leaving,omitempty"` // As in reports.
+	From      int64                 `json:"from"`              // Revision that the items follow.
+	Revision  int64                 `json:"revision"`
+	AgeMS     int64                 `json:"age-ms"`
+	DirectMS  int64                 `json:"direct-ms"` // Since the store answered the hub itself; -1 if never.
+	Whole     bool                  `json:"whole"`     // The items are all there are.
+	Items     []store.Item          `json:"items,omitempty"`
 }
--- a/mustardseam/share/quota.go
+++ b/mustardseam/share/quota.go
@@ -22,6 +22,9 @@
 	// startSlack is the part of the tolerance that an instance allows at its start, when it does not know what was used
 	// before.
 	startSlack = 0.1
+	// settleTime is how long after its start an instance that nobody told what was used keeps to its standing share. When all
+	// lose power at once they start within a second of each other, and each hears of a few of the others at first.
+	settleTime = 2 * time.Second
 	// unheardWords is the number of intervals between words for which the use by others is assumed to have gone on: one
 	// until the hub knows and one until this instance does.
 	unheardWords = 2
@@ -38,7 +41,7 @@
 	Excess float64        // Part of the quota that may be exceeded.
 	Slack  float64        // Units beyond that.
 	Random func() float64 // In [0, 1); the default source when nil.
-	Start  time.Time      // Of this instance. It does not know what teams used before, so their buckets begin empty.
+	Start  time.Time      // Of this instance, which does not know what teams used before; zero when it knows all.
 }
 
 // Quota admits the requests of teams within their limits; it is not safe for concurrent use.
@@ -49,6 +52,7 @@
 	// levels is what buckets held when another instance told, for teams that were not asked for here yet.
 	levels   map[string]float64
 	levelsAt time.Time
+	adopted  bool // Another instance has told what was used before the start.
 	// interval is the smoothed time between words.
 	interval time.Duration
 }
@@ -105,7 +109,7 @@
 	t.bucket.Resize(now, rate, burst)
 	t.standing.Resize(now, rate/n, burst/n)
 	bucket := &t.bucket
-	if now.Sub(q.heard) > hearing {
+	if now.Sub(q.heard) > hearing || !q.Settled(now) {
 		bucket, expected, burst = &t.standing, 0, burst/n
 	}
 	// A request that is larger than the bucket would never be admitted; it may take the bucket when that is full.
@@ -122,6 +126,12 @@
 	return true, 0
 }
 
+// Settled reports whether this instance knows what was used before its start, or has run for long enough to go by what it
+// hears.
+func (q *Quota) Settled(now time.Time) bool {
+	return q.adopted || q.cfg.Start.IsZero() || now.Sub(q.cfg.Start) >= settleTime
+}
+
 // Configure replaces the tolerance; the accounts stay.
 func (q *Quota) Configure(cfg QuotaConfig) {
 	q.cfg.Window, q.cfg.Excess, q.cfg.Slack = cfg.Window, cfg.Excess, cfg.Slack
@@ -178,9 +188,9 @@
 	return levels
 }
 
-// Adopt takes over what the buckets hold according to another instance.
+// Adopt takes over what the buckets hold according to another instance that is settled.
 func (q *Quota) Adopt(now time.Time, levels map[string]float64) {
-	q.levels, q.levelsAt = levels, now
+	q.levels, q.levelsAt, q.adopted = levels, now, true
 	for name, level := range levels {
 		t := q.account(name)
 		t.bucket.Begin(now, level-t.use.Spent)
