Keep what stopping instances run in the hub's account

The hub dropped an instance that said it stops from its table, and with it the requests that this had at engines: their slots looked free until the next message told all of them anew.

Change: a stopping instance counts no more among those that share bounds, and its loads and its requests at the hub stay until it is silent.

Ruled out: the pause of 0.3 s after a lost hub (no answer was late).

Before and after: TestStopping and TestStoppingInstance are of the new code; on the old one the hub drops the instance at once, which TestTake asserted for the number of instances only.

--- a/mustardseam/entry/desk_test.go
+++ b/mustardseam/entry/desk_test.go
@@ -46,6 +46,23 @@
 	}
 }
 
+// TestStoppingInstance guards against a hub that forgets, with each report, the requests of an instance that stops, and takes
+// all of them in anew with its next message.
+func TestStoppingInstance(t *testing.T) {
+	p := newPlacing(t, 1)
+	g, err := p.nodes[0].scheduler.Obtain(context.Background(), "pool", placingJob(0))
+	assert.NilError(t, err)
+	assert.Equal(t, g.By, "hub")
+	for range 3 {
+		p.hub.hear(time.Now(), hearing{
+			nodes: []string{"hub"}, stopping: []string{"n0"}, sharers: 1, leads: true, loads: map[string]place.Load{},
+		})
+		assert.Equal(t, p.load(), 1)
+	}
+	p.nodes[0].scheduler.Finish(g, place.Outcome{Answered: true, OK: true, First: true})
+	eventually(t, "load", 0, p.load)
+}
+
 // TestQuietInstance guards against a hub that sends an instance to a backend server that wants nothing from it, against one
 // that keeps others from it for that, and against an instance that follows a hub that does not know.
 func TestQuietInstance(t *testing.T) {
--- a/mustardseam/entry/gossip.go
+++ b/mustardseam/entry/gossip.go
@@ -186,7 +186,7 @@
 	}
 	g.i.scheduler.hear(now, hearing{
 		loads: others, leads: true, of: sum.Of, paces: g.table.Paces(), nodes: nodes, sharers: sharers, sick: sum.Sick,
-		until: now.Add(sickWord),
+		until: now.Add(sickWord), stopping: g.table.Stopping(now),
 	})
 	samples := g.samples
 	g.samples = nil
--- a/mustardseam/entry/hearing.go
+++ b/mustardseam/entry/hearing.go
@@ -26,6 +26,8 @@
 	sick  map[string]int                   // Instances that failed to reach a backend server, by its id.
 	until time.Time                        // How long the word on sick ones holds.
 	nodes []string                         // Instances that run, this one included.
+	// stopping are instances that get no new requests and still have some at backend servers; known to the hub.
+	stopping []string
 	// sharers is the number of instances that may send to the backend servers. It is above that of nodes while others are
 	// silent.
 	sharers int
@@ -90,7 +92,7 @@
 		for id, l := range h.of[node] {
 			loads[id] = loads[id].Minus(l)
 		}
-		if !slices.Contains(h.nodes, node) {
+		if !slices.Contains(h.nodes, node) && !slices.Contains(h.stopping, node) {
 			s.dropClient(now, node)
 			continue
 		}
--- a/mustardseam/hub/hub_test.go
+++ b/mustardseam/hub/hub_test.go
@@ -57,6 +57,18 @@
 	assert.Equal(t, len(table.Nodes(start)), 2)
 }
 
+// TestStopping guards against engines that look free because an instance stops: its streams still run there.
+func TestStopping(t *testing.T) {
+	table := NewTable("n0")
+	table.Take(start, Report{Node: "n1", Run: 1, Sequence: 1, Stopping: true, Loads: map[string]place.Load{"s": {Requests: 3}}})
+	sum, err := table.Sum(start, nothing)
+	assert.NilError(t, err)
+	assert.Equal(t, sum.Loads["s"].Requests, 3)
+	assert.DeepEqual(t, table.Nodes(start), []string{"n0"})
+	assert.DeepEqual(t, table.Stopping(start), []string{"n1"})
+	assert.Equal(t, len(table.Stopping(start.Add(current))), 0)
+}
+
 func nothing() (map[string]map[string]place.Load, []string) { return nil, nil }
 
 // TestOrder guards against instances that choose different hubs from the same list, and against a small one as the hub.
--- a/mustardseam/hub/table.go
+++ b/mustardseam/hub/table.go
@@ -66,11 +66,7 @@
 		// A repeat or a late one: what it says was taken in before or is outdated.
 		return nil
 	}
-	if r.Stopping {
-		delete(t.nodes, r.Node)
-	} else {
-		t.nodes[r.Node] = &entry{report: r, at: now}
-	}
+	t.nodes[r.Node] = &entry{report: r, at: now}
 	for id, ms := range r.Paces {
 		p, known := t.paces[id]
 		if !known {
@@ -92,11 +88,12 @@
 // Known returns the use by team as far as this instance knows.
 func (t *Table) Known() map[string]share.Use { return maps.Clone(t.known) }
 
-// Nodes returns the instances that reported lately and this one, in order of name.
+// Nodes returns the instances that reported lately and this one, in order of name, without those that stop: these get no
+// new requests.
 func (t *Table) Nodes(now time.Time) []string {
 	nodes := []string{t.self}
 	for name, e := range t.nodes {
-		if now.Sub(e.at) < current {
+		if now.Sub(e.at) < current && !e.report.Stopping {
 			nodes = append(nodes, name)
 		}
 	}
@@ -104,6 +101,17 @@
 	return nodes
 }
 
+// Stopping returns the instances that reported lately that they stop. What they have at backend servers still counts.
+func (t *Table) Stopping(now time.Time) []string {
+	var nodes []string
+	for name, e := range t.nodes {
+		if now.Sub(e.at) < current && e.report.Stopping {
+			nodes = append(nodes, name)
+		}
+	}
+	return nodes
+}
+
 // Sum returns the sum of the latest reports; it may be up to sumEvery old. Own returns what this instance knows itself: its
 // loads and those of instances for which it places, by instance, which go before the reports, and sick backend servers.
 func (t *Table) Sum(now time.Time, own func() (of map[string]map[string]place.Load, sick []string)) (Sum, error) {
