Keep what quotas hold on the platform for the loss of all instances

An instance that starts knows nothing of the use before, and the share of a small team at one of 95 instances is less than a request.

Change: the hub writes what quotas hold to the store when it has changed by a tenth or is 3 s old, less the net use of the time until the next one. An instance that starts within 8 s of that takes its share of it. Until it is settled a request takes what there is of the share for the chance of as much of itself, so that over all instances the share is used as if it were whole.

TestAllRestart has calm teams and small ones, which fail without the change. Open: a total loss within 8 s after an outage of the store begins can give a team more than its level was.

--- a/mustardseam/entry/change.go
+++ b/mustardseam/entry/change.go
@@ -11,6 +11,9 @@
 
 // logChange writes what the instance has learned.
 func (i *Instance) logChange(item store.Item, c fleet.Change) {
+	if c.Quotas != nil {
+		return // Written every second or so; the dump shows what quotas hold.
+	}
 	l := event.Believed.On(i.log()).Str("key", item.Key).Int64("revision", item.Revision)
 	switch {
 	case c.Config != nil:
--- a/mustardseam/entry/instance.go
+++ b/mustardseam/entry/instance.go
@@ -105,6 +105,7 @@
 	i.tasks.Go(func() { i.asking.run(i.ctx) })
 	i.tasks.Go(i.rollouts.run)
 	i.tasks.Go(i.register)
+	i.tasks.Go(i.keepQuotas)
 	i.tasks.Go(i.sweep)
 	event.Started.On(i.log()).Str("data-centre", cfg.DataCentre).Send()
 	return i
@@ -143,6 +144,9 @@
 				return
 			}
 			changes = append(changes, c)
+			if c.Quotas != nil {
+				i.scheduler.recoverQuotas(now, *c.Quotas)
+			}
 			i.logChange(item, c)
 		})
 	}
--- a/mustardseam/entry/restart_test.go
+++ b/mustardseam/entry/restart_test.go
@@ -65,29 +65,57 @@
 
 // TestAllRestart guards against a team that gets far more than its quota, and a service that gets far more retries than its
 // bound, when all instances lose power and start at once: none knows what was used before, nor that the others run.
+//
+// What quotas held is kept on the platform and tells them apart: a team that was calm is served at once.
 func TestAllRestart(t *testing.T) {
+	tests := []struct {
+		name   string
+		scale  float64 // Of the team.
+		load   float64 // Times the rate.
+		kept   bool    // Levels were kept before the loss.
+		served float64 // Least part of what is asked in the 2 s from the start.
+	}{
+		{"busy team, nothing kept", 1, 1.5, false, 0},
+		{"busy team", 1, 1.5, true, 0},
+		{"calm team", 1, 0.5, true, 0.95},
+		// The share of an instance is less than a request.
+		{"small calm team", 0.1, 0.5, true, 0.6},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) { testAllRestart(t, test.scale, test.load, test.kept, test.served) })
+	}
+}
+
+func testAllRestart(t *testing.T, scale, load float64, keeps bool, least float64) {
+	t.Helper()
 	const (
 		instances = 60
 		step      = 10 * time.Millisecond
 		interval  = 200 * time.Millisecond
 		units     = 4000.0
-		load      = 1.5 // Times the rate.
 	)
 	random := rand.New(rand.NewPCG(1, 2))
 	// The team and the tolerances of the deployment on which this broke the bound.
 	quota := share.QuotaConfig{Window: 8 * time.Second, Excess: 0.1, Slack: 140000, Random: random.Float64}
 	budget := share.BudgetConfig{Ratio: 0.2, Extra: 160, Window: 10 * time.Second}
-	team := &fleet.Team{Name: "a", Rate: 460000, Burst: 1860000, Tokens: true}
+	team := &fleet.Team{Name: "a", Rate: 460000 * scale, Burst: 1860000 * scale, Tokens: true}
 	bound := (team.Rate*8+team.Burst)*1.1 + quota.Slack
 	r := newRestarts(instances, Bounds{Quota: quota, Budget: budget})
 	start := time.Unix(1000, 0)
 	r.start(start.Add(-20 * time.Second))
 	var admitted []float64
-	due, next, retries, after := 0.0, 0, 0, 0.0
+	due, next, retries, after, asked, early := 0.0, 0, 0, 0.0, 0.0, 0.0
+	var kept fleet.Quotas
 	for n := range 1600 {
 		now := start.Add(time.Duration(n) * step)
+		if n%100 == 0 && n < 800 && keeps {
+			kept = fleet.Quotas{At: now, Levels: r.nodes[0].keep(now)}
+		}
 		if n == 800 {
 			r.start(now)
+			for _, s := range r.nodes {
+				s.recoverQuotas(now, kept)
+			}
 		}
 		up := now.Sub(r.began)
 		if n%int(interval/step) == 0 {
@@ -109,13 +137,19 @@
 			if s.admit(now, team, units) == nil {
 				sum += units
 			}
+			if n >= 800 && n < 1000 {
+				asked += units
+			}
 			if n >= 800 && s.retry(now, "pool") {
 				retries++
 			}
 			next++
 		}
-		if n >= 1000 {
+		switch {
+		case n >= 1000:
 			after += sum
+		case n >= 800:
+			early += sum
 		}
 		admitted = append(admitted, sum)
 	}
@@ -129,5 +163,6 @@
 	}
 	assert.Assert(t, most <= bound, "%.0f units in a window, bound %.0f", most, bound)
 	assert.Assert(t, float64(retries) <= budget.Extra, "%d retries, bound %.0f", retries, budget.Extra)
-	assert.Assert(t, after >= 0.9*6*team.Rate, "%.0f units in the 6 s from 2 s after the start", after)
+	assert.Assert(t, after >= 0.9*6*team.Rate*min(1, load), "%.0f units in the 6 s from 2 s after the start", after)
+	assert.Assert(t, early >= least*asked, "%.0f of %.0f units in the 2 s from the start", early, asked)
 }
--- a/mustardseam/entry/wire.go
+++ b/mustardseam/entry/wire.go
@@ -33,6 +33,8 @@
 	Decode(i store.Item, lapse bool, now time.Time) (fleet.Change, bool, error)
 	// Node returns the item under which an instance registers itself.
 	Node(n fleet.Node) (key string, value []byte, err error)
+	// Quotas returns the item that keeps what quotas hold.
+	Quotas(q fleet.Quotas) (key string, value []byte, err error)
 	// Progress returns the item that tells operators and instances how far a rollout is.
 	Progress(service string, p fleet.Progress) (key string, value []byte, err error)
 }
--- a/mustardseam/fleet/change.go
+++ b/mustardseam/fleet/change.go
@@ -13,6 +13,7 @@
 	Out      string       // Data centre that is taken out, or taken back when Removed.
 	Rollout  *Rollout
 	Progress *Progress
+	Quotas   *Quotas
 	Service  string // That Progress is about.
 	Node     *Node
 	Removed  bool
--- a/mustardseam/share/quota.go
+++ b/mustardseam/share/quota.go
@@ -1,6 +1,7 @@
 package share
 
 import (
+	"math"
 	"math/rand/v2"
 	"time"
 
@@ -25,6 +26,11 @@
 	// settleTime is how long after its start an instance that nobody told what was used keeps to its standing share. When all
 	// lose power at once they start within a second of each other, and each hears of a few of the others at first.
 	settleTime = 2 * time.Second
+	// keptUse is the time for which a team that uses more than its rate is assumed to go on after its level was kept: until the
+	// next one is written, and the way to the store.
+	keptUse = 2 * time.Second
+	// useHorizon is the time over which the rate of a team's use forgets.
+	useHorizon = time.Second
 	// unheardWords is the number of intervals between words for which the use by others is assumed to have gone on: one
 	// until the hub knows and one until this instance does.
 	unheardWords = 2
@@ -52,6 +58,8 @@
 	// levels is what buckets held when another instance told, for teams that were not asked for here yet.
 	levels   map[string]float64
 	levelsAt time.Time
+	kept     map[string]float64 // What buckets held before the start, by team; nil when that is not known.
+	keptAt   time.Time
 	adopted  bool // Another instance has told what was used before the start.
 	// interval is the smoothed time between words.
 	interval time.Duration
@@ -67,6 +75,14 @@
 	toldAsks int     // Requests in told.
 	size     float64 // Units of a request, smoothed.
 	others   float64 // Units per second that the others ask for.
+	recent   float64 // Units that all used, decayed over useHorizon.
+	recentAt time.Time
+}
+
+// spent takes in units that were used.
+func (t *teamQuota) spent(now time.Time, units float64) {
+	t.recent = max(0, t.recent*math.Exp(-now.Sub(t.recentAt).Seconds()/useHorizon.Seconds())+units)
+	t.recentAt = now
 }
 
 // NewQuota returns a quota without accounts.
@@ -102,14 +118,16 @@
 	}
 	slack := q.cfg.Slack + q.cfg.Excess*(team.Rate*q.cfg.Window.Seconds()+team.Burst)
 	rate, burst := team.Rate+rateSlack*slack/q.cfg.Window.Seconds(), team.Burst+burstSlack*slack
-	if _, known := q.levels[team.Name]; t.bucket.Rate == 0 && !known {
-		t.bucket.Drain(now, -startSlack*slack)
-		t.standing.Drain(now, -startSlack*slack/n)
+	if t.bucket.Rate == 0 {
+		q.begin(now, t, team.Name, burst, startSlack*slack, n)
 	}
 	t.bucket.Resize(now, rate, burst)
 	t.standing.Resize(now, rate/n, burst/n)
+	if !q.Settled(now) {
+		return q.draw(now, t, units)
+	}
 	bucket := &t.bucket
-	if now.Sub(q.heard) > hearing || !q.Settled(now) {
+	if now.Sub(q.heard) > hearing {
 		bucket, expected, burst = &t.standing, 0, burst/n
 	}
 	// A request that is larger than the bucket would never be admitted; it may take the bucket when that is full.
@@ -120,12 +138,49 @@
 	if need := expected + units; bucket.level < need && q.cfg.Random() > bucket.level/need {
 		return false, bucket.Until(now, min(need, burst))
 	}
-	t.bucket.Drain(now, units)
 	t.standing.Drain(now, units)
-	t.use.Spent += units
+	t.take(now, units)
+	return true, 0
+}
+
+// draw admits a request of an instance that is not settled. The share of a small team at one of many instances is less than
+// a request, so a request takes what there is for the chance of as much of itself: over all instances the share is used as
+// if it were whole.
+func (q *Quota) draw(now time.Time, t *teamQuota, units float64) (bool, time.Duration) {
+	level := max(0, t.standing.Level(now))
+	t.standing.Drain(now, min(units, level))
+	if level < units && q.cfg.Random()*units >= level {
+		return false, min(t.standing.Until(now, units), q.cfg.Start.Add(settleTime).Sub(now))
+	}
+	t.take(now, units)
 	return true, 0
 }
 
+// take counts units that were admitted.
+func (t *teamQuota) take(now time.Time, units float64) {
+	t.bucket.Drain(now, units)
+	t.use.Spent += units
+	t.spent(now, units)
+}
+
+// begin fills the buckets of a team that is asked for the first time.
+func (q *Quota) begin(now time.Time, t *teamQuota, team string, burst, startLevel, n float64) {
+	level, kept := q.kept[team]
+	switch _, known := q.levels[team]; {
+	case known:
+	case q.kept != nil && !kept:
+		// Nobody had used it.
+		level = burst
+		fallthrough
+	case kept:
+		t.bucket.Begin(q.keptAt, level-t.use.Spent)
+		t.standing.Begin(q.keptAt, level/n)
+	default:
+		t.bucket.Drain(now, -startLevel)
+		t.standing.Drain(now, -startLevel/n)
+	}
+}
+
 // Settled reports whether this instance knows what was used before its start, or has run for long enough to go by what it
 // hears.
 func (q *Quota) Settled(now time.Time) bool {
@@ -141,7 +196,9 @@
 func (q *Quota) Return(now time.Time, team string, units float64) {
 	if t := q.teams[team]; t != nil && t.bucket.Rate > 0 {
 		t.bucket.Drain(now, -units)
-		t.standing.Drain(now, -units)
+		if q.Settled(now) {
+			t.standing.Drain(now, -units) // What a draw took may have been less.
+		}
 		t.use.Spent -= units
 	}
 }
@@ -168,7 +225,9 @@
 	q.heard = now
 	for name, u := range others {
 		if u.Spent != 0 {
-			q.account(name).bucket.Drain(now, u.Spent)
+			t := q.account(name)
+			t.bucket.Drain(now, u.Spent)
+			t.spent(now, u.Spent)
 		}
 	}
 	for name, t := range q.teams {
@@ -188,6 +247,25 @@
 	return levels
 }
 
+// Keep returns what the buckets will at least hold when this is read after a loss of all instances.
+func (q *Quota) Keep(now time.Time) map[string]float64 {
+	levels := q.Levels(now)
+	for name := range levels {
+		t := q.teams[name]
+		t.spent(now, 0)
+		levels[name] -= max(0, t.recent/useHorizon.Seconds()-t.bucket.Rate) * keptUse.Seconds()
+	}
+	return levels
+}
+
+// Recover takes over what buckets held before the start of this instance and of all others. Each uses its standing share of
+// that until it is settled.
+func (q *Quota) Recover(now time.Time, levels map[string]float64) {
+	if q.kept == nil && !q.Settled(now) {
+		q.kept, q.keptAt = levels, now
+	}
+}
+
 // Adopt takes over what the buckets hold according to another instance that is settled.
 func (q *Quota) Adopt(now time.Time, levels map[string]float64) {
 	q.levels, q.levelsAt, q.adopted = levels, now, true
