--- a/mustardseam/http1/endless_test.go
+++ b/mustardseam/http1/endless_test.go
@@ -133,19 +133,35 @@
 		}
 	}()
 	done := make(chan error)
+	var responses []*Response
+	flood := make(chan struct{})
 	for range answers {
-		s, _, _ := endless(t, "HTTP/1.1 200 OK\r\nId: r\r\n\r\n", strings.Repeat("x", 4096), 0)
-		go func() {
-			r, err := client.Do(context.Background(), call(s, "r", false))
+		// All are connected before the first sends without end: connecting has a time limit, which a busy machine would miss.
+		s := script(t, func(_ int, c net.Conn, br *bufio.Reader) {
+			_, err := readRequest(br)
 			if err == nil {
-				_, err = r.Body(limit)
-				r.Close()
+				_, err = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: r\r\n\r\n")
+			}
+			<-flood
+			for unit := strings.Repeat("x", 4096); err == nil; {
+				_, err = io.WriteString(c, unit)
 			}
+		})
+		r, err := client.Do(context.Background(), call(s, "r", false))
+		assert.NilError(t, err)
+		responses = append(responses, r)
+	}
+	close(flood)
+	for _, r := range responses {
+		go func() {
+			_, err := r.Body(limit)
+			r.Close()
 			done <- err
 		}()
 	}
 	for range answers {
-		assert.Assert(t, errors.Is(<-done, ErrBroken))
+		err := <-done
+		assert.Assert(t, errors.Is(err, ErrBroken), "%v", err)
 	}
 	close(stop)
 	assert.Equal(t, client.held.Load(), int64(0))
