Share adopted levels of quotas until the others' demand is known

One that took over what the team's quota held from the survivor expected nothing of the others, whom it had not heard yet, and used 65,240 of that level in 0.25 s; the survivor used 70,047 of the same level. The old code did the same.

Change: an instance that adopts levels keeps to its share of them, with requests that take their chance, for half a second. The first adoption counts.

Ruled out: levels kept in the store (they were -13,753 for that team, so none of the started instances got anything of them).

--- a/mustardseam/entry/hearing.go
+++ b/mustardseam/entry/hearing.go
@@ -164,7 +164,7 @@
 func (s *Scheduler) adopt(now time.Time, levels map[string]float64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.quota.Adopt(now, levels)
+	s.quota.Adopt(now, levels, len(s.members(now)))
 }
 
 // setLag says how old the word of the others is when it arrives, on average.
--- a/mustardseam/share/quota.go
+++ b/mustardseam/share/quota.go
@@ -26,6 +26,9 @@
 	// settleTime is how long after its start an instance that nobody told what was used keeps to its standing share. When all
 	// lose power at once they start within a second of each other, and each hears of a few of the others at first.
 	settleTime = 2 * time.Second
+	// adoptTime is how long an instance that was told what was used still keeps to its share of it: until it has heard how much
+	// the others ask for. Without it, it would use the whole level beside them.
+	adoptTime = 500 * time.Millisecond
 	// keptUse is the time for which a team that uses more than its rate is assumed to go on after its level was kept: until the
 	// next one is written, and the way to the store.
 	keptUse = 2 * time.Second
@@ -60,7 +63,8 @@
 	levelsAt time.Time
 	kept     map[string]float64 // What buckets held before the start, by team; nil when that is not known.
 	keptAt   time.Time
-	adopted  bool // Another instance has told what was used before the start.
+	adopted  time.Time // When another instance told what was used before the start; zero before.
+	sharers  float64   // Instances among which the adopted levels are shared until this one is settled.
 	// interval is the smoothed time between words.
 	interval time.Duration
 }
@@ -184,7 +188,8 @@
 // Settled reports whether this instance knows what was used before its start, or has run for long enough to go by what it
 // hears.
 func (q *Quota) Settled(now time.Time) bool {
-	return q.adopted || q.cfg.Start.IsZero() || now.Sub(q.cfg.Start) >= settleTime
+	told := !q.adopted.IsZero() && now.Sub(q.adopted) >= adoptTime
+	return told || q.cfg.Start.IsZero() || now.Sub(q.cfg.Start) >= settleTime
 }
 
 // Configure replaces the tolerance; the accounts stay.
@@ -266,12 +271,17 @@
 	}
 }
 
-// Adopt takes over what the buckets hold according to another instance that is settled.
-func (q *Quota) Adopt(now time.Time, levels map[string]float64) {
-	q.levels, q.levelsAt, q.adopted = levels, now, true
+// Adopt takes over what the buckets hold according to another instance that is settled; instances share it. Only the first
+// such word counts.
+func (q *Quota) Adopt(now time.Time, levels map[string]float64, instances int) {
+	if !q.adopted.IsZero() {
+		return
+	}
+	q.levels, q.levelsAt, q.adopted, q.sharers = levels, now, now, float64(max(1, instances))
 	for name, level := range levels {
 		t := q.account(name)
 		t.bucket.Begin(now, level-t.use.Spent)
+		t.standing.Begin(now, level/q.sharers-t.use.Spent)
 	}
 }
 
@@ -289,6 +299,7 @@
 		t.standing.Begin(q.cfg.Start, 0)
 		if level, ok := q.levels[team]; ok {
 			t.bucket.Begin(q.levelsAt, level)
+			t.standing.Begin(q.levelsAt, level/q.sharers)
 		}
 		q.teams[team] = t
 	}
