Break a stream off where another backend server cannot go on with it

Change: an answer that is no stream counts as a failed try once the caller has a part of the stream; the stream is tried elsewhere or broken off.

Before and after: TestResumedFails failed before and passes.

--- a/mustardseam/entry/try.go
+++ b/mustardseam/entry/try.go
@@ -56,6 +56,13 @@
 	if a.route.Kind == fleet.Stream && status/100 == 2 {
 		return i.stream(ctx, a, g, resp, sent, w)
 	}
+	if a.exchange.Started() {
+		// The caller has a part of a stream, into which this answer must not be written.
+		a.runs++
+		a.reason = "backend server did not go on with the stream"
+		i.scheduler.Finish(g, place.Outcome{Answered: true})
+		return again
+	}
 	return i.plain(ctx, a, g, resp, sent)
 }
 
