Write items under a condition in one place

Cause, from reading the change: keeping quotas had written anew how the progress of a rollout is put into the store unless another instance changed it.

Change: both call writeUnchanged, each with its own time limit as before. No behaviour and no test changed.

Before and after: format, vet, lint and the tests of entry pass, and those of rollouts, outages and digests in platform.

--- a/mustardseam/entry/conduct.go
+++ b/mustardseam/entry/conduct.go
@@ -73,12 +73,17 @@
 	if err != nil {
 		return err
 	}
-	old, _ := r.i.follower.Item(key)
-	ctx, cancel := context.WithTimeout(r.i.ctx, progressTime)
+	return r.i.writeUnchanged(key, value, progressTime)
+}
+
+// writeUnchanged puts an item into the store within a time unless another instance has changed it.
+func (i *Instance) writeUnchanged(key string, value []byte, limit time.Duration) error {
+	old, _ := i.follower.Item(key)
+	ctx, cancel := context.WithTimeout(i.ctx, limit)
 	defer cancel()
-	err = r.i.follower.Put(ctx, key, value, old.Revision)
+	err := i.follower.Put(ctx, key, value, old.Revision)
 	if errors.Is(err, store.ErrConflict) {
-		// Another conductor was faster, or an answer was lost: its state arrives with the next changes.
+		// Another instance was faster, or an answer was lost: its state arrives with the next changes.
 		return nil
 	}
 	return err
--- a/mustardseam/entry/keep.go
+++ b/mustardseam/entry/keep.go
@@ -1,14 +1,11 @@
 package entry
 
 import (
-	"context"
-	"errors"
 	"math"
 	"time"
 
 	"github.com/mustardseam/mustardseam/mustardseam/event"
 	"github.com/mustardseam/mustardseam/mustardseam/fleet"
-	"github.com/mustardseam/mustardseam/mustardseam/store"
 )
 
 const (
@@ -65,14 +62,7 @@
 	if err != nil {
 		return err
 	}
-	old, _ := i.follower.Item(key)
-	ctx, cancel := context.WithTimeout(i.ctx, registerTime)
-	defer cancel()
-	err = i.follower.Put(ctx, key, value, old.Revision)
-	if errors.Is(err, store.ErrConflict) {
-		return nil // Another hub was faster.
-	}
-	return err
+	return i.writeUnchanged(key, value, registerTime)
 }
 
 // keep returns what quotas hold, for instances that start after the loss of all; nil while this one does not know it.
