Log and count what backend servers say about their request limit

Change: the adapter reads the limit; an instance keeps the latest one of each backend server and logs each change (7015, 7016), shows it in the state dump, in the line of each request that is sent to such a backend server, and as metrics. Nothing is decided by it yet.

--- a/mustardseam/entry/attempt.go
+++ b/mustardseam/entry/attempt.go
@@ -27,6 +27,9 @@
 	sent := time.Now()
 	req.sends++
 	req.grant = g
+	if req.serverLimit = i.scheduler.serverLimit(g.Server); req.serverLimit.Named {
+		i.metrics.limitedSends.Inc()
+	}
 	stall := i.watchForStall(req, g, cancel)
 	req.retryCovered = false
 	defer func() { req.retryCovered = stall.stop() || req.retryCovered }()
@@ -40,6 +43,7 @@
 	if notice.Leaving && execution != WrongServer {
 		i.markLeaving(g.Server.Incarnation())
 	}
+	i.recordLimit(req, g, sent, execution, notice)
 	status := resp.Header.StatusCode()
 	switch {
 	case execution == NotExecuted || execution == WrongServer:
--- a/mustardseam/entry/dump.go
+++ b/mustardseam/entry/dump.go
@@ -19,6 +19,8 @@
 	Waiting     int                    `json:"requests-waiting"`
 	Servers     []placement.Inspection `json:"backend-servers"`
 	Stopping    bool                   `json:"stopping"`
+	// Limits holds the request limits that backend servers named, in requests per second by ID.
+	Limits map[string]float64 `json:"limits,omitempty"`
 }
 
 // State returns the state of the instance as a State.
@@ -37,6 +39,7 @@
 	i.scheduler.mu.Lock()
 	defer i.scheduler.mu.Unlock()
 	d.Instances, d.ClientCount = i.scheduler.instances, len(i.scheduler.placementServer.clients)
+	d.Limits = i.scheduler.serverLimits.Rates()
 	for _, s := range v.Servers {
 		d.Servers = append(d.Servers, i.scheduler.board.Inspect(time.Now(), s))
 	}
--- a/mustardseam/entry/log.go
+++ b/mustardseam/entry/log.go
@@ -15,7 +15,11 @@
 	if req.team != nil {
 		team = req.team.Name
 	}
-	event.RequestEnded.Log(i.log()).Str("request", req.meta.ID).Str("route", route).Str("team", team).
+	l := event.RequestEnded.Log(i.log())
+	if req.serverLimit.Named {
+		l.Float64("server-limit", req.serverLimit.PerSecond)
+	}
+	l.Str("request", req.meta.ID).Str("route", route).Str("team", team).
 		Str("server", req.serverID).Str("placed-by", req.hub).Int("status", req.status).
 		Str("reason", req.reason).Int("sends", req.sends).Int("runs", req.runs).Str("last-event", req.lastEventID).
 		Int64("wait-ms", req.placedAfter.Milliseconds()).Int64("expected-ms", req.predictedFirstEvent.Milliseconds()).
--- a/mustardseam/entry/metrics.go
+++ b/mustardseam/entry/metrics.go
@@ -16,6 +16,7 @@
 	panics        *metrics.Counter // Recovered panics.
 	placedByHub   *metrics.Counter
 	placedLocally *metrics.Counter
+	limitedSends  *metrics.Counter   // Requests sent to backend servers with a known request limit.
 	firstEvent    *metrics.Histogram // Seconds from the arrival to the first event.
 	total         *metrics.Histogram // Seconds from the arrival to the end.
 }
@@ -28,6 +29,7 @@
 	set.NewGauge("mustardseam_store_revision", func() float64 { return float64(i.view.Load().Revision) })
 	set.NewGauge("mustardseam_backend_connections_opened", func() float64 { return float64(i.client.DialCount()) })
 	set.NewGauge("mustardseam_instances_placed_for", func() float64 { return float64(i.scheduler.Clients()) })
+	set.NewGauge("mustardseam_servers_limited", func() float64 { return float64(i.scheduler.LimitedServers()) })
 	return &instanceMetrics{
 		set:           set,
 		requests:      set.NewCounter("mustardseam_requests_total"),
@@ -36,6 +38,7 @@
 		panics:        set.NewCounter("mustardseam_panics_total"),
 		placedByHub:   set.NewCounter(`mustardseam_placed_total{by="hub"}`),
 		placedLocally: set.NewCounter(`mustardseam_placed_total{by="itself"}`),
+		limitedSends:  set.NewCounter("mustardseam_limited_sends_total"),
 		firstEvent:    set.NewHistogram("mustardseam_first_event_seconds"),
 		total:         set.NewHistogram("mustardseam_request_seconds"),
 	}
--- a/mustardseam/entry/scheduler.go
+++ b/mustardseam/entry/scheduler.go
@@ -28,6 +28,7 @@
 	quota             *ratelimit.Quota
 	retryBudget       *ratelimit.Budget
 	coldLimits        *ratelimit.ColdLimiter
+	serverLimits      *ratelimit.ServerLimits
 	loadsUpdated      time.Time // When the loads of the other instances were last received or discarded.
 	possibleInstances int       // Number of instances that may send to the backend servers, including those that may be cut off.
 	instances         []string  // Instances believed to be running, including this one.
@@ -92,6 +93,7 @@
 		quota: ratelimit.NewQuota(cfg.bounds.Quota), retryBudget: ratelimit.NewBudget(cfg.bounds.Budget),
 		coldLimits: ratelimit.NewColdLimiter(cfg.bounds.ColdStart), coldAllowances: map[coldAllowanceKey]int{},
 		rolloutCounts:   map[string]rolloutCount{},
+		serverLimits:    ratelimit.NewServerLimits(),
 		placementServer: &placementServer{clients: map[string]*remoteInstance{}}, serverLists: map[string]*serverList{},
 	}
 }
--- a/mustardseam/entry/sweep.go
+++ b/mustardseam/entry/sweep.go
@@ -21,5 +21,6 @@
 	defer s.mu.Unlock()
 	s.board.Sweep(now, listed)
 	s.coldLimits.Sweep(now)
+	s.serverLimits.Sweep(now, listed)
 	clear(s.coldAllowances) // Cold backend servers and their rates change.
 }
--- a/mustardseam/entry/wire.go
+++ b/mustardseam/entry/wire.go
@@ -65,6 +65,9 @@
 type ServerNotice struct {
 	Leaving bool          // It ends soon and must not get further requests.
 	Backoff time.Duration // How long this instance must not send it requests; 0 if not given.
+	Limit   fleet.RequestLimit
+	// LimitInvalid is set if the answer has a limit that cannot be read. It then says nothing about Limit.
+	LimitInvalid bool
 }
 
 // ExecutionStatus is what an answer says about the execution of the request.
--- a/mustardseam/event/catalogue.go
+++ b/mustardseam/event/catalogue.go
@@ -74,6 +74,8 @@
 	HubPlacementStarted  = Event{7012, "placing-found", zerolog.InfoLevel, "hub places the engine requests of this instance"}
 	HubPlacementStopped  = Event{7013, "placing-lost", zerolog.WarnLevel, "hub no longer places requests; instance places its own requests"}
 	PanicContained       = Event{7014, "panic-contained", zerolog.ErrorLevel, "panic ended one task; the instance continues"}
+	ServerLimitChanged   = Event{7015, "server-limit-changed", zerolog.InfoLevel, "request limit of a backend server changed"}
+	ServerLimitInvalid   = Event{7016, "server-limit-invalid", zerolog.WarnLevel, "failed to read the request limit in an answer; the known limit stays in force"}
 )
 
 // All returns all events in ascending order of their numbers.
@@ -88,6 +90,6 @@
 		RolloutRolledBack, RolloutStep, RolloutDone, RolloutLate, RolloutWriteFailed,
 		RequestEnded, RequestRetried, SettingsReloaded, SettingsReloadFailed, StoreItemInvalid, ViewChanged,
 		HubChosen, HubLost, InstanceRegistered, StoreWriteFailed, ShutdownProgress,
-		HubPlacementStarted, HubPlacementStopped, PanicContained,
+		HubPlacementStarted, HubPlacementStopped, PanicContained, ServerLimitChanged, ServerLimitInvalid,
 	}
 }
--- a/mustardseam/event/line.go
+++ b/mustardseam/event/line.go
@@ -26,6 +26,12 @@
 	return l
 }
 
+// Float64 adds a number field.
+func (l *Line) Float64(key string, value float64) *Line {
+	l.entry.Float64(key, value)
+	return l
+}
+
 // Int64 adds an integer field.
 func (l *Line) Int64(key string, value int64) *Line {
 	l.entry.Int64(key, value)
