Keep the bound of cold backend servers while a new hub hears from the others

Cause: the list of instances among which the allowance of a cold backend server is divided came from the latest response of the hub. A new hub lists only those that have reported to it, so the instances divided the allowance by different, smaller numbers: eight instances together allowed 17 requests a second where the bound is 12.8. Change: the allowance is divided among the same instances as request limits, which keep an instance for 5 s after it was last known.

--- a/mustardseam/entry/cluster_state.go
+++ b/mustardseam/entry/cluster_state.go
@@ -71,9 +71,6 @@
 	}
 	s.board.SeedInterToken(state.interTokenMS)
 	s.board.ApplyReportedUnreachable(now, state.unreachable, state.unreachableUntil)
-	if !slices.Equal(s.instances, state.instances) {
-		clear(s.coldAllowances)
-	}
 	s.instances, s.sharersView = state.instances, nil
 	s.possibleInstances = max(state.possibleInstances, len(s.sharingInstances(now)))
 	s.board.SetInstances(s.possibleInstances, 1+len(s.placementServer.clients))
@@ -143,7 +140,7 @@
 	return s.quota.Settled(now)
 }
 
-// sharingInstances returns the instances that share quotas and limits, including this one. Until the quotas are settled,
+// sharingInstances returns the instances that share quotas and retry budgets, including this one. Until the quotas are settled,
 // registered instances count as well because they may be starting at the same time. mu must be held.
 func (s *Scheduler) sharingInstances(now time.Time) []string {
 	if s.quota.Settled(now) {
@@ -151,7 +148,6 @@
 	}
 	v := s.cfg.view()
 	if s.sharersView != v {
-		clear(s.coldAllowances)
 		s.sharersView, s.sharersWhileStarting = v, slices.Clone(s.instances)
 		running := map[string]bool{}
 		for _, name := range s.instances {
--- a/mustardseam/entry/cold_allowance.go
+++ b/mustardseam/entry/cold_allowance.go
@@ -18,7 +18,7 @@
 	key := coldAllowanceKey{server: srv.Incarnation(), instance: instance}
 	n, ok := s.coldAllowances[key]
 	if !ok {
-		n = s.coldLimits.Allowed(svc.ColdRate, srv, instance, s.sharingInstances(now))
+		n = s.coldLimits.Allowed(svc.ColdRate, srv, instance, s.sharersOfLimits(now))
 		s.coldAllowances[key] = n
 	}
 	return n
--- a/mustardseam/entry/scheduler.go
+++ b/mustardseam/entry/scheduler.go
@@ -31,15 +31,16 @@
 	serverLimits      *ratelimit.ServerLimits
 	serverLimiter     *ratelimit.ServerLimiter
 	activeAt          map[string]time.Time // When each instance was last believed to be running, keyed by its name.
+	limitSharers      []string             // Instances that share the limits of backend servers, sorted.
 	loadsUpdated      time.Time            // When the loads of the other instances were last received or discarded.
 	possibleInstances int                  // Number of instances that may send to the backend servers, including those that may be cut off.
 	instances         []string             // Instances believed to be running, including this one.
-	// sharersWhileStarting lists the instances that share the limits until the quota levels are settled: instances plus those
+	// sharersWhileStarting lists the instances that share the quotas until the quota levels are settled: instances plus those
 	// registered in sharersView.
 	sharersWhileStarting []string
 	sharersView          *fleet.View
 	dispatchTimerRunning bool // The timer that calls dispatch is armed.
-	// coldAllowances caches the per-second limits of instances at cold backend servers; cleared when the instances change.
+	// coldAllowances caches the per-second limits of instances at cold backend servers; cleared when the sharers change.
 	coldAllowances    map[coldAllowanceKey]int
 	placementServer   *placementServer
 	serverLists       map[string]*serverList  // Keyed by service.
@@ -97,6 +98,7 @@
 		coldLimits: ratelimit.NewColdLimiter(cfg.bounds.ColdStart), coldAllowances: map[coldAllowanceKey]int{},
 		rolloutCounts: map[string]rolloutCount{},
 		serverLimits:  limits, serverLimiter: ratelimit.NewServerLimiter(limits, cfg.instance), activeAt: map[string]time.Time{},
+		limitSharers:    []string{cfg.instance},
 		placementServer: &placementServer{clients: map[string]*remoteInstance{}}, serverLists: map[string]*serverList{},
 	}
 }
--- a/mustardseam/entry/sharers.go
+++ b/mustardseam/entry/sharers.go
@@ -10,8 +10,16 @@
 // A new hub needs this time to hear from all other instances.
 const sharerRetention = 5 * time.Second
 
-// updateSharers updates the instances that share the limits of backend servers: those that ran within the retention time,
-// all that were known during a possible partition, and those that may be starting. mu must be held.
+// sharersOfLimits returns the instances that share the limits of backend servers, sorted: those that ran within the
+// retention time, all that were known during a possible partition, and those that may be starting. mu must be held.
+func (s *Scheduler) sharersOfLimits(now time.Time) []string {
+	if !s.quota.Settled(now) && s.sharersView != s.cfg.view() {
+		s.updateSharers(now)
+	}
+	return s.limitSharers
+}
+
+// updateSharers updates the instances that share the limits of backend servers; mu must be held.
 func (s *Scheduler) updateSharers(now time.Time) {
 	for _, name := range s.sharingInstances(now) {
 		s.activeAt[name] = now
@@ -19,5 +27,11 @@
 	if s.possibleInstances <= len(s.instances) {
 		maps.DeleteFunc(s.activeAt, func(_ string, at time.Time) bool { return now.Sub(at) >= sharerRetention })
 	}
-	s.serverLimiter.SetInstances(slices.Sorted(maps.Keys(s.activeAt)))
+	sharers := slices.Sorted(maps.Keys(s.activeAt))
+	if slices.Equal(sharers, s.limitSharers) {
+		return
+	}
+	s.limitSharers = sharers
+	s.serverLimiter.SetInstances(sharers)
+	clear(s.coldAllowances)
 }
