Name, lower and withdraw request limits in the soak

Change: a fault of the soak names a limit at a backend server, lowers it and withdraws it, and each period is checked against 1.5 times the limit in 4 s, plus 5. Instances that are stopped or paused in the period are excused; in half of the periods only one instance is.

--- a/soak/fault_soak_test.go
+++ b/soak/fault_soak_test.go
@@ -20,8 +20,9 @@
 	{"planned restart", func(rnd *rand.Rand, s *site) { s.restartInstance(rnd, syscall.SIGTERM) }},
 	{"kill and restart", func(rnd *rand.Rand, s *site) { s.restartInstance(rnd, syscall.SIGKILL) }},
 	{"pause", func(rnd *rand.Rand, s *site) {
-		p := s.processes[rnd.IntN(len(s.processes))]
+		p := s.pickVictim(rnd)
 		s.logEvent("pause %s", p.name)
+		defer s.excuse(p, time.Now())
 		p.signal(syscall.SIGSTOP)
 		time.Sleep(randomDuration(rnd, 2*time.Second))
 		p.signal(syscall.SIGCONT)
@@ -64,6 +65,7 @@
 		time.Sleep(randomDuration(rnd, 2*time.Second))
 		s.kv.SetFault(platformtest.NoFault)
 	}},
+	{"request limit", func(rnd *rand.Rand, s *site) { s.limitRequests(rnd) }},
 	{"store compaction", func(_ *rand.Rand, s *site) {
 		s.logEvent("store compacts its history")
 		s.kv.Compact()
@@ -77,7 +79,8 @@
 
 // restartInstance stops a random instance with a signal and starts it again.
 func (s *site) restartInstance(rnd *rand.Rand, sig syscall.Signal) {
-	p := s.processes[rnd.IntN(len(s.processes))]
+	p := s.pickVictim(rnd)
+	defer s.excuse(p, time.Now())
 	s.logEvent("%v to %s", sig, p.name)
 	p.signal(syscall.SIGCONT)
 	if p.stop(sig) {
--- a/soak/site_soak_test.go
+++ b/soak/site_soak_test.go
@@ -29,13 +29,18 @@
 	kv        *platformtest.KV
 	processes []*process
 	backends  []*platformtest.Backend
-	links     []*proxy // Proxies in front of the backend servers.
+	links     []*proxy   // Proxies in front of the backend servers.
+	limiting  sync.Mutex // Held while a backend server names a request limit.
 	start     time.Time
 
-	mu       sync.Mutex
-	ready    []*process // Guarded by mu, like all fields below.
-	version  int
-	timeline []string
+	mu        sync.Mutex
+	ready     []*process // Guarded by mu, like all fields below.
+	version   int
+	timeline  []string
+	limits    []limitPeriod
+	excuses   []excuse
+	victim    int  // The process that is stopped or paused next if oneVictim is set.
+	oneVictim bool // Only one process is stopped or paused, so that the others are not excused.
 }
 
 func newSite(t *testing.T, program string) *site {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -35,7 +35,7 @@
 
 // TestSoak guards against violations of the guarantees under combinations of faults that no other test covers:
 // non-idempotent requests that run twice, requests that ran but are answered as not run, answers that are incomplete or
-// belong to another request, gaps in streams, and service that does not recover.
+// belong to another request, gaps in streams, request limits that are exceeded, and service that does not recover.
 func TestSoak(t *testing.T) {
 	program := build(t)
 	var list []uint64
@@ -67,6 +67,7 @@
 	workers.Wait()
 	time.Sleep(settleTime)
 	checkResults(t, s, c, seed)
+	s.checkLimits(c, seed)
 	assert.Assert(t, recovered, "seed %d: not every request succeeds %v after the last fault\n%s", seed, recoveryTime,
 		strings.Join(s.timeline, "\n"))
 }
