Close a caller's connection only if its response said so

Symptom: a caller's next request was lost when the instance began to drain while a response was being sent. Cause: whether the connection is closed was decided twice, for the header and again after the response; a drain in between closed a connection that the header had left open. Change: the decision for the header is kept with the exchange. Run: TestDrainDuringResponseKeepsAnnouncedConnection failed before (unexpected EOF) and passes; tests of http1 pass under the race detector.

--- a/mustardseam/http1/exchange.go
+++ b/mustardseam/http1/exchange.go
@@ -17,8 +17,10 @@
 	bw         *bufio.Writer
 	headerSent bool // The response header was written.
 	untilClose bool // The response body ends when the connection is closed.
-	complete   bool // The whole response was written.
-	failed     bool // A write failed or the response was aborted.
+	// closeAnnounced is true if the response header told the caller that the connection is closed after the response.
+	closeAnnounced bool
+	complete       bool // The whole response was written.
+	failed         bool // A write failed or the response was aborted.
 }
 
 // HeaderSent reports whether the response header was written.
@@ -96,7 +98,8 @@
 
 func (e *Exchange) writeHeader(h ResponseHeader, length int) {
 	e.headerSent = true
-	e.write(h.encode(length, e.conn.closesAfterResponse(e.Request.Header)))
+	e.closeAnnounced = e.conn.closesAfterResponse(e.Request.Header)
+	e.write(h.encode(length, e.closeAnnounced))
 }
 
 func (e *Exchange) write(b []byte) {
--- a/mustardseam/http1/serverconn.go
+++ b/mustardseam/http1/serverconn.go
@@ -65,7 +65,6 @@
 			return
 		}
 		c.handle(e)
-		closeConn := c.closesAfterResponse(e.Request.Header)
 		if !e.completed() {
 			c.resetOnClose(e)
 			return
@@ -75,7 +74,7 @@
 			closeWriteAndDiscard(c.conn)
 			return
 		}
-		if closeConn {
+		if e.closeAnnounced {
 			return
 		}
 	}
@@ -217,7 +216,7 @@
 	stopWatch()
 }
 
-// closesAfterResponse reports whether the connection is closed after the response to a request.
+// closesAfterResponse reports whether the connection is to be closed after the response to a request.
 func (c *serverConn) closesAfterResponse(h *fasthttp.RequestHeader) bool {
 	return h.ConnectionClose() || c.server.isDraining()
 }
