Keep a cancelled call to a backend server cancelled

Symptom: a call whose caller had gone, or that was to be retried elsewhere, went on until the next deadline of its body. Cause: the cancellation ends reads by a deadline in the past, which the next deadline for the body or the request replaced. Change: no deadline is set on a connection after the cancellation of its call. Run: TestDeadlineDoesNotReviveCancelledCall failed before (2 s) and passes; tests of http1 under the race detector and of entry pass.

--- a/mustardseam/http1/client_test.go
+++ b/mustardseam/http1/client_test.go
@@ -134,3 +134,25 @@
 	_, err = NewClient().Do(context.Background(), newCall(readOnlyServer, "r", true))
 	assert.Assert(t, errors.Is(err, ErrIncompleteResponse))
 }
+
+// TestDeadlineDoesNotReviveCancelledCall guards against a call that goes on after its cancellation because a later deadline
+// replaces the one that ended it.
+func TestDeadlineDoesNotReviveCancelledCall(t *testing.T) {
+	s := startScriptedServer(t, func(_ int, c net.Conn, br *bufio.Reader) {
+		if id, err := readRequest(br); err == nil {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 3\r\nId: "+id+"\r\n\r\n")
+			_, _ = readRequest(br)
+		}
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	r, err := NewClient().Do(ctx, newCall(s, "r", false))
+	assert.NilError(t, err)
+	defer r.Close()
+	cancel()
+	time.Sleep(50 * time.Millisecond)
+	cancelled := time.Now()
+	r.SetReadDeadline(cancelled.Add(2 * time.Second))
+	_, err = r.ReadBody(1 << 20)
+	assert.Assert(t, errors.Is(err, ErrIncompleteResponse), "%v", err)
+	assert.Assert(t, time.Since(cancelled) < time.Second)
+}
--- a/mustardseam/http1/clientconn.go
+++ b/mustardseam/http1/clientconn.go
@@ -7,6 +7,7 @@
 	"net"
 	"strconv"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 
@@ -31,6 +32,8 @@
 	idleSince        time.Time     // Time at which the connection last became idle.
 	idleUntil        time.Time     // Time from which the idle connection is no longer used.
 	reused           bool          // The connection was taken from the idle pool.
+	mu               sync.Mutex    // Held while a deadline is set.
+	interrupted      bool          // interrupt was called; guarded by mu.
 }
 
 func newClientConn(raw net.Conn) *clientConn {
@@ -42,7 +45,21 @@
 func (c *clientConn) close() { _ = c.conn.Close() }
 
 // interrupt makes blocked and later reads and writes fail.
-func (c *clientConn) interrupt() { _ = c.conn.SetDeadline(time.Unix(1, 0)) }
+func (c *clientConn) interrupt() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.interrupted = true
+	_ = c.conn.SetDeadline(time.Unix(1, 0))
+}
+
+// setDeadline sets a deadline by a method of the connection, unless interrupt was called.
+func (c *clientConn) setDeadline(set func(time.Time) error, t time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.interrupted {
+		_ = set(t)
+	}
+}
 
 // isOpenAndEmpty reports whether an idle connection is open and has no unread bytes. Such bytes would not belong to any
 // request.
@@ -70,7 +87,7 @@
 
 // send writes the request. It returns ErrNotSent if no byte was written and ErrIncompleteResponse if only a part was written.
 func (c *clientConn) send(call Call) error {
-	_ = c.conn.SetDeadline(call.Deadline)
+	c.setDeadline(c.conn.SetDeadline, call.Deadline)
 	w := &countingWriter{w: c.conn}
 	bw := bufio.NewWriterSize(w, len(call.Body)+maxResponseHeaderBytes)
 	_, err := bw.Write(call.Header.encode(len(call.Body)))
--- a/mustardseam/http1/response.go
+++ b/mustardseam/http1/response.go
@@ -109,8 +109,10 @@
 	_, _ = io.Copy(io.Discard, io.LimitReader(r, maxDiscardBytes))
 }
 
-// SetReadDeadline sets the deadline for reads of the body.
-func (r *Response) SetReadDeadline(t time.Time) { _ = r.upstream.conn.SetReadDeadline(t) }
+// SetReadDeadline sets the deadline for reads of the body. It has no effect after the cancellation of the call.
+func (r *Response) SetReadDeadline(t time.Time) {
+	r.upstream.setDeadline(r.upstream.conn.SetReadDeadline, t)
+}
 
 // Close returns the connection to the idle pool if the response was read completely and the connection can be reused.
 // Otherwise it closes the connection, which makes the backend server drop the request.
