Reset a caller's connection when the handler of its request panics

Symptom: a response that ends with its connection looked complete to the caller although the handler had panicked. Cause: the panic was caught outside the place that resets the connection of an incomplete response. Change: the panic is caught where the handler is called, and the connection is reset as after any incomplete response. Run: TestPanicDoesNotCompleteResponse failed before (no error) and passes; tests of http1 pass under the race detector.

--- a/mustardseam/http1/server_test.go
+++ b/mustardseam/http1/server_test.go
@@ -64,3 +64,15 @@
 	assert.NilError(t, err)
 	assert.Assert(t, resp.Close)
 }
+
+// TestPanicDoesNotCompleteResponse guards against a response that ends with its connection and looks complete although its
+// handler panicked.
+func TestPanicDoesNotCompleteResponse(t *testing.T) {
+	_, c := startServer(t, func(e *Exchange) {
+		e.Begin(ResponseHeader{Status: 200}, false)
+		_ = e.Send([]byte("first part"))
+		panic("handler failed")
+	})
+	_, err := roundTrip(c, bufio.NewReader(c))
+	assert.ErrorContains(t, err, "reset")
+}
--- a/mustardseam/http1/serverconn.go
+++ b/mustardseam/http1/serverconn.go
@@ -51,9 +51,7 @@
 func (c *serverConn) serve() {
 	defer c.server.removeConn(c)
 	defer func() { _ = c.conn.Close() }()
-	if caught := panics.Try(c.serveRequests); caught != nil {
-		c.server.cfg.Log.Error().Str("error", caught.String()).Msg("unexpected error ended a connection")
-	}
+	c.logPanic(panics.Try(c.serveRequests))
 }
 
 // serveRequests handles the requests on the connection until it ends.
@@ -64,8 +62,7 @@
 			c.reject(status)
 			return
 		}
-		c.handle(e)
-		if !e.completed() {
+		if !c.handle(e) || !e.completed() {
 			c.resetOnClose(e)
 			return
 		}
@@ -194,8 +191,9 @@
 	return &Exchange{Request: Request{Header: &req.Header, Body: req.Body()}, ReceivedAt: time.Now(), conn: c, bw: c.bw}, 0
 }
 
-// handle handles a request and cancels its context with ErrCallerGone if the caller closes the connection meanwhile.
-func (c *serverConn) handle(e *Exchange) {
+// handle handles a request and cancels its context with ErrCallerGone if the caller closes the connection meanwhile. It
+// reports whether the handler returned; otherwise it panicked.
+func (c *serverConn) handle(e *Exchange) bool {
 	ctx, cancel := context.WithCancelCause(context.Background())
 	defer cancel(nil)
 	e.Context = ctx
@@ -210,10 +208,19 @@
 		case <-handled:
 		}
 	}()
-	c.server.cfg.Handle(e)
+	caught := panics.Try(func() { c.server.cfg.Handle(e) })
+	c.logPanic(caught)
 	close(handled)
 	<-watcherDone
 	stopWatch()
+	return caught == nil
+}
+
+// logPanic logs a panic that ends the connection; nil means that there was none.
+func (c *serverConn) logPanic(caught *panics.Recovered) {
+	if caught != nil {
+		c.server.cfg.Log.Error().Str("error", caught.String()).Msg("unexpected error ended a connection")
+	}
 }
 
 // closesAfterResponse reports whether the connection is to be closed after the response to a request.
