Skip up to 100 interim responses of a backend server

Symptom: a request failed if its backend server sent three interim responses before the final one. Cause: interim responses counted towards the late responses to earlier requests that are skipped, of which three are too many. Change: they are counted apart, and 100 are skipped. Run: TestInterimResponsesAreSkipped failed before (several) and passes; tests of http1 pass.

--- a/mustardseam/http1/client_test.go
+++ b/mustardseam/http1/client_test.go
@@ -156,3 +156,35 @@
 	assert.Assert(t, errors.Is(err, ErrIncompleteResponse), "%v", err)
 	assert.Assert(t, time.Since(cancelled) < time.Second)
 }
+
+// TestInterimResponsesAreSkipped guards against a request that fails because its backend server sends several interim
+// responses, and against a backend server that sends them without an end.
+func TestInterimResponsesAreSkipped(t *testing.T) {
+	tests := []struct {
+		name    string
+		interim int
+		err     error
+	}{{"several", 8, nil}, {"without an end", 1000, ErrUnexpectedResponse}}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			s := startScriptedServer(t, func(_ int, c net.Conn, br *bufio.Reader) {
+				id, err := readRequest(br)
+				if err != nil {
+					return
+				}
+				for range test.interim {
+					_, _ = io.WriteString(c, "HTTP/1.1 102 Processing\r\n\r\n")
+				}
+				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nId: "+id+"\r\n\r\n")
+			})
+			r, err := NewClient().Do(context.Background(), newCall(s, "r", false))
+			if test.err != nil {
+				assert.Assert(t, errors.Is(err, test.err), "%v", err)
+				return
+			}
+			assert.NilError(t, err)
+			assert.Equal(t, r.Header.StatusCode(), 200)
+			r.Close()
+		})
+	}
+}
--- a/mustardseam/http1/clientconn.go
+++ b/mustardseam/http1/clientconn.go
@@ -20,6 +20,8 @@
 	maxResponseHeaderBytes = 16 << 10
 	// maxSkippedResponses limits the responses to earlier requests that are skipped before the expected response.
 	maxSkippedResponses = 3
+	// maxInterimResponses limits the interim responses (status 1xx) to a request.
+	maxInterimResponses = 100
 	// maxSkippedBodyBytes is the maximum body size of a skipped response.
 	maxSkippedBodyBytes = 1 << 20
 )
@@ -108,12 +110,13 @@
 
 // receive reads the header of the response. It skips interim responses and late responses to earlier requests.
 func (c *clientConn) receive(call Call) (*Response, error) {
-	for range maxSkippedResponses {
+	for skipped, interim := 0, 0; skipped < maxSkippedResponses && interim <= maxInterimResponses; {
 		r := &Response{upstream: c}
 		if err := r.Header.Read(c.br); err != nil {
 			return nil, eris.Wrapf(ErrIncompleteResponse, "read answer of backend server %s: %v", call.Server.ID, err)
 		}
 		if code := r.Header.StatusCode(); code >= 100 && code < 200 {
+			interim++
 			continue
 		}
 		r.openBody(call.Header.Method == fasthttp.MethodHead)
@@ -121,6 +124,7 @@
 			c.readKeepAlive(&r.Header)
 			return r, nil
 		}
+		skipped++
 		if n, err := io.Copy(io.Discard, io.LimitReader(r.body, maxSkippedBodyBytes)); err != nil || n >= maxSkippedBodyBytes {
 			break
 		}
