Record the placement of a retry after a server error

Symptom: the log line of such a request named the backend server of the retry with the hub, wait and load of the first attempt, and mustardseam_placed_total did not count the retry. Cause: this path set the backend server only. Change: both paths record a placement by the same function. Run: TestRetryAfterServerErrorIsCounted failed before (one placement less than requests that arrived) and passes; tests of entry pass. The fields of the log line have no test of their own.

--- a/mustardseam/entry/attempt.go
+++ b/mustardseam/entry/attempt.go
@@ -161,6 +161,6 @@
 	if err != nil {
 		return false
 	}
-	req.serverID = g.Server.ID
+	i.recordPlacement(req, g)
 	return i.attempt(ctx, req, g) == resultAnswered
 }
--- a/mustardseam/entry/handler.go
+++ b/mustardseam/entry/handler.go
@@ -128,9 +128,7 @@
 			i.replyUnplaced(req, errTimeout)
 			return
 		}
-		req.serverID, req.hub = g.Server.ID, g.Hub
-		i.metrics.requestPlaced(g)
-		req.placedAfter, req.predictedFirstEvent, req.load = time.Since(req.exchange.ReceivedAt), g.PredictedFirstEvent, g.Load
+		i.recordPlacement(req, g)
 		switch i.attempt(ctx, req, g) {
 		case resultAnswered, resultCallerGone:
 			return
@@ -158,6 +156,13 @@
 	}
 }
 
+// recordPlacement records the placement of an attempt for the log line of the request and the metrics.
+func (i *Instance) recordPlacement(req *request, g *Grant) {
+	i.metrics.requestPlaced(g)
+	req.serverID, req.hub = g.Server.ID, g.Hub
+	req.placedAfter, req.predictedFirstEvent, req.load = time.Since(req.exchange.ReceivedAt), g.PredictedFirstEvent, g.Load
+}
+
 // resumedJob returns the job for the rest of an interrupted stream. Its caller waits for the next event and takes precedence
 // over callers that wait for their first one.
 func resumedJob(j *placement.Job, r *fleet.Route) *placement.Job {
