Bound the samples of a rollout that wait for a report in all places

Symptom: with a hub that does not answer, the samples that wait grew by up to 512 with each report. Cause: the bound was kept where a sample is added, not where those of a failed report, or of another instance, are queued again. Change: all three places queue by one function that keeps the bound. Run: TestUnsentSamplesStayBounded failed before (1024 samples after the first report) and passes; tests of entry pass.

--- a/mustardseam/entry/report_exchange.go
+++ b/mustardseam/entry/report_exchange.go
@@ -75,7 +75,7 @@
 	for team, u := range report.Used {
 		r.pendingUsage[team] = r.pendingUsage[team].Plus(u)
 	}
-	r.samples = append(report.Samples, r.samples...)
+	r.queueSamples(report.Samples...)
 	if r.hubName == target.Name {
 		r.hubName = ""
 	}
@@ -160,7 +160,7 @@
 		for team, u := range used {
 			r.pendingUsage[team] = r.pendingUsage[team].Plus(u)
 		}
-		r.samples = append(r.samples, report.Samples...)
+		r.queueSamples(report.Samples...)
 	}
 	sum, err := r.aggregator.Sum(now, r.localLoads)
 	if err != nil {
--- a/mustardseam/entry/reporter.go
+++ b/mustardseam/entry/reporter.go
@@ -25,7 +25,7 @@
 	maxPlacedInterval = hubTimeout / 2
 	// hubRetryDelay is how long a hub that did not answer is skipped.
 	hubRetryDelay = 1500 * time.Millisecond
-	// maxSamples bounds the request outcomes that wait for a report.
+	// maxSamples bounds the request outcomes that wait for a report; further ones are dropped.
 	maxSamples = 512
 )
 
@@ -132,9 +132,12 @@
 func (r *reporter) addSample(s hub.Sample) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if len(r.samples) < maxSamples {
-		r.samples = append(r.samples, s)
-	}
+	r.queueSamples(s)
+}
+
+// queueSamples queues outcomes of requests for the next report; mu must be held.
+func (r *reporter) queueSamples(samples ...hub.Sample) {
+	r.samples = append(r.samples, samples[:min(len(samples), max(0, maxSamples-len(r.samples)))]...)
 }
 
 // hubCandidate returns the instance to report to; ok is false when this one is the hub.
