--- a/mustardseam/entry/cold_allowance_test.go
+++ b/mustardseam/entry/cold_allowance_test.go
@@ -11,8 +11,7 @@
 	"github.com/mustardseam/mustardseam/mustardseam/ratelimit"
 )
 
-// TestNewHubKeepsColdAllowances guards against a cold backend server that gets too much from all instances together because
-// a new hub has not heard from all of them yet.
+// TestNewHubKeepsColdAllowances guards against too many requests to a cold backend server after a change of the hub.
 func TestNewHubKeepsColdAllowances(t *testing.T) {
 	bounds := Bounds{ColdStart: ratelimit.ColdLimiterConfig{RateFactor: 1.5, Slack: 5}}
 	svc, srv := &fleet.Service{Name: "pool", ColdRate: 5.2}, &fleet.Server{ID: "s0", Service: "pool", Slots: 2}
--- a/mustardseam/entry/server_limit_test.go
+++ b/mustardseam/entry/server_limit_test.go
@@ -34,8 +34,7 @@
 	return true
 }
 
-// TestHubKeepsToServerLimit guards against a hub that places more requests of all instances than the limit that another
-// instance has learned of.
+// TestHubKeepsToServerLimit guards against a hub that places beyond a limit which another instance reported.
 func TestHubKeepsToServerLimit(t *testing.T) {
 	cluster, now := newTestCluster(t, 3), time.Now()
 	cluster.hub.applyRelayedLimits(now, 0, limitOf(1))
@@ -54,8 +53,7 @@
 	assert.Assert(t, placed >= 5 && placed <= 9, "%d requests in 8 s", placed)
 }
 
-// TestHubDecisionBeyondServerLimit guards against an instance that follows the decision of a hub that does not know of the
-// limit.
+// TestHubDecisionBeyondServerLimit guards against following a hub that does not know of the limit.
 func TestHubDecisionBeyondServerLimit(t *testing.T) {
 	cluster := newTestCluster(t, 1)
 	first, svc := cluster.instances[0].scheduler, cluster.view.Config.Service("pool")
@@ -67,8 +65,7 @@
 	assert.Assert(t, first.accept(svc, testJob(0), decision) == nil)
 }
 
-// TestHubCountsRequestsPlacedElsewhere guards against a hub that grants an instance its share of a limit again after the
-// instance has used it without asking the hub.
+// TestHubCountsRequestsPlacedElsewhere guards against a hub that grants a share that was used without asking it.
 func TestHubCountsRequestsPlacedElsewhere(t *testing.T) {
 	cluster, now := newTestCluster(t, 0), time.Now()
 	s := cluster.hub
@@ -83,8 +80,7 @@
 	assert.Assert(t, !placeOnce(s, time.Now(), "n0"))
 }
 
-// TestRefusalAtServerLimit guards against a request that waits for backend servers with a limit until its caller gives up,
-// and against a refusal without the time of the retry.
+// TestRefusalAtServerLimit guards against waiting until the deadline for backend servers at their limit.
 func TestRefusalAtServerLimit(t *testing.T) {
 	cluster := newTestCluster(t, 1)
 	first := cluster.instances[0].scheduler
@@ -100,8 +96,7 @@
 	assert.Assert(t, r.RetryAfter > 0)
 }
 
-// TestNewHubKeepsShares guards against instances that take a larger share of a limit because a new hub has not heard from
-// the others yet.
+// TestNewHubKeepsShares guards against larger shares of a limit while a new hub hears from the others.
 func TestNewHubKeepsShares(t *testing.T) {
 	cluster, now := newTestCluster(t, 3), time.Now()
 	s := cluster.instances[0].scheduler
@@ -120,8 +115,7 @@
 	assert.Assert(t, placed >= 3 && placed <= 5, "%d requests in 4 s", placed)
 }
 
-// TestServerLimitOfNextIncarnation guards against a backend server that starts again at the same address and gets many
-// requests before its first answer, and against a limit that its previous incarnation named in a late answer.
+// TestServerLimitOfNextIncarnation guards against a backend server that is flooded, or held to an old limit, after its restart.
 func TestServerLimitOfNextIncarnation(t *testing.T) {
 	cluster, now := newTestCluster(t, 0), time.Now()
 	s, old, next := cluster.hub, fleet.Incarnation{ID: "s0"}, fleet.Incarnation{ID: "s0", StartMS: 5}
--- a/mustardseam/http1/client_test.go
+++ b/mustardseam/http1/client_test.go
@@ -135,8 +135,7 @@
 	assert.Assert(t, errors.Is(err, ErrIncompleteResponse))
 }
 
-// TestDeadlineDoesNotReviveCancelledCall guards against a call that goes on after its cancellation because a later deadline
-// replaces the one that ended it.
+// TestDeadlineDoesNotReviveCancelledCall guards against a cancelled call that goes on because a later deadline is set.
 func TestDeadlineDoesNotReviveCancelledCall(t *testing.T) {
 	s := startScriptedServer(t, func(_ int, c net.Conn, br *bufio.Reader) {
 		if id, err := readRequest(br); err == nil {
@@ -157,8 +156,7 @@
 	assert.Assert(t, time.Since(cancelled) < time.Second)
 }
 
-// TestInterimResponsesAreSkipped guards against a request that fails because its backend server sends several interim
-// responses, and against a backend server that sends them without an end.
+// TestInterimResponsesAreSkipped guards against a request that fails, or never ends, because of interim responses.
 func TestInterimResponsesAreSkipped(t *testing.T) {
 	tests := []struct {
 		name    string
--- a/mustardseam/http1/server_test.go
+++ b/mustardseam/http1/server_test.go
@@ -47,8 +47,7 @@
 	return resp, err
 }
 
-// TestDrainDuringResponseKeepsAnnouncedConnection guards against the loss of a caller's next request because a connection
-// that its response left open is closed.
+// TestDrainDuringResponseKeepsAnnouncedConnection guards against the loss of the next request on a connection left open.
 func TestDrainDuringResponseKeepsAnnouncedConnection(t *testing.T) {
 	var s *Server
 	s, c := startServer(t, func(e *Exchange) {
@@ -65,8 +64,7 @@
 	assert.Assert(t, resp.Close)
 }
 
-// TestPanicDoesNotCompleteResponse guards against a response that ends with its connection and looks complete although its
-// handler panicked.
+// TestPanicDoesNotCompleteResponse guards against a cut response that looks complete after a panic.
 func TestPanicDoesNotCompleteResponse(t *testing.T) {
 	_, c := startServer(t, func(e *Exchange) {
 		e.Begin(ResponseHeader{Status: 200}, false)
--- a/mustardseam/placement/throughput_test.go
+++ b/mustardseam/placement/throughput_test.go
@@ -7,8 +7,7 @@
 	"gotest.tools/v3/assert"
 )
 
-// TestNewQueueRefusesNothingInTime guards against refusals at an instance whose queue has just come into use, as after the
-// loss of the hub, although its jobs would be placed in time.
+// TestNewQueueRefusesNothingInTime guards against refusals by a queue that has just come into use, as after the loss of a hub.
 func TestNewQueueRefusesNothingInTime(t *testing.T) {
 	tests := []struct {
 		name  string
--- a/mustardseam/ratelimit/serverlimiter_test.go
+++ b/mustardseam/ratelimit/serverlimiter_test.go
@@ -54,8 +54,7 @@
 	return most
 }
 
-// TestServerLimitBoundOverInstances guards against more requests from all instances together than a backend server
-// accepts while rounds change, instances leave and join, the limit is lowered, and all learn of it at different times.
+// TestServerLimitBoundOverInstances guards against exceeding a limit while rounds, instances and the limit change.
 func TestServerLimitBoundOverInstances(t *testing.T) {
 	for _, instances := range []int{1, 3, 8, 60, 350} {
 		for _, limit := range []float64{0, 0.3, 1, 1.2, 3, 30, 200} {
@@ -108,8 +107,7 @@
 	}
 }
 
-// TestLowServerLimitRotates guards against an instance that may never use a backend server with a limit that is too low
-// for all instances, so that its callers are refused.
+// TestLowServerLimitRotates guards against an instance that may never use a backend server with a low limit.
 func TestLowServerLimitRotates(t *testing.T) {
 	names := []string{"n0", "n1", "n2"}
 	served := map[string]bool{}
@@ -131,8 +129,7 @@
 	assert.Equal(t, len(served), len(names))
 }
 
-// TestServerLimitRecords guards against limits that stay in force after their withdrawal, or are lifted by outdated answers
-// and relayed limits.
+// TestServerLimitRecords guards against limits that outlast their withdrawal, or are lifted by outdated statements.
 func TestServerLimitRecords(t *testing.T) {
 	named := func(n float64) fleet.RequestLimit { return fleet.RequestLimit{Named: true, PerSecond: n} }
 	reborn := fleet.Incarnation{ID: limitedServer.ID, StartMS: 2}
@@ -185,8 +182,7 @@
 	}
 }
 
-// TestRelayedLimitsDoNotRenewEachOther guards against a limit that two instances keep in force because each takes the
-// relayed limit of the other for a newer one.
+// TestRelayedLimitsDoNotRenewEachOther guards against a limit that two instances keep in force by relaying it.
 func TestRelayedLimitsDoNotRenewEachOther(t *testing.T) {
 	a, b := NewServerLimits(), NewServerLimits()
 	a.RecordAnswer(start, start, limitedServer, fleet.RequestLimit{Named: true, PerSecond: 1})
