Log the prompt parts of requests that a backend server cut off

Cause: logs and metrics did not tell which of the requests on a backend server was to blame when it ended. An attempt whose connection the backend server ended logs answer-cut (7017) with its parts and events and counts in mustardseam_answers_cut_total. The end of a connection is an error of its own, ErrDisconnected, which remains an ErrIncompleteResponse.

--- a/mustardseam/entry/attempt.go
+++ b/mustardseam/entry/attempt.go
@@ -101,6 +101,7 @@
 	} else {
 		req.runs++
 	}
+	i.recordCut(ctx, req, g, 0, err)
 	switch cause := context.Cause(ctx); {
 	case errors.Is(cause, http1.ErrCallerGone):
 		i.scheduler.Finish(g, placement.Outcome{Abandoned: true})
--- a/mustardseam/entry/metrics.go
+++ b/mustardseam/entry/metrics.go
@@ -16,6 +16,7 @@
 	panics        *metrics.Counter // Recovered panics.
 	placedByHub   *metrics.Counter
 	placedLocally *metrics.Counter
+	answersCut    *metrics.Counter   // Answers that backend servers cut off by ending the connection.
 	limitedSends  *metrics.Counter   // Requests sent to backend servers with a known request limit.
 	firstEvent    *metrics.Histogram // Seconds from the arrival to the first event.
 	total         *metrics.Histogram // Seconds from the arrival to the end.
@@ -38,6 +39,7 @@
 		panics:        set.NewCounter("mustardseam_panics_total"),
 		placedByHub:   set.NewCounter(`mustardseam_placed_total{by="hub"}`),
 		placedLocally: set.NewCounter(`mustardseam_placed_total{by="itself"}`),
+		answersCut:    set.NewCounter("mustardseam_answers_cut_total"),
 		limitedSends:  set.NewCounter("mustardseam_limited_sends_total"),
 		firstEvent:    set.NewHistogram("mustardseam_first_event_seconds"),
 		total:         set.NewHistogram("mustardseam_request_seconds"),
--- a/mustardseam/entry/stream.go
+++ b/mustardseam/entry/stream.go
@@ -41,6 +41,7 @@
 			}
 			return i.completeStream(req, g, resp, o, sent, first, latest, n)
 		case err != nil:
+			i.recordCut(ctx, req, g, n, err)
 			return i.streamFailed(ctx, req, g, o, err)
 		}
 		if ev.CommentOnly && !req.exchange.HeaderSent() {
--- a/mustardseam/entry/wire.go
+++ b/mustardseam/entry/wire.go
@@ -49,6 +49,7 @@
 	OutputHint      int           // Length of the output, in tokens, that the caller expects; 0 if not given.
 	HasTokenCounts  bool          // PromptTokens and MaxOutputTokens were given.
 	LastEventID     string        // Id of the latest event that the caller has; empty if none.
+	PromptParts     []string      // Ids of the parts of the prompt that other requests may share, in their order.
 }
 
 // Forward is the information that an instance adds to a request to a backend server.
--- a/mustardseam/event/catalogue.go
+++ b/mustardseam/event/catalogue.go
@@ -76,6 +76,7 @@
 	PanicContained       = Event{7014, "panic-contained", zerolog.ErrorLevel, "panic ended one task; the instance continues"}
 	ServerLimitChanged   = Event{7015, "server-limit-changed", zerolog.InfoLevel, "request limit of a backend server changed"}
 	ServerLimitInvalid   = Event{7016, "server-limit-invalid", zerolog.WarnLevel, "failed to read the request limit in an answer; the known limit stays in force"}
+	AnswerCut            = Event{7017, "answer-cut", zerolog.InfoLevel, "backend server ended the connection of a request without a complete answer"}
 )
 
 // All returns all events in ascending order of their numbers.
@@ -90,6 +91,6 @@
 		RolloutRolledBack, RolloutStep, RolloutDone, RolloutLate, RolloutWriteFailed,
 		RequestEnded, RequestRetried, SettingsReloaded, SettingsReloadFailed, StoreItemInvalid, ViewChanged,
 		HubChosen, HubLost, InstanceRegistered, StoreWriteFailed, ShutdownProgress,
-		HubPlacementStarted, HubPlacementStopped, PanicContained, ServerLimitChanged, ServerLimitInvalid,
+		HubPlacementStarted, HubPlacementStopped, PanicContained, ServerLimitChanged, ServerLimitInvalid, AnswerCut,
 	}
 }
--- a/mustardseam/http1/client_test.go
+++ b/mustardseam/http1/client_test.go
@@ -186,3 +186,55 @@
 		})
 	}
 }
+
+// TestDisconnectionIsRecognised guards against a crash of a backend server that is taken for another failed answer, and the
+// other way round.
+func TestDisconnectionIsRecognised(t *testing.T) {
+	tests := []struct {
+		name         string
+		answer       string
+		reset        bool
+		disconnected bool
+	}{
+		{"no answer", "", false, true},
+		{"reset before the answer", "", true, true},
+		{"within the header", "HTTP/1.1 200 OK\r\nConten", false, true},
+		{"before the body", "HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\n", false, true},
+		{"within the body", "HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\nabc", false, true},
+		{"within a chunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n8\r\nabc", false, true},
+		{"reset without framing", "HTTP/1.1 200 OK\r\n\r\nabc", true, true},
+		{"malformed chunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nabc\r\nabcdefgh", false, false},
+		{"body above the limit", "HTTP/1.1 200 OK\r\nContent-Length: 80\r\n\r\nabc", false, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			assert.NilError(t, err)
+			defer func() { _ = ln.Close() }()
+			go func() {
+				c, err := ln.Accept()
+				if err != nil {
+					return
+				}
+				_, _ = c.Read(make([]byte, 4096))
+				_, _ = c.Write([]byte(test.answer))
+				if test.reset {
+					time.Sleep(20 * time.Millisecond) // The answer is read before the reset.
+					_ = c.(*net.TCPConn).SetLinger(0)
+				}
+				_ = c.Close()
+			}()
+			server := &fleet.Server{ID: "b", Address: ln.Addr().String()}
+			resp, err := NewClient().Do(t.Context(), Call{
+				Server: server, Header: RequestHeader{Method: "GET", Path: "/", Host: "h"}, Deadline: time.Now().Add(10 * time.Second),
+				Matches: func(*fasthttp.ResponseHeader) bool { return true },
+			})
+			if err == nil {
+				_, err = resp.ReadBody(64)
+				resp.Close()
+			}
+			assert.Assert(t, errors.Is(err, ErrIncompleteResponse), "%v", err)
+			assert.Equal(t, errors.Is(err, ErrDisconnected), test.disconnected, "%v", err)
+		})
+	}
+}
--- a/mustardseam/http1/clientconn.go
+++ b/mustardseam/http1/clientconn.go
@@ -29,7 +29,8 @@
 // clientConn is a connection to a backend server.
 type clientConn struct {
 	conn             net.Conn
-	br               *bufio.Reader
+	end              *endDetector
+	br               *bufio.Reader // Reads from end.
 	keepAliveTimeout time.Duration // How long the connection may stay idle before the backend server closes it.
 	idleSince        time.Time     // Time at which the connection last became idle.
 	idleUntil        time.Time     // Time from which the idle connection is no longer used.
@@ -39,13 +40,22 @@
 }
 
 func newClientConn(raw net.Conn) *clientConn {
+	end := &endDetector{r: raw}
 	return &clientConn{
-		conn: raw, br: bufio.NewReaderSize(raw, maxResponseHeaderBytes), keepAliveTimeout: defaultKeepAliveTimeout,
+		conn: raw, end: end, br: bufio.NewReaderSize(end, maxResponseHeaderBytes), keepAliveTimeout: defaultKeepAliveTimeout,
 	}
 }
 
 func (c *clientConn) close() { _ = c.conn.Close() }
 
+// incompleteCause returns ErrDisconnected if the backend server has ended the connection, otherwise ErrIncompleteResponse.
+func (c *clientConn) incompleteCause() error {
+	if c.end.ended {
+		return ErrDisconnected
+	}
+	return ErrIncompleteResponse
+}
+
 // interrupt makes blocked and later reads and writes fail.
 func (c *clientConn) interrupt() {
 	c.mu.Lock()
@@ -113,7 +123,7 @@
 	for skipped, interim := 0, 0; skipped < maxSkippedResponses && interim <= maxInterimResponses; {
 		r := &Response{upstream: c}
 		if err := r.Header.Read(c.br); err != nil {
-			return nil, eris.Wrapf(ErrIncompleteResponse, "read answer of backend server %s: %v", call.Server.ID, err)
+			return nil, eris.Wrapf(c.incompleteCause(), "read answer of backend server %s: %v", call.Server.ID, err)
 		}
 		if code := r.Header.StatusCode(); code >= 100 && code < 200 {
 			interim++
--- a/mustardseam/http1/errors.go
+++ b/mustardseam/http1/errors.go
@@ -1,6 +1,9 @@
 package http1
 
-import "errors"
+import (
+	"errors"
+	"fmt"
+)
 
 // Errors that users of this package distinguish with errors.Is.
 var (
@@ -11,6 +14,8 @@
 	// ErrIncompleteResponse means that no complete response was received, also because only a part of the request could be
 	// sent. The request may have run.
 	ErrIncompleteResponse = errors.New("incomplete response")
+	// ErrDisconnected is an ErrIncompleteResponse because the backend server ended the connection, as one that crashes does.
+	ErrDisconnected = fmt.Errorf("connection ended: %w", ErrIncompleteResponse)
 	// ErrUnexpectedResponse means that the bytes received on the connection are not the response to the request.
 	ErrUnexpectedResponse = errors.New("response belongs to another request")
 )
--- a/mustardseam/http1/eventstream.go
+++ b/mustardseam/http1/eventstream.go
@@ -26,8 +26,8 @@
 // NewEventReader returns an EventReader for a response body.
 func NewEventReader(r io.Reader) *EventReader { return &EventReader{br: bufio.NewReader(r)} }
 
-// Next returns the next event. It returns io.EOF at the end of a complete stream and ErrIncompleteResponse if the stream
-// ends inside an event.
+// Next returns the next event. It returns io.EOF at the end of a complete stream and ErrDisconnected if the stream ends
+// inside an event.
 func (e *EventReader) Next() (Event, error) {
 	var raw []byte
 	for {
@@ -39,7 +39,7 @@
 		case err == bufio.ErrBufferFull:
 			continue
 		case err == io.EOF && len(bytes.TrimSpace(raw)) > 0:
-			return Event{}, eris.Wrap(ErrIncompleteResponse, "stream ends inside an event")
+			return Event{}, eris.Wrap(ErrDisconnected, "stream ends inside an event")
 		case err != nil:
 			return Event{}, err
 		}
--- a/mustardseam/http1/response.go
+++ b/mustardseam/http1/response.go
@@ -63,7 +63,7 @@
 		return n, err
 	}
 	if err != nil {
-		return n, eris.Wrapf(ErrIncompleteResponse, "read response body of backend server %s: %v", r.server.ID, err)
+		return n, eris.Wrapf(r.upstream.incompleteCause(), "read response body of backend server %s: %v", r.server.ID, err)
 	}
 	return n, nil
 }
