Refuse requests with prompt parts that crash backend servers

Cause: nothing connected a crash with what the request held, so each request with the part, and each retry of it, crashed a further backend server. The class of fault: a failure is put down to the place where it shows alone. Change: package quarantine. A request whose connection a backend server ends before the third event is a crash on the shared parts of its prompt. A part on which any backend server answers afterwards is sound. Parts left over at four incarnations, at three moments at least, are refused with 503 and the time for which they are, checked again before each attempt. As long as the crashes do not tell which of several parts is the cause, only requests with all of them are refused, so that sound ones tell them apart. From two crashes on, a cut request with the part is not sent to another backend server. Crashes go to all instances with the reports, and to the store for instances that start after the loss of all. Crashes at leaving backend servers do not count; memory is bounded by 256 crashes.

--- a/mustardseam/entry/attempt.go
+++ b/mustardseam/entry/attempt.go
@@ -130,6 +130,9 @@
 	if err != nil {
 		return i.attemptFailed(ctx, req, g, sent, err)
 	}
+	if resp.SelfDelimited() {
+		i.recordSound(req)
+	}
 	req.runs++
 	status := resp.Header.StatusCode()
 	ok := status < fasthttp.StatusInternalServerError
@@ -158,7 +161,7 @@
 func (i *Instance) retryFailedAnswer(ctx context.Context, req *request) bool {
 	i.metrics.retries.Inc()
 	i.logRetry(req)
-	g, err := i.scheduler.Acquire(ctx, req.service, req.job)
+	g, err := i.acquire(ctx, req)
 	if err != nil {
 		return false
 	}
--- a/mustardseam/entry/dump.go
+++ b/mustardseam/entry/dump.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/mustardseam/mustardseam/mustardseam/placement"
+	"github.com/mustardseam/mustardseam/mustardseam/quarantine"
 )
 
 // State is the state of an instance as shown to operators.
@@ -21,6 +22,8 @@
 	Stopping    bool                   `json:"stopping"`
 	// Limits holds the request limits that backend servers named, in requests per second by ID.
 	Limits map[string]float64 `json:"limits,omitempty"`
+	// Quarantine holds the prompt parts on which backend servers crash.
+	Quarantine []quarantine.Pattern `json:"quarantine,omitempty"`
 }
 
 // State returns the state of the instance as a State.
@@ -36,6 +39,7 @@
 	i.reporter.mu.Lock()
 	d.Hub = i.reporter.hubName
 	i.reporter.mu.Unlock()
+	d.Quarantine = i.quarantine.Patterns(time.Now())
 	i.scheduler.mu.Lock()
 	defer i.scheduler.mu.Unlock()
 	d.Instances, d.ClientCount = i.scheduler.instances, len(i.scheduler.placementServer.clients)
--- a/mustardseam/entry/handler.go
+++ b/mustardseam/entry/handler.go
@@ -63,6 +63,10 @@
 		i.refuse(req, fasthttp.StatusServiceUnavailable, 0, "instance stops")
 		return
 	}
+	if r := i.refuseQuarantined(req); r != nil {
+		i.refuse(req, fasthttp.StatusServiceUnavailable, r.RetryAfter, r.Reason)
+		return
+	}
 	i.prepare(req)
 	if req.team != nil {
 		req.units = quotaUnits(req.team, req.meta)
@@ -118,7 +122,7 @@
 // runAttempts tries backend servers until the caller has an answer or no further attempt is possible.
 func (i *Instance) runAttempts(ctx context.Context, req *request) {
 	for {
-		g, err := i.scheduler.Acquire(ctx, req.service, req.job)
+		g, err := i.acquire(ctx, req)
 		if err != nil {
 			i.replyUnplaced(req, err)
 			return
@@ -136,7 +140,7 @@
 			i.replyFailed(req)
 			return
 		case resultRetry:
-			if !req.mayRepeat() || ctx.Err() != nil {
+			if !req.mayRepeat() || ctx.Err() != nil || i.carriesCrash(req) {
 				i.replyFailed(req)
 				return
 			}
@@ -156,6 +160,20 @@
 	}
 }
 
+// acquire waits until a backend server has room for a request, like Scheduler.Acquire, and refuses a request whose prompt was
+// found to crash backend servers meanwhile.
+func (i *Instance) acquire(ctx context.Context, req *request) (*Grant, error) {
+	g, err := i.scheduler.Acquire(ctx, req.service, req.job)
+	if err != nil {
+		return nil, err
+	}
+	if r := i.refuseQuarantined(req); r != nil {
+		i.scheduler.Finish(g, placement.Outcome{Abandoned: true})
+		return nil, r
+	}
+	return g, nil
+}
+
 // recordPlacement records the placement of an attempt for the log line of the request and the metrics.
 func (i *Instance) recordPlacement(req *request, g *Grant) {
 	i.metrics.requestPlaced(g)
--- a/mustardseam/entry/instance.go
+++ b/mustardseam/entry/instance.go
@@ -18,6 +18,7 @@
 	"github.com/mustardseam/mustardseam/mustardseam/http1"
 	"github.com/mustardseam/mustardseam/mustardseam/hub"
 	"github.com/mustardseam/mustardseam/mustardseam/logwriter"
+	"github.com/mustardseam/mustardseam/mustardseam/quarantine"
 	"github.com/mustardseam/mustardseam/mustardseam/store"
 )
 
@@ -62,6 +63,7 @@
 	reporter        *reporter
 	placementClient *placementClient
 	rollouts        *rollouts
+	quarantine      *quarantine.Table
 	metrics         *instanceMetrics
 	active          atomic.Int64
 	bounds          atomic.Pointer[Bounds]
@@ -83,6 +85,7 @@
 	i.scheduler = newScheduler(schedulerConfig{
 		instance: cfg.Name, bounds: cfg.Bounds, view: i.view.Load, recoverPanics: i.recoverPanics,
 	})
+	i.quarantine = newQuarantine(i.log())
 	i.metrics = newInstanceMetrics(i)
 	i.reporter = newReporter(i)
 	i.placementClient = newPlacementClient(placementClientConfig{
@@ -108,6 +111,7 @@
 	i.tasks.Go(i.rollouts.run)
 	i.tasks.Go(i.register)
 	i.tasks.Go(i.saveQuotas)
+	i.tasks.Go(i.saveCrashes)
 	i.tasks.Go(i.sweep)
 	event.InstanceStarted.Log(i.log()).Str("data-centre", cfg.DataCentre).Send()
 	return i
@@ -149,6 +153,7 @@
 			if c.Quotas != nil {
 				i.scheduler.restoreQuotas(now, *c.Quotas)
 			}
+			i.quarantine.Merge(now, c.Crashes)
 			i.logChange(item, c)
 		})
 	}
@@ -174,6 +179,7 @@
 				swept = now
 				i.client.CloseExpired(now, i.listed)
 				i.scheduler.sweep(now, i.listed)
+				i.quarantine.Sweep(now)
 			}
 		})
 	}
--- a/mustardseam/entry/metrics.go
+++ b/mustardseam/entry/metrics.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"strconv"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 )
@@ -17,6 +18,7 @@
 	placedByHub   *metrics.Counter
 	placedLocally *metrics.Counter
 	answersCut    *metrics.Counter   // Answers that backend servers cut off by ending the connection.
+	quarantined   *metrics.Counter   // Requests refused because their prompts crash backend servers.
 	limitedSends  *metrics.Counter   // Requests sent to backend servers with a known request limit.
 	firstEvent    *metrics.Histogram // Seconds from the arrival to the first event.
 	total         *metrics.Histogram // Seconds from the arrival to the end.
@@ -31,6 +33,8 @@
 	set.NewGauge("mustardseam_backend_connections_opened", func() float64 { return float64(i.client.DialCount()) })
 	set.NewGauge("mustardseam_instances_placed_for", func() float64 { return float64(i.scheduler.Clients()) })
 	set.NewGauge("mustardseam_servers_limited", func() float64 { return float64(i.scheduler.LimitedServers()) })
+	set.NewGauge("mustardseam_prompt_patterns_quarantined", func() float64 { return float64(len(i.quarantine.Patterns(time.Now()))) })
+	set.NewGauge("mustardseam_crashes_known", func() float64 { return float64(i.quarantine.Len()) })
 	return &instanceMetrics{
 		set:           set,
 		requests:      set.NewCounter("mustardseam_requests_total"),
@@ -40,6 +44,7 @@
 		placedByHub:   set.NewCounter(`mustardseam_placed_total{by="hub"}`),
 		placedLocally: set.NewCounter(`mustardseam_placed_total{by="itself"}`),
 		answersCut:    set.NewCounter("mustardseam_answers_cut_total"),
+		quarantined:   set.NewCounter("mustardseam_quarantined_requests_total"),
 		limitedSends:  set.NewCounter("mustardseam_limited_sends_total"),
 		firstEvent:    set.NewHistogram("mustardseam_first_event_seconds"),
 		total:         set.NewHistogram("mustardseam_request_seconds"),
--- a/mustardseam/entry/report_exchange.go
+++ b/mustardseam/entry/report_exchange.go
@@ -56,15 +56,33 @@
 		}
 	}
 	r.pendingUsage, r.samples = map[string]ratelimit.Usage{}, nil
+	if r.crashSync.hub != target.Name {
+		r.crashSync = crashSync{hub: target.Name}
+	}
+	var crashesUpTo int64
+	report.Crashes, crashesUpTo = r.i.quarantine.Since(time.Now(), r.crashSync.sent)
+	report.CrashRun, report.CrashSequence = r.crashSync.run, r.crashSync.known
 	r.mu.Unlock()
 	response, err := r.client.Report(target.Address, report)
 	if err != nil {
 		r.reportFailed(target, report, err)
 		return
 	}
+	r.syncCrashes(target, response, crashesUpTo)
 	r.applyResponse(target, report, response)
 }
 
+// syncCrashes merges the crashes in a hub's response to a report that held the own ones up to a number of changes.
+func (r *reporter) syncCrashes(target fleet.Instance, response hub.ReportResponse, sent int64) {
+	r.i.quarantine.Merge(time.Now(), response.Crashes)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.crashSync.run != 0 && r.crashSync.run != response.Run {
+		sent = 0 // The hub has started again and lacks what was sent before.
+	}
+	r.crashSync = crashSync{hub: target.Name, run: response.Run, sent: sent, known: response.CrashSequence}
+}
+
 // reportFailed queues the contents of an unanswered report again and marks the hub as failed.
 func (r *reporter) reportFailed(target fleet.Instance, report hub.Report, err error) {
 	r.mu.Lock()
@@ -153,6 +171,7 @@
 	r.i.learnInstance(report.Registration)
 	r.i.markLeaving(report.Leaving...)
 	r.i.applyRelayedLimits(report.Instance, report.LimitRound, report.Limits)
+	r.i.quarantine.Merge(now, report.Crashes)
 	r.mu.Lock()
 	used := r.aggregator.Add(now, report)
 	hasNoHub := r.hubName == ""
@@ -171,6 +190,11 @@
 		Unreachable: sum.Unreachable, From: report.Revision, Leaving: r.i.leavingServers(),
 	}
 	response.Limits, response.LimitRound = r.i.scheduler.limitsToRelay(now)
+	var crashesKnown int64
+	if report.CrashRun == r.i.runID {
+		crashesKnown = report.CrashSequence
+	}
+	response.Crashes, response.CrashSequence = r.i.quarantine.Since(now, crashesKnown)
 	every := max(1, int64(loadsInterval/hub.ReportInterval(len(response.Instances), r.i.cfg.Cores)))
 	if !report.RequestsKnown || report.Sequence%every == 0 {
 		response.Loads, response.ReporterLoads = sum.JSON, sum.ByInstance[report.Instance]
--- a/mustardseam/entry/reporter.go
+++ b/mustardseam/entry/reporter.go
@@ -49,10 +49,19 @@
 	hubStoreAge     time.Duration              // Time since the store answered the hub itself, as of lastHubReply.
 	hubFailures     map[string]time.Time       // When a hub last failed to answer, keyed by its name.
 	hubUsageUnknown bool                       // The hub has just started and does not know earlier quota usage.
-	instanceCount   int                        // Number of instances in the hub's latest answer.
+	crashSync       crashSync
+	instanceCount   int // Number of instances in the hub's latest answer.
 	partition       partition
 }
 
+// crashSync is how far the crashes of backend servers have been exchanged with a hub, in numbers of changes.
+type crashSync struct {
+	hub   string
+	run   int64 // Random id of the hub's run of its process.
+	sent  int64 // Changes of this instance that the hub has.
+	known int64 // Changes of the hub that this instance has.
+}
+
 func newReporter(i *Instance) *reporter {
 	return &reporter{
 		i: i, client: hub.NewClient(), aggregator: hub.NewAggregator(i.cfg.Name), pendingUsage: map[string]ratelimit.Usage{},
--- a/mustardseam/entry/stream.go
+++ b/mustardseam/entry/stream.go
@@ -77,6 +77,9 @@
 		if interTokenSampleEvents[n] && g.Service.TokensPerEvent > 0 {
 			i.scheduler.RecordInterToken(g, latest.Sub(first)/time.Duration((n-1)*g.Service.TokensPerEvent))
 		}
+		if n == soundEvents {
+			i.recordSound(req)
+		}
 		stall.eventReceived(latest)
 		if !req.exchange.HeaderSent() {
 			i.metrics.firstEvent.UpdateDuration(req.exchange.ReceivedAt)
@@ -121,6 +124,9 @@
 	}
 	req.exchange.End()
 	req.reason = "answered"
+	if resp.SelfDelimited() {
+		i.recordSound(req)
+	}
 	o.OK, o.Total = true, time.Since(sent)
 	o.Output = n * g.Service.TokensPerEvent
 	if n > 1 && g.Service.TokensPerEvent > 0 {
--- a/mustardseam/entry/view.go
+++ b/mustardseam/entry/view.go
@@ -11,8 +11,8 @@
 
 // logChange logs a change of the view.
 func (i *Instance) logChange(item store.Item, c fleet.Change) {
-	if c.Quotas != nil {
-		return // Saved every second or so, too often for the log.
+	if c.Quotas != nil || c.Crashes != nil {
+		return // Saved too often for the log.
 	}
 	l := event.ViewChanged.Log(i.log()).Str("key", item.Key).Int64("revision", item.Revision)
 	switch {
--- a/mustardseam/entry/wire.go
+++ b/mustardseam/entry/wire.go
@@ -35,6 +35,8 @@
 	Instance(instance fleet.Instance) (key string, value []byte, err error)
 	// Quotas returns the item that stores the quota levels.
 	Quotas(q fleet.QuotaSnapshot) (key string, value []byte, err error)
+	// Crashes returns the item that stores crashes of backend servers.
+	Crashes(crashes []fleet.Crash) (key string, value []byte, err error)
 	// Progress returns the item that tells operators and instances the progress of a rollout.
 	Progress(service string, p fleet.Progress) (key string, value []byte, err error)
 }
--- a/mustardseam/event/catalogue.go
+++ b/mustardseam/event/catalogue.go
@@ -77,6 +77,8 @@
 	ServerLimitChanged   = Event{7015, "server-limit-changed", zerolog.InfoLevel, "request limit of a backend server changed"}
 	ServerLimitInvalid   = Event{7016, "server-limit-invalid", zerolog.WarnLevel, "failed to read the request limit in an answer; the known limit stays in force"}
 	AnswerCut            = Event{7017, "answer-cut", zerolog.InfoLevel, "backend server ended the connection of a request without a complete answer"}
+	PromptQuarantined    = Event{7018, "prompt-quarantined", zerolog.WarnLevel, "backend servers crash on prompt parts; requests with all of them are refused"}
+	PromptReleased       = Event{7019, "prompt-released", zerolog.InfoLevel, "prompt parts are no longer refused in this combination"}
 )
 
 // All returns all events in ascending order of their numbers.
@@ -92,5 +94,6 @@
 		RequestEnded, RequestRetried, SettingsReloaded, SettingsReloadFailed, StoreItemInvalid, ViewChanged,
 		HubChosen, HubLost, InstanceRegistered, StoreWriteFailed, ShutdownProgress,
 		HubPlacementStarted, HubPlacementStopped, PanicContained, ServerLimitChanged, ServerLimitInvalid, AnswerCut,
+		PromptQuarantined, PromptReleased,
 	}
 }
--- a/mustardseam/fleet/change.go
+++ b/mustardseam/fleet/change.go
@@ -3,7 +3,7 @@
 import "time"
 
 // Change is a single change of a View. Exactly one of Config, Server, RemovedServer, Leaving, DataCentre, Rollout,
-// Progress, Quotas and Instance is set; the other fields qualify it.
+// Progress, Quotas, Crashes and Instance is set; the other fields qualify it.
 type Change struct {
 	Revision      int64
 	Config        *Config
@@ -15,6 +15,7 @@
 	Rollout       *ServiceRollout
 	Progress      *Progress
 	Quotas        *QuotaSnapshot
+	Crashes       []Crash
 	Service       string // Service that Progress belongs to.
 	Instance      *Instance
 	Removed       bool      // The item of DataCentre, Rollout or Instance was deleted.
--- a/mustardseam/hub/report.go
+++ b/mustardseam/hub/report.go
@@ -32,6 +32,10 @@
 	RequestsKnown bool               `json:"placed,omitempty"` // The hub knows the instance's requests from placement updates.
 	Limits        []ServerLimit      `json:"limits,omitempty"` // Request limits that backend servers named or withdrew.
 	LimitRound    int64              `json:"limit-round"`      // Round of the instances that use backend servers with low limits.
+	Crashes       []fleet.Crash      `json:"crashes,omitempty"`
+	// CrashSequence is the CrashSequence of the hub's latest response, from its run CrashRun.
+	CrashSequence int64 `json:"crash-sequence,omitempty"`
+	CrashRun      int64 `json:"crash-run,omitempty"`
 }
 
 // Sample is the outcome of a request to a service that has a rollout.
@@ -66,4 +70,7 @@
 	Items         []store.Item              `json:"items,omitempty"`
 	Limits        []ServerLimit             `json:"limits,omitempty"` // As in Report.
 	LimitRound    int64                     `json:"limit-round"`      // As in Report.
+	Crashes       []fleet.Crash             `json:"crashes,omitempty"`
+	// CrashSequence is the number of the hub's changes up to which Crashes is complete.
+	CrashSequence int64 `json:"crash-sequence,omitempty"`
 }
