Play prompt parts that crash backend servers in the soak

Cause: no test played such parts beside restarts, pauses, lost links and store faults. Backend servers that reset connections are among the faults too.

--- a/soak/client_soak_test.go
+++ b/soak/client_soak_test.go
@@ -72,7 +72,7 @@
 		}
 		br := bufio.NewReader(conn)
 		for range 1 + rnd.IntN(10) {
-			r := c.send(rnd, p, conn, br)
+			r := c.send(rnd, site, p, conn, br)
 			c.add(r)
 			if r.status == 0 || !r.complete {
 				break
@@ -84,13 +84,17 @@
 }
 
 // send sends a request of a random kind and reads its answer.
-func (c *clients) send(rnd *rand.Rand, p *process, conn net.Conn, br *bufio.Reader) result {
+func (c *clients) send(rnd *rand.Rand, site *site, p *process, conn net.Conn, br *bufio.Reader) result {
 	kind := []string{"safe", "unsafe", "unsafe", "stream"}[rnd.IntN(4)]
 	r := result{id: c.nextID(), kind: kind, instance: p.name, at: time.Now()}
 	_ = conn.SetDeadline(time.Now().Add(requestTimeout + time.Second))
+	prompt := ""
+	if kind == "stream" {
+		prompt = "Mustardseam-Prompt-Prefix: " + site.prompt(rnd, r.id) + "\r\n"
+	}
 	_, r.err = fmt.Fprintf(conn, "POST /%s/x HTTP/1.1\r\nHost: h.example\r\nMustardseam-Request-Id: %s\r\n"+
-		"Mustardseam-Deadline-Ms: %d\r\nAuthorization: Bearer key\r\nContent-Length: 4\r\n\r\nbody",
-		kind, r.id, requestTimeout.Milliseconds())
+		"%sMustardseam-Deadline-Ms: %d\r\nAuthorization: Bearer key\r\nContent-Length: 4\r\n\r\nbody",
+		kind, r.id, prompt, requestTimeout.Milliseconds())
 	if r.err != nil {
 		return r
 	}
--- a/soak/fault_soak_test.go
+++ b/soak/fault_soak_test.go
@@ -37,7 +37,7 @@
 		b := s.backends[rnd.IntN(len(s.backends))]
 		all := []platformtest.Behaviour{
 			platformtest.ServerError, platformtest.Refusing, platformtest.Truncated, platformtest.Duplicated, platformtest.Unsealed, platformtest.Misdirected, platformtest.UntilClose,
-			platformtest.SlowStart,
+			platformtest.SlowStart, platformtest.Reset,
 		}
 		v := all[rnd.IntN(len(all))]
 		s.logEvent("%s is %s", b.ID, v)
@@ -66,6 +66,7 @@
 		s.kv.SetFault(platformtest.NoFault)
 	}},
 	{"request limit", func(rnd *rand.Rand, s *site) { s.limitRequests(rnd) }},
+	{"deadly prompt part", func(rnd *rand.Rand, s *site) { s.crashBackends(rnd) }},
 	{"store compaction", func(_ *rand.Rand, s *site) {
 		s.logEvent("store compacts its history")
 		s.kv.Compact()
--- a/soak/site_soak_test.go
+++ b/soak/site_soak_test.go
@@ -31,17 +31,20 @@
 	backends  []*platformtest.Backend
 	links     []*proxy   // Proxies in front of the backend servers.
 	limiting  sync.Mutex // Held while a backend server names a request limit.
+	crashing  sync.Mutex // Held while a prompt part crashes backend servers.
 	start     time.Time
 
-	mu        sync.Mutex
-	ready     []*process // Guarded by mu, like all fields below.
-	version   int
-	engines   bool // The backend servers are engines.
-	timeline  []string
-	limits    []limitPeriod
-	excuses   []excuse
-	victim    int  // The process that is stopped or paused next if oneVictim is set.
-	oneVictim bool // Only one process is stopped or paused, so that the others are not excused.
+	mu            sync.Mutex
+	ready         []*process // Guarded by mu, like all fields below.
+	version       int
+	engines       bool // The backend servers are engines.
+	timeline      []string
+	limits        []limitPeriod
+	excuses       []excuse
+	deadly        string // Prompt part on which backend servers crash; empty for none.
+	deadlyPeriods []deadlyPeriod
+	victim        int  // The process that is stopped or paused next if oneVictim is set.
+	oneVictim     bool // Only one process is stopped or paused, so that the others are not excused.
 }
 
 func newSite(t *testing.T, program string) *site {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -35,7 +35,8 @@
 
 // TestSoak guards against violations of the guarantees under combinations of faults that no other test covers:
 // non-idempotent requests that run twice, requests that ran but are answered as not run, answers that are incomplete or
-// belong to another request, gaps in streams, request limits that are exceeded, and service that does not recover.
+// belong to another request, gaps in streams, request limits that are exceeded, prompt parts that crash one backend server after
+// the other, and service that does not recover.
 func TestSoak(t *testing.T) {
 	program := build(t)
 	var list []uint64
@@ -68,6 +69,7 @@
 	time.Sleep(settleTime)
 	checkResults(t, s, c, seed)
 	s.checkLimits(c, seed)
+	s.checkDeadlyParts(c, seed)
 	assert.Assert(t, recovered, "seed %d: not every request succeeds %v after the last fault\n%s", seed, recoveryTime,
 		strings.Join(s.timeline, "\n"))
 }
