Log lists of the store and changes of its era

Cause: logs did not tell whether an instance read the store anew, and in which history of the store an answer was made. Lists log store-listed (3004), an answer with another era store-era-changed (3005).

--- a/mustardseam/entry/instance.go
+++ b/mustardseam/entry/instance.go
@@ -98,6 +98,13 @@
 		Client: cfg.Store, IsRelayed: i.reporter.relaysStore, OnChange: i.applyStoreItems,
 		OnAvailable:   func() { event.StoreAvailable.Log(i.log()).Send() },
 		OnUnavailable: func(err error) { event.StoreUnavailable.Log(i.log()).Err(err).Send() },
+		OnListed: func(at store.Position, items int) {
+			event.StoreListed.Log(i.log()).Int64("era", at.Era).Int64("revision", at.Revision).Int("items", items).Send()
+		},
+		OnEraChanged: func(replica, answer store.Position) {
+			event.StoreEraChanged.Log(i.log()).Int64("known-era", replica.Era).Int64("known-revision", replica.Revision).
+				Int64("era", answer.Era).Int64("revision", answer.Revision).Send()
+		},
 	})
 	i.peers = hub.NewServer(hub.ServerConfig{
 		Listener: cfg.PeerListener, HandleReport: i.reporter.handleReport, HandleUpdate: i.reporter.placeFor,
--- a/mustardseam/event/catalogue.go
+++ b/mustardseam/event/catalogue.go
@@ -25,6 +25,8 @@
 	StoreUnavailable        = Event{3001, "store-unavailable", zerolog.WarnLevel, "store unavailable"}
 	StoreAvailable          = Event{3002, "store-available", zerolog.InfoLevel, "store available again"}
 	InstanceListUnavailable = Event{3003, "instance-list-unavailable", zerolog.WarnLevel, "failed to read the list of instances"}
+	StoreListed             = Event{3004, "store-listed", zerolog.InfoLevel, "all items of the store read"}
+	StoreEraChanged         = Event{3005, "store-era-changed", zerolog.WarnLevel, "store was restored from a copy; acknowledged writes may be lost"}
 )
 
 // Events of pool homes.
@@ -86,7 +88,7 @@
 	return []Event{
 		InstanceStarted, InstanceReady, InstanceDraining, InstanceStopped, GracePeriodOver, ListenerFailed,
 		ConfigurationApplied, ConfigurationInvalid, ConfigurationWatchEnded, ConfigurationFromPeer,
-		StoreUnavailable, StoreAvailable, InstanceListUnavailable,
+		StoreUnavailable, StoreAvailable, InstanceListUnavailable, StoreListed, StoreEraChanged,
 		HomeTaken, HomeLost, HomeReleased, StaticShare, PermitStale, ClaimWriteFailed,
 		RequestNotRun, StreamResumed, ResponseIncomplete, OutcomeUnreported, LoadReportFailed,
 		VersionLoadRequested, VersionLoadDelayed, VersionLoadFailed,
--- a/mustardseam/store/client.go
+++ b/mustardseam/store/client.go
@@ -16,12 +16,13 @@
 
 // Client reads and writes the metadata store.
 type Client interface {
-	// List returns all items and a revision after which a watch misses no change. It fails when a page of the list takes
+	// List returns all items and a position after which a watch misses no change. It fails when a page of the list takes
 	// longer than the given time.
-	List(ctx context.Context, page time.Duration) (items []Item, revision int64, err error)
+	List(ctx context.Context, page time.Duration) (items []Item, at Position, err error)
 	// Watch is a long poll: it returns the changes after a revision as soon as there is one, or none after the wait, and the
-	// revision up to which they are complete.
-	Watch(ctx context.Context, after int64, wait time.Duration) (items []Item, revision int64, err error)
-	// Put writes a key if it is at the expected revision, 0 for a key that does not exist, and returns the new revision.
-	Put(ctx context.Context, key string, value []byte, expect int64) (revision int64, err error)
+	// position up to which they are complete. The era is that of the store's answer, also with ErrCompacted.
+	Watch(ctx context.Context, after int64, wait time.Duration) (items []Item, at Position, err error)
+	// Put writes a key if it is at the expected revision, 0 for a key that does not exist, and returns the position of the
+	// write.
+	Put(ctx context.Context, key string, value []byte, expect int64) (at Position, err error)
 }
--- a/mustardseam/store/follower.go
+++ b/mustardseam/store/follower.go
@@ -44,6 +44,10 @@
 	// OnAvailable is called when the store responds again after a failure, OnUnavailable when a call fails for the first time.
 	OnAvailable   func()
 	OnUnavailable func(err error)
+	// OnListed is called after a list of the store with its position and the number of items.
+	OnListed func(at Position, items int)
+	// OnEraChanged is called when an answer has another era than the one before; replica is the position of the replica.
+	OnEraChanged func(replica, answer Position)
 }
 
 // Follower maintains a replica of the store; its methods are safe for concurrent use.
@@ -58,6 +62,7 @@
 	lastResponse       time.Time // Time of the store's latest response, direct or relayed; guarded by mu.
 	lastDirectResponse time.Time // Time of the store's latest response to this instance; guarded by mu.
 	unavailable        bool      // A call failed after the latest successful one; guarded by mu.
+	era                int64     // Era of the store's latest answer to this instance; guarded by mu.
 	recoveredAt        time.Time // Time of the store's first response after the latest outage; guarded by mu.
 }
 
@@ -139,13 +144,14 @@
 
 // Put writes a key if it is at the expected revision, 0 for a key that does not exist, and applies it to the replica.
 func (f *Follower) Put(ctx context.Context, key string, value []byte, expect int64) error {
-	revision, err := f.cfg.Client.Put(ctx, key, value, expect)
+	at, err := f.cfg.Client.Put(ctx, key, value, expect)
 	if err != nil {
 		return err
 	}
 	f.mu.Lock()
+	f.recordEra(at)
 	// The replica keeps its revision, since earlier changes may not have arrived yet.
-	changed := f.replica.Apply([]Item{{Key: key, Value: value, Revision: revision}}, f.replica.Revision())
+	changed := f.replica.Apply([]Item{{Key: key, Value: value, Revision: at.Revision}}, f.replica.Revision())
 	f.notifyAndUnlock(changed, time.Now())
 	return nil
 }
@@ -201,13 +207,15 @@
 	ctx, cancel := context.WithTimeout(f.ctx, listTimeout)
 	defer cancel()
 
-	items, revision, err := f.cfg.Client.List(ctx, page)
+	items, at, err := f.cfg.Client.List(ctx, page)
 	if err != nil {
 		return err
 	}
+	f.cfg.OnListed(at, len(items))
 	f.mu.Lock()
+	f.recordEra(at)
 	f.recordResponse(time.Now())
-	f.notifyAndUnlock(f.replica.Reset(items, revision), time.Now())
+	f.notifyAndUnlock(f.replica.Reset(items, at.Revision), time.Now())
 	return nil
 }
 
@@ -223,16 +231,25 @@
 	ctx, cancel := context.WithTimeout(f.ctx, wait+margin)
 	defer cancel()
 
-	items, revision, err := f.cfg.Client.Watch(ctx, after, wait)
+	items, at, err := f.cfg.Client.Watch(ctx, after, wait)
 	if err != nil {
 		return err
 	}
 	f.mu.Lock()
+	f.recordEra(at)
 	f.recordResponse(time.Now())
-	f.notifyAndUnlock(f.replica.Apply(items, revision), time.Now())
+	f.notifyAndUnlock(f.replica.Apply(items, at.Revision), time.Now())
 	return nil
 }
 
+// recordEra records the era of the store's answer; the caller must hold mu.
+func (f *Follower) recordEra(at Position) {
+	if f.era != 0 && f.era != at.Era {
+		f.cfg.OnEraChanged(Position{Era: f.era, Revision: f.replica.Revision()}, at)
+	}
+	f.era = at.Era
+}
+
 // recordResponse records a response of the store to this instance; the caller must hold mu.
 func (f *Follower) recordResponse(at time.Time) {
 	if at.After(f.lastResponse) {
--- a/mustardseam/store/follower_test.go
+++ b/mustardseam/store/follower_test.go
@@ -12,16 +12,18 @@
 // changingClient returns a change from each call at once.
 type changingClient struct{ revision atomic.Int64 }
 
-func (c *changingClient) List(context.Context, time.Duration) ([]Item, int64, error) {
-	return nil, c.revision.Add(1), nil
+func (c *changingClient) List(context.Context, time.Duration) ([]Item, Position, error) {
+	return nil, Position{Revision: c.revision.Add(1)}, nil
 }
 
-func (c *changingClient) Watch(context.Context, int64, time.Duration) ([]Item, int64, error) {
+func (c *changingClient) Watch(context.Context, int64, time.Duration) ([]Item, Position, error) {
 	r := c.revision.Add(1)
-	return []Item{{Key: "k", Revision: r}}, r, nil
+	return []Item{{Key: "k", Revision: r}}, Position{Revision: r}, nil
 }
 
-func (c *changingClient) Put(context.Context, string, []byte, int64) (int64, error) { return 0, nil }
+func (c *changingClient) Put(context.Context, string, []byte, int64) (Position, error) {
+	return Position{}, nil
+}
 
 // TestPollsAreSpaced guards against a separate call to the store for each change in a series.
 func TestPollsAreSpaced(t *testing.T) {
@@ -29,7 +31,7 @@
 	began := time.Now()
 	f := NewFollower(FollowerConfig{
 		Client: c, IsRelayed: func() bool { return false }, OnChange: func([]Item, bool) {}, OnAvailable: func() {},
-		OnUnavailable: func(error) {},
+		OnUnavailable: func(error) {}, OnListed: func(Position, int) {}, OnEraChanged: func(Position, Position) {},
 	})
 	for c.revision.Load() < 3 {
 		time.Sleep(time.Millisecond)
