--- a/mustardseam/entry/dump.go
+++ b/mustardseam/entry/dump.go
@@ -1,6 +1,8 @@
 package entry
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/mustardseam/mustardseam/mustardseam/placement"
@@ -24,6 +26,8 @@
 	Limits map[string]float64 `json:"limits,omitempty"`
 	// Quarantine holds the prompt parts on which backend servers crash.
 	Quarantine []quarantine.Pattern `json:"quarantine,omitempty"`
+	// OutOfService holds the data centres that are out of service.
+	OutOfService []string `json:"out-of-service,omitempty"`
 }
 
 // State returns the state of the instance as a State.
@@ -39,6 +43,7 @@
 	i.reporter.mu.Lock()
 	d.Hub = i.reporter.hubName
 	i.reporter.mu.Unlock()
+	d.OutOfService = slices.Sorted(maps.Keys(v.OutOfService))
 	d.Quarantine = i.quarantine.Patterns(time.Now())
 	i.scheduler.mu.Lock()
 	defer i.scheduler.mu.Unlock()
