Play a store that is restored from a copy in the soak

Cause: no test played a restoration beside restarts, pauses, cut links and changes. Change: the store of the soak comes back from a copy of some seconds before; operators and backend servers write theirs again. At the end each instance must have the latest configuration.

--- a/soak/fault_soak_test.go
+++ b/soak/fault_soak_test.go
@@ -66,6 +66,7 @@
 		s.kv.SetFault(platformtest.NoFault)
 	}},
 	{"request limit", func(rnd *rand.Rand, s *site) { s.limitRequests(rnd) }},
+	{"store restored", func(rnd *rand.Rand, s *site) { s.restoreStore(rnd) }},
 	{"deadly prompt part", func(rnd *rand.Rand, s *site) { s.crashBackends(rnd) }},
 	{"store compaction", func(_ *rand.Rand, s *site) {
 		s.logEvent("store compacts its history")
--- a/soak/site_soak_test.go
+++ b/soak/site_soak_test.go
@@ -31,6 +31,7 @@
 	backends  []*platformtest.Backend
 	links     []*proxy   // Proxies in front of the backend servers.
 	limiting  sync.Mutex // Held while a backend server names a request limit.
+	restoring sync.Mutex // Held while the store is restored from a copy.
 	crashing  sync.Mutex // Held while a prompt part crashes backend servers.
 	start     time.Time
 
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -64,6 +64,7 @@
 	s.injectFaults(rand.New(rand.NewPCG(seed, 1000)), stopFaults)
 	s.logEvent("faults are over")
 	recovered := waitForRecovery(c)
+	s.checkVersion(seed)
 	close(stopAll)
 	workers.Wait()
 	time.Sleep(settleTime)
