Remove crashes that no longer count from the store

Symptom: none seen; found in reading. A crash that has expired stayed in the saved record for ever, and an instance that starts takes it up as a new one, so that a part would be refused for another hour after each start. Change: the saved crashes are rewritten without those that the hub no longer has. Run: TestSavedCrashesRestoreThePattern, extended, failed before (nothing is written) and passes; tests of quarantine passed.

--- a/mustardseam/entry/quarantine.go
+++ b/mustardseam/entry/quarantine.go
@@ -90,7 +90,7 @@
 func (i *Instance) saveCrashes() {
 	for i.ctx.Err() == nil {
 		i.sleep(crashSaveInterval)
-		if _, reachable := i.reporter.reachableHub(time.Now()); reachable || i.stopping.Load() != nil || i.quarantine.Len() == 0 {
+		if _, reachable := i.reporter.reachableHub(time.Now()); reachable || i.stopping.Load() != nil {
 			continue
 		}
 		i.recoverPanics("saving of crashes", func() {
@@ -108,9 +108,12 @@
 		return err
 	}
 	var saved []fleet.Crash
-	if item, _, found := i.follower.Item(key); found {
-		c, _, err := i.cfg.StoreCodec.Decode(item, false, time.Now())
-		if err == nil {
+	item, _, found := i.follower.Item(key)
+	if !found && i.quarantine.Len() == 0 {
+		return nil
+	}
+	if found {
+		if c, _, err := i.cfg.StoreCodec.Decode(item, false, time.Now()); err == nil {
 			saved = c.Crashes
 		}
 	}
--- a/mustardseam/quarantine/exchange.go
+++ b/mustardseam/quarantine/exchange.go
@@ -81,8 +81,8 @@
 	return crashes, upTo
 }
 
-// Unsaved returns the crashes to save for instances that start after the loss of all, or nil if the saved ones include all
-// that matters.
+// Unsaved returns the crashes to save for instances that start after the loss of all, or nil if the saved ones are those that
+// matter. Saved crashes that no longer count are left out, so that no instance takes them up again.
 func (t *Table) Unsaved(now time.Time, saved []fleet.Crash) []fleet.Crash {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -90,16 +90,18 @@
 	for _, c := range saved {
 		known[newKey(c.Server, normalize(c.Parts))] = c
 	}
-	var crashes []fleet.Crash
+	crashes := []fleet.Crash{}
 	complete := true
+	for key := range known {
+		complete = complete && t.records[key] != nil
+	}
 	for key, r := range t.records {
 		old, isSaved := known[key]
 		if !isSaved && (r.surplus || !slices.ContainsFunc(r.suspects(), func(part string) bool { return t.suspects[part] })) {
 			continue
 		}
 		c := r.crash(now)
-		complete = complete && isSaved && len(old.Sound) >= len(c.Sound) &&
-			old.RefusedMS-c.RefusedMS < (RefusalTime/2).Milliseconds()
+		complete = complete && isSaved && len(old.Sound) >= len(c.Sound)
 		crashes = append(crashes, c)
 	}
 	if complete {
--- a/mustardseam/quarantine/table_test.go
+++ b/mustardseam/quarantine/table_test.go
@@ -220,7 +220,14 @@
 	_, found := next.Match(now.Add(answeredSettleTime), []string{"a", "de"})
 	assert.Assert(t, found)
 	table.RecordAnswer(now, []string{"a"})
-	assert.Assert(t, table.Unsaved(now, saved) != nil, "the sound part must be saved")
+	saved = table.Unsaved(now, saved)
+	assert.Assert(t, saved != nil, "the sound part must be saved")
+	now = now.Add(2 * RefusalTime)
+	table.Sweep(now)
+	saved = table.Unsaved(now, saved)
+	assert.Assert(t, saved != nil, "crashes that no longer count must be removed")
+	assert.Equal(t, len(saved), 0)
+	assert.Assert(t, table.Unsaved(now, saved) == nil)
 }
 
 // TestTablesConverge guards against instances that refuse different prompts after the same crashes and answers, whatever the
