Bound the tombstones of keys that were never known

Cause: the deletion of an unknown key leaves a tombstone, and these were pruned only at the next deletion of a known one. Change: each new tombstone is followed by the check of the bound. Run: TestTombstonesStayBounded failed before (12288 tombstones, allowed 4096) and passes; tests of store passed.

--- a/mustardseam/store/replica.go
+++ b/mustardseam/store/replica.go
@@ -136,6 +136,7 @@
 		t := r.tombstones[i.Key]
 		t.revision = i.Revision
 		r.tombstones[i.Key] = t
+		r.pruneTombstones()
 		delete(r.held, i.Key)
 		return false
 	}
--- a/mustardseam/store/replica_test.go
+++ b/mustardseam/store/replica_test.go
@@ -72,3 +72,18 @@
 	assert.Assert(t, !whole)
 	assert.Assert(t, cmp.Len(items, 3))
 }
+
+// TestTombstonesStayBounded guards against memory that grows with each deletion of a key, also of one that was never known.
+func TestTombstonesStayBounded(t *testing.T) {
+	for _, known := range []bool{true, false} {
+		r := NewReplica(testReplicaConfig)
+		for n := range 3 * maxTombstones {
+			key, revision := fmt.Sprintf("k%d", n), int64(2*n+1)
+			if known {
+				r.Apply([]Item{{Key: key, Revision: revision}}, revision)
+			}
+			r.Apply([]Item{{Key: key, Revision: revision + 1, Deleted: true}}, revision+1)
+		}
+		assert.Assert(t, len(r.tombstones) <= maxTombstones, "%d tombstones, known %v", len(r.tombstones), known)
+	}
+}
