Say unknown when an earlier attempt of a submission may take effect

What operators saw: mustardctl submit ended with an exit code that says that nothing was written, although the answer to an earlier attempt had been lost and its write could still take effect. Cause: an attempt that failed for a definite reason ended the command without regard to the attempts before. Change: after a lost answer only a conflict or a reused id is definite; any other failure is the outcome unknown (5). Run: TestFailureAfterUnknownAttempt failed before (not exit code 5) and passes; tests of mustardctl passed.

--- a/mustardctl/submit.go
+++ b/mustardctl/submit.go
@@ -91,6 +91,9 @@
 		record, err := revision.Submit(ctx, e.store, s)
 		unknown = unknown || errors.Is(err, etcd.ErrOutcomeUnknown)
 		if !isTransient(err) {
+			if unknown && err != nil && !isDefinite(err) {
+				return record, &outcomeUnknownError{id: s.ID, cause: err}
+			}
 			return record, err
 		}
 		if e.sleep(ctx, retryInterval) == nil {
@@ -103,6 +106,14 @@
 	}
 }
 
+// isDefinite reports whether an error tells the outcome of all attempts: another submission was accepted instead, so that no
+// earlier attempt can take effect any more.
+func isDefinite(err error) bool {
+	var conflict *revision.ConflictError
+	var reused *revision.ReusedIDError
+	return errors.As(err, &conflict) || errors.As(err, &reused)
+}
+
 // isTransient reports whether a call failed because the store does not respond or temporarily refuses calls.
 func isTransient(err error) bool {
 	return errors.Is(err, etcd.ErrOutcomeUnknown) || errors.Is(err, etcd.ErrUnavailable)
--- a/mustardctl/submit_test.go
+++ b/mustardctl/submit_test.go
@@ -9,6 +9,7 @@
 	is "gotest.tools/v3/assert/cmp"
 
 	"github.com/mustardseam/mustardseam/mustardseam/revision"
+	"github.com/mustardseam/mustardseam/mustardseam/rollout"
 )
 
 func (s *testEnv) head(t *testing.T) revision.Head {
@@ -101,6 +102,20 @@
 	assert.Equal(t, code, exitFailed) // Nothing was written.
 }
 
+// TestFailureAfterUnknownAttempt guards against an exit code that says that nothing was written although an earlier attempt may
+// still take effect.
+func TestFailureAfterUnknownAttempt(t *testing.T) {
+	s := newTestEnv(t)
+	s.store.delayHeadWrite = true
+	s.beforeSleep = func() {
+		s.store.down = false
+		s.store.put(rollout.Key("r1"), []byte(`{"state":"done"}`)) // The document is refused from now on.
+	}
+	code, _, errText := s.run(yamlOf(t, testDocument()), "submit", "--id", "a1")
+	assert.Equal(t, code, exitUnknown, errText)
+	assert.Assert(t, is.Contains(errText, "repeat it with --id a1"))
+}
+
 // TestInvalidFileNamesField guards against an invalid file that is accepted, and against an error that does not name
 // the field.
 func TestInvalidFileNamesField(t *testing.T) {
--- a/mustardctl/testenv_test.go
+++ b/mustardctl/testenv_test.go
@@ -21,6 +21,7 @@
 	loseResponse          bool   // The next write of the head takes effect but returns ErrOutcomeUnknown.
 	down                  bool
 	downAfterLostResponse bool   // The store goes down with the next lost response.
+	delayHeadWrite        bool   // The next write of the head gets ErrOutcomeUnknown and takes no effect yet; the store goes down.
 	onList                func() // Called at the start of each List.
 }
 
@@ -57,6 +58,10 @@
 		f.beforeHeadWrite = nil
 		before()
 	}
+	if key == revision.HeadKey && f.delayHeadWrite {
+		f.delayHeadWrite, f.down = false, true
+		return 0, false, etcd.ErrOutcomeUnknown
+	}
 	if f.values[key].ModRevision != last {
 		return 0, false, nil
 	}
@@ -88,6 +93,8 @@
 	store  *fakeStore
 	states fakeStateReader
 	ctx    context.Context
+	// beforeSleep is called at the start of each pause between two attempts; nil for nothing.
+	beforeSleep func()
 }
 
 func newTestEnv(t *testing.T) *testEnv {
@@ -108,6 +115,9 @@
 // sleep returns an error while the store is down, as if the timeout of the command had expired. With onList set it does
 // not, so that a test can bring the store up again.
 func (s *testEnv) sleep(ctx context.Context, _ time.Duration) error {
+	if s.beforeSleep != nil {
+		s.beforeSleep()
+	}
 	if s.store.down && s.store.onList == nil {
 		return context.DeadlineExceeded
 	}
