Keep a rollout whose order is not yet written again

Symptom: none seen; found in reading. An instance that starts while a restored store lacks a rollout order knows it without a revision; as the hub it would have started the rollout anew once the order was written again. Change: the progress of an order whose revision is not known belongs to any order with its target. Run: TestProgressBelongsToOrder, extended, failed before and passes.

--- a/mustardseam/fleet/rollout.go
+++ b/mustardseam/fleet/rollout.go
@@ -22,9 +22,9 @@
 }
 
 // BelongsTo reports whether the progress is that of an order. An order with the same target in a later era of the store is the
-// same one: it was lost when the store was restored, and has been written again.
+// same one: it was lost when the store was restored, and has been written again. Until then its revision is 0.
 func (p Progress) BelongsTo(r ServiceRollout) bool {
-	return p.Order == r.Revision && p.Target == r.Target || p.Order != 0 && p.Era < r.Era && p.Target == r.Target
+	return p.Target == r.Target && (p.Order == r.Revision || p.Order == 0 || p.Era < r.Era)
 }
 
 // State is the state of a rollout as shown to operators.
--- a/mustardseam/fleet/rollout_test.go
+++ b/mustardseam/fleet/rollout_test.go
@@ -22,6 +22,8 @@
 		{"another target", Progress{Target: "v2", Order: 7, Era: 1}, ServiceRollout{Target: "v3", Revision: 5, Era: 2}, false},
 		{"another target at the same revision", Progress{Target: "v2", Order: 7, Era: 1}, ServiceRollout{Target: "v3", Revision: 7, Era: 2}, false},
 		{"known from an earlier era", Progress{Target: "v2", Order: 7, Era: 2}, ServiceRollout{Target: "v2", Revision: 7, Era: 1}, true},
+		{"order not yet written again", Progress{Target: "v2", Order: 7, Era: 1}, ServiceRollout{Target: "v2", Era: 2}, true},
+		{"written again after that", Progress{Target: "v2", Era: 2}, ServiceRollout{Target: "v2", Revision: 9, Era: 2}, true},
 		{"no progress", Progress{}, ServiceRollout{Target: "v2", Revision: 7, Era: 1}, false},
 	}
 	for _, test := range tests {
