Keep what is known of deleted entries over a second restoration

Symptom: none seen; found in reading. An entry that was gone before a restoration, and not in the copy, came back from the copy of a second one and was taken for a new one. Change: the last state of deleted leased entries outlives a restoration. Run: TestSecondRestoration failed before (one change) and passes; tests of store passed.

--- a/mustardseam/store/restore.go
+++ b/mustardseam/store/restore.go
@@ -48,6 +48,11 @@
 		i.Revision = 0
 		r.hold(nil, i)
 	}
+	for key, t := range deleted {
+		if _, known := r.items[key]; !known && t.last.Key != "" && r.tombstones[key].last.Key == "" {
+			r.tombstones[key] = tombstone{last: t.last} // The next copy may have it.
+		}
+	}
 	sortByKey(missing)
 	return append(changed, missing...)
 }
--- a/mustardseam/store/restore_test.go
+++ b/mustardseam/store/restore_test.go
@@ -86,6 +86,20 @@
 	assert.Assert(t, saved)
 }
 
+// TestSecondRestoration guards against what was known before the first restoration and is forgotten at the second.
+func TestSecondRestoration(t *testing.T) {
+	r := NewReplica(testReplicaConfig)
+	r.Reset([]Item{item("leased", "v", 3), item("lost", "vv", 8)}, Position{Era: 1, Revision: 8})
+	r.Apply([]Item{{Key: "leased", Revision: 9, Deleted: true}}, 9)
+	r.Reset(nil, Position{Era: 2, Revision: 2})
+	assert.Equal(t, len(r.Reset([]Item{item("leased", "v", 3), item("lost", "v", 4)}, Position{Era: 3, Revision: 5})), 0)
+	_, saved := r.Item("leased")
+	assert.Assert(t, !saved, "the item was gone before the first restoration")
+	i, saved := r.Item("lost")
+	assert.Equal(t, string(i.Value), "vv")
+	assert.Assert(t, !saved)
+}
+
 // TestRelayAfterRestoration guards against instances of two eras that take over each other's revisions.
 func TestRelayAfterRestoration(t *testing.T) {
 	hub, other := NewReplica(testReplicaConfig), NewReplica(testReplicaConfig)
