Space lists of a store that is restored within each of them

Symptom: none seen; found in reading. A list whose pages are of two eras was repeated without a pause. Change: a second failure of this kind in a row waits as long as a first failed call.

--- a/mustardseam/store/poll.go
+++ b/mustardseam/store/poll.go
@@ -31,6 +31,9 @@
 			f.markAvailable()
 			f.sleep(minPollInterval - time.Since(began))
 		case errors.Is(err, ErrCompacted) || errors.Is(err, ErrRestored):
+			if !listed {
+				f.sleep(minRetryDelay)
+			}
 			listed = false
 		case f.ctx.Err() == nil:
 			failures++
