Count only successful answers as harmless to a backend server

Symptom: none seen; found in reading. A backend server that answers 500, or 504 at the deadline, may not have begun with the prompt. Such an answer cleared a part of all crashes, so that a part that crashes backend servers could go on. Change: a complete answer shows that a prompt is harmless only if its status is 2xx. Run: TestServerErrorIsNoAnswer failed before (the part is never refused) and passes; tests of quarantine in platform passed.

--- a/mustardseam/entry/attempt.go
+++ b/mustardseam/entry/attempt.go
@@ -130,11 +130,11 @@
 	if err != nil {
 		return i.attemptFailed(ctx, req, g, sent, err)
 	}
-	if resp.SelfDelimited() {
-		i.recordSound(req)
-	}
 	req.runs++
 	status := resp.Header.StatusCode()
+	if status/100 == 2 && resp.SelfDelimited() {
+		i.recordSound(req) // An error may come before the prompt is processed.
+	}
 	ok := status < fasthttp.StatusInternalServerError
 	i.scheduler.Finish(g, placement.Outcome{Answered: true, OK: ok, Total: time.Since(sent)})
 	i.recordSample(req, g, ok, time.Since(sent), 0)
