Restart a process of the soak once at a time and pass resets on

Cause, by the timelines: two faults restarted the same process at the same time. And the proxies of the links closed a connection in the ordinary way when the backend server reset theirs, which ends a stream without framing as complete. Both are faults of the soak. Change: a fault that meets a process in a restart only sends its signal. A proxy passes a reset on as a reset.

--- a/soak/fault_soak_test.go
+++ b/soak/fault_soak_test.go
@@ -79,12 +79,18 @@
 	return time.Duration(rnd.Int64N(int64(limit)))
 }
 
-// restartInstance stops a random instance with a signal and starts it again.
+// restartInstance stops a random instance with a signal and starts it again. An instance that is being restarted only gets the
+// signal.
 func (s *site) restartInstance(rnd *rand.Rand, sig syscall.Signal) {
 	p := s.pickVictim(rnd)
 	defer s.excuse(p, time.Now())
 	s.logEvent("%v to %s", sig, p.name)
 	p.signal(syscall.SIGCONT)
+	if !p.restarting.TryLock() {
+		p.signal(sig)
+		return
+	}
+	defer p.restarting.Unlock()
 	if p.stop(sig) {
 		s.logEvent("%s outlived its grace period", p.name)
 	}
--- a/soak/process_soak_test.go
+++ b/soak/process_soak_test.go
@@ -30,10 +30,11 @@
 	http      *http.Client
 	reserved  []net.Listener // Listeners that reserve its addresses until the first start.
 
-	mu    sync.Mutex // Held while the process is started, signalled or stopped.
-	cmd   *exec.Cmd
-	ended chan struct{}
-	log   lockedBuffer
+	restarting sync.Mutex // Held from the stop of the process to its next start.
+	mu         sync.Mutex // Held while the process is started or signalled.
+	cmd        *exec.Cmd
+	ended      chan struct{}
+	log        lockedBuffer
 }
 
 // lockedBuffer collects the output of a process.
@@ -154,13 +155,14 @@
 // stop stops the process with a signal, kills it if it outlives its grace period, and reports whether it was killed.
 func (p *process) stop(sig syscall.Signal) (killed bool) {
 	p.mu.Lock()
-	defer p.mu.Unlock()
-	_ = p.cmd.Process.Signal(sig)
+	process, ended := p.cmd.Process, p.ended
+	p.mu.Unlock()
+	_ = process.Signal(sig)
 	select {
-	case <-p.ended:
+	case <-ended:
 	case <-time.After((graceSeconds + 1) * time.Second):
-		_ = p.cmd.Process.Kill()
-		<-p.ended
+		_ = process.Kill()
+		<-ended
 		return true
 	}
 	return false
--- a/soak/proxy_soak_test.go
+++ b/soak/proxy_soak_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"errors"
 	"io"
 	"net"
 	"sync"
@@ -112,7 +113,10 @@
 				return
 			}
 		}
-		if err == io.EOF || err != nil {
+		if err != nil {
+			if !errors.Is(err, io.EOF) && !errors.Is(err, net.ErrClosed) {
+				_ = to.SetLinger(0) // A reset is passed on as one.
+			}
 			return
 		}
 	}
