Log the evidence about the new version of a rollout

Cause: the logs told when the share of a version changed, but neither what was recorded of a request nor how much evidence the hub had when it decided, so that the hypotheses on the slow version could not be told apart. Change: the hub logs its evidence once a second (6006); the line of a request (7001) tells its version and what was recorded of it. Run: tests of canary, rollout, entry and event, passed.

--- a/mustardseam/canary/controller.go
+++ b/mustardseam/canary/controller.go
@@ -149,3 +149,17 @@
 	}
 	return false
 }
+
+// Evidence returns what is known of the target version.
+func (c *Controller) Evidence(now time.Time) Evidence {
+	e := Evidence{Samples: c.targetSamples, Failures: c.targetFailures}
+	for route, analyzer := range c.analyzers {
+		s := analyzer.Summary(now)
+		if route == "" {
+			e.Summary = s
+		} else if s.Against > e.RouteAgainst {
+			e.WorstRoute, e.RouteAgainst = route, s.Against
+		}
+	}
+	return e
+}
--- a/mustardseam/canary/controller_test.go
+++ b/mustardseam/canary/controller_test.go
@@ -120,3 +120,20 @@
 	_, changed = c.Next(start.Add(time.Second), r, p, FleetState{ReadyServers: 1})
 	assert.Assert(t, !changed)
 }
+
+// TestEvidenceNamesTheWorstRoute guards against a log line that hides on which route a version is bad.
+func TestEvidenceNamesTheWorstRoute(t *testing.T) {
+	c := New(0.1)
+	r := fleet.ServiceRollout{Service: "s", Target: "v2", Duration: 12 * time.Second, Revision: 7, Ordered: start}
+	c.Next(start, r, fleet.Progress{}, FleetState{ReadyServers: 1})
+	for n := range 40 {
+		now := start.Add(time.Duration(n) * 100 * time.Millisecond)
+		c.Observe(now, "a", healthySample("v1"))
+		c.Observe(now, "b", rollout.Sample{Version: "v2", OK: n%2 == 0})
+	}
+	e := c.Evidence(start.Add(10 * time.Second))
+	assert.Equal(t, e.WorstRoute, "b")
+	assert.Equal(t, e.Samples, 40)
+	assert.Equal(t, e.Failures, 20)
+	assert.Equal(t, e.Control, 40)
+}
--- a/mustardseam/entry/instance.go
+++ b/mustardseam/entry/instance.go
@@ -93,7 +93,7 @@
 		send: i.reporter.client.Place, log: i.log(),
 	})
 	i.scheduler.remote = i.placementClient
-	i.rollouts = &rollouts{i: i, controllers: map[string]*canary.Controller{}}
+	i.rollouts = &rollouts{i: i, controllers: map[string]*canary.Controller{}, logged: map[string]time.Time{}}
 	i.follower = store.NewFollower(store.FollowerConfig{
 		Client: cfg.Store, ReplicaConfig: store.ReplicaConfig{Supersedes: cfg.StoreCodec.Supersedes, IsLeased: cfg.StoreCodec.IsLeased},
 		IsRelayed: i.reporter.relaysStore, OnChange: i.applyStoreItems,
--- a/mustardseam/entry/log.go
+++ b/mustardseam/entry/log.go
@@ -19,6 +19,16 @@
 	if req.serverLimit.Named {
 		l.Float64("server-limit", req.serverLimit.PerSecond)
 	}
+	if req.grant != nil {
+		l.Str("version", req.grant.Server.Version)
+	}
+	if s := req.sample; s != nil {
+		outcome := "ok"
+		if !s.OK {
+			outcome = "failed"
+		}
+		l.Str("sample", outcome).Float64("first-ratio", s.FirstEventRatio/100).Float64("inter-token-us", 10*s.InterToken)
+	}
 	l.Str("request", req.meta.ID).Str("route", route).Str("team", team).
 		Str("server", req.serverID).Str("placed-by", req.hub).Int("status", req.status).
 		Str("reason", req.reason).Int("sends", req.sends).Int("runs", req.runs).Str("last-event", req.lastEventID).
--- a/mustardseam/entry/request.go
+++ b/mustardseam/entry/request.go
@@ -6,6 +6,7 @@
 
 	"github.com/mustardseam/mustardseam/mustardseam/fleet"
 	"github.com/mustardseam/mustardseam/mustardseam/http1"
+	"github.com/mustardseam/mustardseam/mustardseam/hub"
 	"github.com/mustardseam/mustardseam/mustardseam/placement"
 )
 
@@ -38,6 +39,7 @@
 	status              int                // Status code that the caller got.
 	reason              string             // Reason for the outcome, as logged.
 	grant               *Grant             // Grant of the current attempt; nil before the first one.
+	sample              *hub.Sample        // Latest outcome that was recorded for a rollout; nil if none was.
 }
 
 // attemptResult is the outcome of an attempt at a backend server.
--- a/mustardseam/entry/rollouts.go
+++ b/mustardseam/entry/rollouts.go
@@ -19,6 +19,8 @@
 	rolloutInterval = 200 * time.Millisecond
 	// progressTimeout bounds a write of a rollout's progress.
 	progressTimeout = time.Second
+	// evidenceLogInterval is how often the evidence about a version is logged.
+	evidenceLogInterval = time.Second
 	// sampleUnit converts the units of a hub.Sample to durations: a hundredth of a millisecond for InterToken. FirstEventRatio
 	// is mapped to a duration by the same factor because the version comparison works on durations.
 	sampleUnit = 10 * time.Microsecond
@@ -29,6 +31,7 @@
 	i           *Instance
 	mu          sync.Mutex
 	controllers map[string]*canary.Controller // Keyed by service; guarded by mu.
+	logged      map[string]time.Time          // When the evidence of a service was last logged; used by run only.
 }
 
 // run checks the rollouts until the instance stops.
@@ -56,7 +59,12 @@
 	}
 	r.mu.Lock()
 	p, changed := r.controller(service).Next(now, order, v.Progress[service], state)
+	evidence := r.controller(service).Evidence(now)
 	r.mu.Unlock()
+	if changed || p.State == fleet.InProgress && now.Sub(r.logged[service]) >= evidenceLogInterval {
+		r.logged[service] = now
+		r.logEvidence(service, p.Target, evidence)
+	}
 	if !changed {
 		r.restoreProgress(service, p)
 		return
@@ -69,6 +77,14 @@
 		Int("percent", int(100*p.Share)).Int64("order", p.Order).Int("on-old", state.OldVersionRequests).Send()
 }
 
+// logEvidence logs what the decisions on a rollout depend on.
+func (r *rollouts) logEvidence(service, target string, e canary.Evidence) {
+	event.RolloutEvidence.Log(r.i.log()).Str("service", service).Str("target", target).Str("decision", string(e.Decision)).
+		Int("samples", e.Samples).Int("failures", e.Failures).Int("control", e.Control).Float64("against", e.Against).
+		Str("route", e.WorstRoute).Float64("route-against", e.RouteAgainst).Float64("failure", e.Failure).
+		Float64("first-event", e.FirstEvent).Float64("inter-token", e.InterToken).Send()
+}
+
 // restoreProgress writes the progress again if the store has lost it.
 func (r *rollouts) restoreProgress(service string, p fleet.Progress) {
 	key, _, err := r.i.cfg.StoreCodec.Progress(service, p)
@@ -145,5 +161,6 @@
 	if interToken > 0 {
 		s.InterToken = float64(interToken) / float64(sampleUnit)
 	}
+	req.sample = &s
 	i.reporter.addSample(s)
 }
--- a/mustardseam/event/catalogue.go
+++ b/mustardseam/event/catalogue.go
@@ -58,6 +58,7 @@
 	RolloutDone        = Event{6003, "rollout-done", zerolog.InfoLevel, "rollout complete"}
 	RolloutLate        = Event{6004, "rollout-late", zerolog.WarnLevel, "rollout missed its deadline"}
 	RolloutWriteFailed = Event{6005, "rollout-write-failed", zerolog.WarnLevel, "failed to write rollout record"}
+	RolloutEvidence    = Event{6006, "rollout-evidence", zerolog.InfoLevel, "evidence about the new version of a rollout"}
 )
 
 // Events of entry instances (package entry), which share only the store and reports with each other.
@@ -92,7 +93,7 @@
 		HomeTaken, HomeLost, HomeReleased, StaticShare, PermitStale, ClaimWriteFailed,
 		RequestNotRun, StreamResumed, ResponseIncomplete, OutcomeUnreported, LoadReportFailed,
 		VersionLoadRequested, VersionLoadDelayed, VersionLoadFailed,
-		RolloutRolledBack, RolloutStep, RolloutDone, RolloutLate, RolloutWriteFailed,
+		RolloutRolledBack, RolloutStep, RolloutDone, RolloutLate, RolloutWriteFailed, RolloutEvidence,
 		RequestEnded, RequestRetried, SettingsReloaded, SettingsReloadFailed, StoreItemInvalid, ViewChanged,
 		HubChosen, HubLost, InstanceRegistered, StoreWriteFailed, ShutdownProgress,
 		HubPlacementStarted, HubPlacementStopped, PanicContained, ServerLimitChanged, ServerLimitInvalid, AnswerCut,
