--- a/mustardseam/canary/controller_test.go
+++ b/mustardseam/canary/controller_test.go
@@ -129,11 +129,12 @@
 	for n := range 40 {
 		now := start.Add(time.Duration(n) * 100 * time.Millisecond)
 		c.Observe(now, "a", healthySample("v1"))
+		c.Observe(now, "b", healthySample("v1"))
 		c.Observe(now, "b", rollout.Sample{Version: "v2", OK: n%2 == 0})
 	}
 	e := c.Evidence(start.Add(10 * time.Second))
 	assert.Equal(t, e.WorstRoute, "b")
 	assert.Equal(t, e.Samples, 40)
 	assert.Equal(t, e.Failures, 20)
-	assert.Equal(t, e.Control, 40)
+	assert.Equal(t, e.Control, 80)
 }
