--- /dev/null
+++ b/mustardseam/canary/disturbance_test.go
@@ -0,0 +1,194 @@
+package canary
+
+import (
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/mustardseam/mustardseam/mustardseam/fleet"
+	"github.com/mustardseam/mustardseam/mustardseam/rollout"
+)
+
+// disturbance is what happens to the backend servers of both versions during a rollout.
+type disturbance struct {
+	slowOld  float64 // Share of the old version's backend servers that are slow.
+	slowNew  float64 // Share of the new version's backend servers that are slow.
+	crashes  float64 // Share of the old version's responses that a crash cuts off.
+	stalls   float64 // Share of the responses that are slowed down by requests that are repeated elsewhere.
+	queueing float64 // Factor on the time to the first event at the old version's backend servers.
+	load     float64 // Factor on the inter-token latency at the old version's backend servers.
+}
+
+// disturbedRollout is a rollout of 18 s with 34 requests a second on three routes.
+type disturbedRollout struct {
+	disturbance
+	slowdown float64 // Factor on the latencies of the new version.
+	badFrom  time.Duration
+	badRoute string // Route on which the new version is slow; empty for all.
+
+	rng            *rand.Rand
+	controller     *Controller
+	progress       fleet.Progress
+	running        []runningRequest
+	all, target    int
+	badResponses   int
+	exposedTooLong bool
+}
+
+// runningRequest is a request that ends at a time.
+type runningRequest struct {
+	ends   time.Duration
+	route  string
+	bad    bool
+	sample rollout.Sample
+}
+
+const (
+	disturbedDuration = 18 * time.Second
+	disturbedRate     = 34
+)
+
+// run runs the rollout and returns its end.
+func (d *disturbedRollout) run(seed uint64) time.Duration {
+	d.rng = rand.New(rand.NewPCG(seed, 29))
+	d.controller = New(0.1)
+	r := fleet.ServiceRollout{Service: "s", Target: "v2", Duration: disturbedDuration, Revision: 7, Ordered: start}
+	var next time.Duration
+	var fiftieth time.Duration
+	for at := time.Duration(0); at < disturbedDuration+2*time.Second; at += time.Second / disturbedRate {
+		d.finish(at)
+		if d.badResponses >= 50 && fiftieth == 0 {
+			fiftieth = at
+		}
+		if at >= next {
+			next += 200 * time.Millisecond
+			d.progress, _ = d.controller.Next(start.Add(at), r, d.progress, FleetState{ReadyServers: 6, OldVersionRequests: d.runningOld()})
+			if d.progress.State != fleet.InProgress {
+				return at
+			}
+		}
+		d.dispatch(at)
+		if fiftieth > 0 && at > fiftieth+5*time.Second {
+			d.exposedTooLong = true
+		}
+	}
+	return disturbedDuration + 2*time.Second
+}
+
+// dispatch sends the next request to a version.
+func (d *disturbedRollout) dispatch(at time.Duration) {
+	d.all++
+	route := []string{"a", "b", "c"}[d.rng.IntN(3)]
+	s := rollout.Sample{Version: "v1", OK: true}
+	first, inter := math.Exp(0.35*d.rng.NormFloat64()), 4*math.Exp(0.15*d.rng.NormFloat64())
+	bad := false
+	if d.progress.Share >= 1 || float64(d.target) < d.progress.Share*float64(d.all) {
+		d.target++
+		s.Version = "v2"
+		if d.rng.Float64() < d.slowNew {
+			first, inter = 4*first, 4*inter
+		}
+		if bad = d.slowdown > 1 && at >= d.badFrom && (d.badRoute == "" || d.badRoute == route); bad {
+			first, inter = 0.8*d.slowdown*first, d.slowdown*inter
+		}
+	} else {
+		if d.rng.Float64() < d.slowOld {
+			first, inter = 4*first, 4*inter
+		}
+		first, inter = d.queueing*first, d.load*inter
+		s.OK = d.rng.Float64() >= d.crashes
+	}
+	if d.rng.Float64() < d.stalls {
+		inter *= 5
+	}
+	s.FirstToken, s.InterToken = time.Duration(first*100*float64(time.Microsecond)), time.Duration(inter*float64(time.Millisecond))
+	ends := at + time.Duration(first*150*float64(time.Millisecond)) + 100*s.InterToken
+	if !s.OK {
+		s.FirstToken, s.InterToken = 0, 0
+	}
+	d.running = append(d.running, runningRequest{ends, route, bad, s})
+}
+
+// finish records the responses that have ended.
+func (d *disturbedRollout) finish(at time.Duration) {
+	remaining := d.running[:0]
+	for _, r := range d.running {
+		if r.ends > at {
+			remaining = append(remaining, r)
+			continue
+		}
+		if r.bad {
+			d.badResponses++
+		}
+		d.controller.Observe(start.Add(at), r.route, r.sample)
+	}
+	d.running = remaining
+}
+
+// runningOld returns the number of requests at the old version.
+func (d *disturbedRollout) runningOld() int {
+	n := 0
+	for _, r := range d.running {
+		if r.sample.Version == "v1" {
+			n++
+		}
+	}
+	return n
+}
+
+// The disturbances of the plays in docs/incidents/slow-version.md.
+var disturbances = []struct {
+	name string
+	disturbance
+}{
+	{"none", disturbance{queueing: 1, load: 1.2}},
+	{"crashing requests", disturbance{crashes: 0.12, stalls: 0.12, queueing: 1.3, load: 1.3}},
+	{"slow old backend servers", disturbance{slowOld: 0.4, queueing: 1.3, load: 1.2}},
+	{"slow backend servers of both versions", disturbance{slowOld: 0.4, slowNew: 0.4, queueing: 1.3, load: 1.2}},
+	{"burst", disturbance{stalls: 0.08, queueing: 2.5, load: 1.5}},
+}
+
+// TestSlowVersionBesideDisturbance guards against a slow version that gets all traffic because a disturbance slows the old
+// version down too.
+func TestSlowVersionBesideDisturbance(t *testing.T) {
+	versions := []struct {
+		name string
+		disturbedRollout
+	}{
+		{"slow", disturbedRollout{slowdown: 4}},
+		{"slow later", disturbedRollout{slowdown: 4, badFrom: 4 * time.Second}},
+		{"slow on one route", disturbedRollout{slowdown: 4, badRoute: "b"}},
+	}
+	for _, version := range versions {
+		for _, dist := range disturbances {
+			t.Run(version.name+", "+dist.name, func(t *testing.T) {
+				for seed := range uint64(20) {
+					d := version.disturbedRollout
+					d.disturbance = dist.disturbance
+					end := d.run(seed)
+					assert.Equal(t, d.progress.State, fleet.RolledBack, "seed %d, %s", seed, end)
+					assert.Assert(t, end <= disturbedDuration, "seed %d, %s", seed, end)
+					assert.Assert(t, float64(d.target) <= 0.1*disturbedRate*disturbedDuration.Seconds()+50, "seed %d, %d requests", seed, d.target)
+					assert.Assert(t, !d.exposedTooLong, "seed %d", seed)
+				}
+			})
+		}
+	}
+}
+
+// TestGoodVersionBesideDisturbance guards against a good version that is rolled back or late because of a disturbance.
+func TestGoodVersionBesideDisturbance(t *testing.T) {
+	for _, dist := range disturbances {
+		t.Run(dist.name, func(t *testing.T) {
+			for seed := range uint64(20) {
+				d := disturbedRollout{disturbance: dist.disturbance, slowdown: 1}
+				end := d.run(seed)
+				assert.Equal(t, d.progress.State, fleet.Complete, "seed %d, %s", seed, end)
+				assert.Assert(t, end <= disturbedDuration, "seed %d, %s", seed, end)
+			}
+		})
+	}
+}
