Give all traffic only to versions with evidence in their favour

Cause: (1) a response was compared only with the slowest tenth of the old version at that time; where a part of the old version's responses is as slow as the new version, for whatever reason, none of the new version's stand out. (2) From 0.55 of the time to the deadline on, a version without a verdict got all traffic, so missing evidence counted as a good verdict. The class of fault: evidence from a common cause counts as evidence about a version, and missing evidence counts as good. Change: latencies are also compared with 1.8 times the median of the old version's responses, and the share of the old version beyond it at the same time is what a good version may have. A version gets all traffic only with a good verdict of all routes together and no doubt on a route in use, from 0.55 of the time on; without one it is rolled back at 0.97, unless it is the only one left. The first 40 responses, out of the number that the bound allows beside its share, come at twice the share.

--- a/mustardseam/canary/controller.go
+++ b/mustardseam/canary/controller.go
@@ -8,14 +8,28 @@
 )
 
 const (
-	// canaryShareFactor is the fraction of maxCanaryShare that an unproven version gets; the rest is a margin.
+	// canaryShareFactor is the fraction of MaxCanaryShare that an unproven version gets; the rest is a margin.
 	canaryShareFactor = 0.8
-	// unprovenAcceptAfter is the fraction of the time to the deadline after which a version without a bad verdict gets all
-	// traffic.
-	unprovenAcceptAfter = 0.55
-	// provenAcceptAfter is the fraction of the time to the deadline after which a version with a good verdict gets all
-	// traffic: faults often appear only after some time or under load.
-	provenAcceptAfter = 0.35
+	// firstShareFactor is the factor on MaxCanaryShare for the first responses, of which a fault needs only few to show.
+	firstShareFactor = 2
+	// firstSamplesFactor is the fraction of ExtraRequests that the first responses may use; the rest is a margin.
+	firstSamplesFactor = 0.8
+	// firstShareUntil is the fraction of the time to the deadline after which the first responses are over in any case, as a
+	// controller that takes over does not know the number of the earlier ones.
+	firstShareUntil = 0.5
+	// maxFirstSamples bounds the number of first responses.
+	maxFirstSamples = 40
+	// acceptAfter is the fraction of the time to the deadline after which a version with a good verdict gets all traffic: faults
+	// often appear only after some time.
+	acceptAfter = 0.55
+	// lenientAfter is the fraction of the time to the deadline after which single routes need no responses in favour of a version
+	// if there is no evidence against it: few responses of a good version on a route may seem bad under a disturbance.
+	lenientAfter = 0.75
+	// maxLateDoubt is the evidence against a version on a route, a likelihood ratio, up to which the version is accepted then.
+	maxLateDoubt = 2
+	// rollBackUnprovenAfter is the fraction of the time to the deadline after which a version without a good verdict is rolled
+	// back.
+	rollBackUnprovenAfter = 0.97
 	// minFullTraffic is the least time for which a version receives all traffic before the rollout is complete, so that
 	// faults under load appear while the old version still runs.
 	minFullTraffic = 1500 * time.Millisecond
@@ -25,32 +39,43 @@
 	// falseRollbackBound bounds the probability that a good version is rolled back. It is larger than the default of
 	// rollout.Analyzer because a rollout has little time.
 	falseRollbackBound = 0.01
-	// minSamples is the number of responses that a version needs to be accepted without a good verdict.
-	minSamples = 5
-	// maxFailureRatio is the ratio of failures, among possibly few responses, from which a version that has no good verdict
-	// by unprovenAcceptAfter is rolled back.
-	maxFailureRatio = 0.3
+	// routeRollbackBound is the same for each single route, of which there are several.
+	routeRollbackBound = falseRollbackBound / 4
+	// lateFalseAcceptBound bounds the probability that a bad version is accepted after lenientAfter; before, it is the default
+	// of rollout.Analyzer.
+	lateFalseAcceptBound = 0.05
+	// minRouteSamples is the number of responses of a version that each route in use needs before the version is accepted.
+	minRouteSamples = 3
+	// minRouteShare is the share of the old version's responses from which a route is in use.
+	minRouteShare = 0.1
 )
 
 // FleetState holds the state of the fleet that a controller needs for its decisions.
 type FleetState struct {
 	ReadyServers       int // Number of ready backend servers of the new version.
+	OldReadyServers    int // Number of ready backend servers of other versions.
+	NewVersionRequests int // Number of requests that run on the new version.
 	OldVersionRequests int // Number of requests that run on the old version.
 }
 
+// Config holds how many requests a version may get before it is known to be good: a share of all and a number beside it.
+type Config struct {
+	MaxCanaryShare float64
+	ExtraRequests  float64
+}
+
 // Controller controls the rollouts of one service; it is not safe for concurrent use.
 type Controller struct {
-	maxCanaryShare float64                      // Share of requests that a version may get before it is known to be good.
+	cfg            Config
 	orderRevision  int64                        // Store revision of the current order; 0 before the first.
 	target         string                       // Target version of the current order.
 	analyzers      map[string]*rollout.Analyzer // Analyzers by route; the empty name stands for all routes together.
-	targetSamples  int                          // Number of responses of the target version.
 	targetFailures int                          // Number of failed responses of the target version.
 	fullSince      time.Time                    // Time since which the target version gets all traffic; zero before.
 }
 
-// New returns a controller; maxCanaryShare is the share of requests that a version may get before it is known to be good.
-func New(maxCanaryShare float64) *Controller { return &Controller{maxCanaryShare: maxCanaryShare} }
+// New returns a controller without a rollout.
+func New(cfg Config) *Controller { return &Controller{cfg: cfg} }
 
 // Observe records the outcome of a request to the service.
 func (c *Controller) Observe(now time.Time, route string, s rollout.Sample) {
@@ -61,7 +86,11 @@
 		analyzer := c.analyzers[name]
 		if analyzer == nil {
 			// The control is the empty version, to which all versions but the target are mapped below.
-			analyzer = rollout.NewAnalyzer(rollout.AnalyzerConfig{Route: name, Old: "", New: c.target, Alpha: falseRollbackBound})
+			alpha := falseRollbackBound
+			if name != "" {
+				alpha = routeRollbackBound
+			}
+			analyzer = rollout.NewAnalyzer(rollout.AnalyzerConfig{Route: name, Old: "", New: c.target, Alpha: alpha})
 			c.analyzers[name] = analyzer
 		}
 		relabeled := s
@@ -70,11 +99,8 @@
 		}
 		analyzer.Observe(now, relabeled)
 	}
-	if s.Version == c.target {
-		c.targetSamples++
-		if !s.OK {
-			c.targetFailures++
-		}
+	if s.Version == c.target && !s.OK {
+		c.targetFailures++
 	}
 }
 
@@ -85,12 +111,13 @@
 	}
 	if c.orderRevision != r.Revision {
 		*c = Controller{
-			maxCanaryShare: c.maxCanaryShare, orderRevision: r.Revision, target: r.Target, analyzers: map[string]*rollout.Analyzer{},
+			cfg: c.cfg, orderRevision: r.Revision, target: r.Target, analyzers: map[string]*rollout.Analyzer{},
 		}
 	}
+	elapsed := float64(now.Sub(r.Ordered)) / float64(r.Duration)
 	if !p.BelongsTo(r) {
 		return fleet.Progress{
-			Target: r.Target, Order: r.Revision, Era: r.Era, Share: canaryShareFactor * c.maxCanaryShare, State: fleet.InProgress,
+			Target: r.Target, Order: r.Revision, Era: r.Era, Share: c.canaryShare(elapsed, state), State: fleet.InProgress,
 		}, true
 	}
 	if p.Order != r.Revision {
@@ -100,7 +127,6 @@
 	if p.State != fleet.InProgress {
 		return p, false
 	}
-	elapsed := float64(now.Sub(r.Ordered)) / float64(r.Duration)
 	if c.anyRouteBad(now) {
 		p.State, p.Share = fleet.RolledBack, 0
 		return p, true
@@ -118,26 +144,54 @@
 	return p, false
 }
 
-// decideAcceptance gives a version all traffic when its verdict is good, or when it had no bad verdict for long enough. In
-// the latter case, a version with a failure ratio of maxFailureRatio or more is rolled back instead. Otherwise the progress
-// stays the same.
+// decideAcceptance gives a version all traffic once it is good on all routes, and rolls it back if it is not by the end:
+// missing evidence is not a good verdict. A version that is the only one left stays. Otherwise the progress stays the same.
 func (c *Controller) decideAcceptance(
 	now time.Time, p fleet.Progress, elapsed float64, state FleetState,
 ) (fleet.Progress, bool) {
 	switch {
-	case state.ReadyServers == 0:
-		return p, false
-	case elapsed >= provenAcceptAfter && c.analyzers[""] != nil && c.analyzers[""].Verdict(now).Decision == rollout.Good:
-	case elapsed >= unprovenAcceptAfter && c.targetSamples >= minSamples:
-		if float64(c.targetFailures) >= maxFailureRatio*float64(c.targetSamples) {
-			p.State, p.Share = fleet.RolledBack, 0
-			return p, true
+	case elapsed >= acceptAfter && state.ReadyServers > 0 && c.good(now, elapsed):
+		p.Share, c.fullSince = 1, now
+		return p, true
+	case elapsed >= rollBackUnprovenAfter && state.OldReadyServers > 0:
+		p.State, p.Share = fleet.RolledBack, 0
+		return p, true
+	}
+	share := c.canaryShare(elapsed, state)
+	changed := share < p.Share
+	p.Share = min(p.Share, share)
+	return p, changed
+}
+
+// canaryShare returns the share of the requests that a version without a verdict gets.
+func (c *Controller) canaryShare(elapsed float64, state FleetState) float64 {
+	requests := state.NewVersionRequests
+	if all := c.analyzers[""]; all != nil {
+		requests += all.Candidates()
+	}
+	if elapsed < firstShareUntil && float64(requests) < min(maxFirstSamples, firstSamplesFactor*c.cfg.ExtraRequests) {
+		return firstShareFactor * c.cfg.MaxCanaryShare
+	}
+	return canaryShareFactor * c.cfg.MaxCanaryShare
+}
+
+// good reports whether the verdict of all routes together is good and no route in use lacks responses or speaks against it.
+func (c *Controller) good(now time.Time, elapsed float64) bool {
+	all := c.analyzers[""]
+	if all == nil || all.Verdict(now).Decision != rollout.Good && (elapsed < lenientAfter || !all.Passes(now, lateFalseAcceptBound)) {
+		return false
+	}
+	control := float64(all.Summary(now).Control)
+	for route, analyzer := range c.analyzers {
+		s := analyzer.Summary(now)
+		if route == "" || float64(s.Control) < minRouteShare*control {
+			continue
+		}
+		if s.Samples < minRouteSamples || s.Doubtful && (elapsed < lenientAfter || s.Against > maxLateDoubt) {
+			return false
 		}
-	default:
-		return p, false
 	}
-	p.Share, c.fullSince = 1, now
-	return p, true
+	return true
 }
 
 // anyRouteBad reports whether the verdict of any route, or of all routes together, is bad.
@@ -152,7 +206,7 @@
 
 // Evidence returns what is known of the target version.
 func (c *Controller) Evidence(now time.Time) Evidence {
-	e := Evidence{Samples: c.targetSamples, Failures: c.targetFailures}
+	e := Evidence{Failures: c.targetFailures}
 	for route, analyzer := range c.analyzers {
 		s := analyzer.Summary(now)
 		if route == "" {
--- a/mustardseam/entry/cluster_state.go
+++ b/mustardseam/entry/cluster_state.go
@@ -195,18 +195,19 @@
 	s.board.SetUnseen(others * reportAge.Seconds() / float64(servers))
 }
 
-// requestsOffTarget returns how many requests all instances have at backend servers of a service with a version other than
-// the target.
-func (s *Scheduler) requestsOffTarget(v *fleet.View, service, target string) int {
+// requestsByVersion returns how many requests all instances have at backend servers of a service with the target version and
+// with other versions.
+func (s *Scheduler) requestsByVersion(v *fleet.View, service, target string) (onTarget, others int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	n := 0
 	for _, srv := range v.ServersOf(service) {
-		if srv.Version != target {
-			n += s.board.Load(srv).Requests
+		if srv.Version == target {
+			onTarget += s.board.Load(srv).Requests
+		} else {
+			others += s.board.Load(srv).Requests
 		}
 	}
-	return n
+	return onTarget, others
 }
 
 // PredictIdleFirstEvent predicts the time to the first event of the request of a grant at an idle backend server of average
--- a/mustardseam/entry/rollouts.go
+++ b/mustardseam/entry/rollouts.go
@@ -51,10 +51,15 @@
 // step advances a rollout and writes its progress to the store when it changes.
 func (r *rollouts) step(v *fleet.View, service string, order fleet.ServiceRollout) {
 	now := time.Now()
-	state := canary.FleetState{OldVersionRequests: r.i.scheduler.requestsOffTarget(v, service, order.Target)}
+	var state canary.FleetState
+	state.NewVersionRequests, state.OldVersionRequests = r.i.scheduler.requestsByVersion(v, service, order.Target)
 	for _, s := range v.ServersOf(service) {
-		if s.Version == order.Target && !s.Draining {
+		switch {
+		case s.Draining:
+		case s.Version == order.Target:
 			state.ReadyServers++
+		default:
+			state.OldReadyServers++
 		}
 	}
 	r.mu.Lock()
@@ -82,7 +87,8 @@
 	event.RolloutEvidence.Log(r.i.log()).Str("service", service).Str("target", target).Str("decision", string(e.Decision)).
 		Int("samples", e.Samples).Int("failures", e.Failures).Int("control", e.Control).Float64("against", e.Against).
 		Str("route", e.WorstRoute).Float64("route-against", e.RouteAgainst).Float64("failure", e.Failure).
-		Float64("first-event", e.FirstEvent).Float64("inter-token", e.InterToken).Send()
+		Float64("first-event", e.FirstEvent).Float64("inter-token", e.InterToken).
+		Float64("first-event-shift", e.FirstEventShift).Float64("inter-token-shift", e.InterTokenShift).Send()
 }
 
 // restoreProgress writes the progress again if the store has lost it.
@@ -125,7 +131,7 @@
 func (r *rollouts) controller(service string) *canary.Controller {
 	c := r.controllers[service]
 	if c == nil {
-		c = canary.New(r.i.bounds.Load().MaxCanaryShare)
+		c = canary.New(r.i.bounds.Load().Canary)
 		r.controllers[service] = c
 	}
 	return c
--- a/mustardseam/entry/versions.go
+++ b/mustardseam/entry/versions.go
@@ -10,11 +10,11 @@
 // rollout order may not have arrived yet.
 const newVersionDelay = 2 * time.Second
 
-// rolloutCount counts the requests to a service since its rollout was ordered, to keep the target to its canary share.
+// rolloutCount counts the requests to a service since its rollout or its canary share changed, to keep the target to the share.
 type rolloutCount struct {
-	order  int64 // Store revision of the rollout order.
-	all    int   // All requests.
-	target int   // Requests to the target version.
+	rollout fleet.Progress // Order and share to which the counts belong.
+	all     int            // All requests.
+	target  int            // Requests to the target version.
 }
 
 // countForRollout counts a request to a service with a rollout; mu must be held.
@@ -23,9 +23,13 @@
 	if !ok {
 		return
 	}
+	p := v.Progress[srv.Service]
+	if !p.BelongsTo(r) {
+		p = fleet.Progress{Target: r.Target}
+	}
 	e := s.rolloutCounts[srv.Service]
-	if e.order != r.Revision {
-		e = rolloutCount{order: r.Revision}
+	if e.rollout.Target != p.Target || e.rollout.Share != p.Share {
+		e = rolloutCount{rollout: p}
 	}
 	e.all++
 	if srv.Version == r.Target {
--- a/mustardseam/rollout/analyzer.go
+++ b/mustardseam/rollout/analyzer.go
@@ -49,8 +49,8 @@
 
 // Analyzer tests a new version of a route against the old one; it is not safe for concurrent use.
 //
-// A response of the candidate is bad when it failed, or when it was slower than the 90th percentile of the control's latest
-// responses under the same load. It is assessed once further responses of the control have arrived, or after maxWait: a
+// A response of the candidate is bad when it failed, when it was slower than the 90th percentile of the control's latest
+// responses under the same load, or when it was slower than their median by shiftFactor. It is assessed once further responses of the control have arrived, or after maxWait: a
 // good version's responses are bad at most as often as the control's window and the control's responses just before and
 // after it indicate, plus a margin. A disturbance of both versions shows in these responses and therefore does not count
 // against the candidate. Without a control, which gets no requests at the last step, only failures of most responses count
@@ -113,7 +113,7 @@
 func (an *Analyzer) addControl(now time.Time, s Sample) {
 	c := &an.controlWindowsByLoad[s.LoadBucket]
 	bad := aspectSet{failure: !s.OK}
-	for a := firstToken; a < aspectCount && s.OK; a++ {
+	for a := firstToken; a <= interToken && s.OK; a++ {
 		slow, ok := c.slow(timeOf(a)(s), timeOf(a))
 		bad[a] = slow && ok
 	}
@@ -182,7 +182,7 @@
 // indication of a disturbance; when there are few, those under other loads are used too.
 func (an *Analyzer) assessLatencies(w pendingSample, r referenceWindow, before, after badCounts) {
 	near := r.countsFrom(r.totalAtArrival - neighbourCount)
-	for a := firstToken; a < aspectCount && w.OK; a++ {
+	for a := firstToken; a <= interToken && w.OK; a++ {
 		nullRate := max(minSlowNullRate, near.rate(a), r.after.rate(a))
 		if r.after.n < minNeighbours {
 			nullRate = max(nullRate, before.rate(a), after.rate(a))
@@ -192,6 +192,20 @@
 			an.addEvidence(a, w, slow, nullRate)
 		}
 	}
+	for a := firstTokenShift; a <= interTokenShift && w.OK; a++ {
+		an.assessShift(a, w, r)
+	}
+}
+
+// assessShift counts whether a latency of a response is above the median of the window that it is compared with.
+func (an *Analyzer) assessShift(a aspect, w pendingSample, r referenceWindow) {
+	t, ok := r.shiftTest(timeOf(a))
+	d := timeOf(a)(w.Sample)
+	if !ok || d <= 0 {
+		return
+	}
+	nullRate := max(minSlowNullRate, t.rate, r.shiftRateAround(r.totalAtArrival, t, timeOf(a)))
+	an.addEvidence(a, w, float64(d)/r.allowance >= float64(t.threshold), nullRate)
 }
 
 // assessLatenciesLeniently counts the latencies of a response for which there is no window to compare with or which arrived
@@ -219,14 +233,24 @@
 		return
 	}
 	an.verdict = Verdict{Decision: Undecided, Step: an.acceptance.step, Samples: an.acceptance.samples}
-	switch against := an.evidence.total(); {
-	case against >= 1/an.cfg.Alpha:
+	switch {
+	case an.evidence.total() >= 1/an.cfg.Alpha:
 		an.verdict.Decision, an.verdict.Reason = Bad, an.reason()
-	case (against < doubtThreshold || !an.controlActive()) && an.acceptance.passed(an.cfg.Beta, an.requiredAspects()):
+	case an.passes(an.cfg.Beta):
 		an.verdict.Decision = Good
 	}
 }
 
+// Passes reports whether the candidate is good when a bad one may be taken for good with probability beta.
+func (an *Analyzer) Passes(now time.Time, beta float64) bool {
+	return an.Verdict(now).Decision != Bad && an.passes(beta)
+}
+
+// passes reports whether the evidence for the candidate suffices and there is no doubt.
+func (an *Analyzer) passes(beta float64) bool {
+	return (an.evidence.total() < doubtThreshold || !an.controlActive()) && an.acceptance.passed(beta, an.requiredAspects())
+}
+
 // controlActive reports whether the control still gets requests. At the last step it does not, and an earlier doubt can
 // no longer be confirmed or refuted by comparison.
 func (an *Analyzer) controlActive() bool {
@@ -246,7 +270,9 @@
 func (an *Analyzer) reason() string {
 	a, scope := an.evidence.strongest()
 	c := an.evidence.cells[a][scope]
-	what := [aspectCount]string{"failed", "had a slow first token", "had slow tokens"}[a]
+	what := [aspectCount]string{
+		"failed", "had a slow first token", "had slow tokens", "had a first token far above the median", "had tokens far above the median",
+	}[a]
 	where := ""
 	if scope > 0 {
 		where = fmt.Sprintf(" in load bucket %d", scope-1)
@@ -257,7 +283,7 @@
 
 // timeOf returns a function that returns the latency of a sample for a latency aspect.
 func timeOf(a aspect) func(Sample) time.Duration {
-	if a == firstToken {
+	if a == firstToken || a == firstTokenShift {
 		return func(s Sample) time.Duration { return s.FirstToken }
 	}
 	return func(s Sample) time.Duration { return s.InterToken }
--- a/mustardseam/rollout/evidence.go
+++ b/mustardseam/rollout/evidence.go
@@ -2,13 +2,17 @@
 
 import "math"
 
-// aspect is a property for which responses are tested: failure, or one of two latencies.
+// aspect is a property for which responses are tested: failure, or one of two latencies. A latency is tested in two ways:
+// against the slowest of the control's, and for a shift against the control's median. A control of which a part is slow, such
+// as on some of its servers, hides a slow candidate from the first test but not from the second one.
 type aspect int
 
 const (
 	failure aspect = iota
 	firstToken
 	interToken
+	firstTokenShift
+	interTokenShift
 	aspectCount
 )
 
@@ -18,7 +22,7 @@
 // Weights of the tests in the mixture; the weights of all aspects sum to 1, and so do those of all scopes.
 const (
 	failureWeight = 0.5
-	latencyWeight = 0.25 // Weight of each of the two latencies.
+	latencyWeight = 0.125 // Weight of each of the two tests of each of the two latencies.
 	allWeight     = 0.5
 	bucketWeight  = 0.5 / LoadBuckets
 )
--- a/mustardseam/rollout/summary.go
+++ b/mustardseam/rollout/summary.go
@@ -1,22 +1,34 @@
 package rollout
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Summary is the state of the test of an Analyzer.
 type Summary struct {
 	Decision   Decision
+	Samples    int     // Number of responses of the candidate that were assessed.
 	Control    int     // Number of responses of the control.
+	Doubtful   bool    // The responses in some aspect fit a bad candidate better than a good one.
 	Against    float64 // Evidence against the candidate, a likelihood ratio; from 1/Alpha on, the decision is bad.
 	Failure    float64 // Log-likelihood ratio of more failures; from log(Beta) down, the candidate is accepted.
 	FirstEvent float64 // The same for slow first events.
 	InterToken float64 // The same for slow inter-token latencies.
+	// FirstEventShift and InterTokenShift are the same for latencies above the control's median.
+	FirstEventShift, InterTokenShift float64
 }
 
 // Summary assesses the pending responses that are ready and returns the state of the test.
 func (an *Analyzer) Summary(now time.Time) Summary {
+	ratios := an.acceptance.logRatios
 	return Summary{
-		Decision: an.Verdict(now).Decision, Control: an.overallControlWindow.total, Against: an.evidence.total(),
-		Failure: an.acceptance.logRatios[failure], FirstEvent: an.acceptance.logRatios[firstToken],
-		InterToken: an.acceptance.logRatios[interToken],
+		Decision: an.Verdict(now).Decision, Samples: an.acceptance.samples, Control: an.overallControlWindow.total,
+		Doubtful: slices.Max(ratios[:]) > 0, Against: an.evidence.total(), Failure: ratios[failure],
+		FirstEvent: ratios[firstToken], InterToken: ratios[interToken],
+		FirstEventShift: ratios[firstTokenShift], InterTokenShift: ratios[interTokenShift],
 	}
 }
+
+// Candidates returns the number of responses of the candidate, including those that were not assessed yet.
+func (an *Analyzer) Candidates() int { return an.acceptance.samples + len(an.pending) }
