Count the connections that one crash ends as one failure of a version

Cause: a request that crashes backend servers ended one of the new version's, and with it seven streams within 2 ms. Each counted as a failure by itself: 7 of 38 responses. Change: the outcome of a request that a backend server cut off names its incarnation, and those within half a second are one failure.

--- a/mustardseam/canary/controller.go
+++ b/mustardseam/canary/controller.go
@@ -44,6 +44,8 @@
 	// lateFalseAcceptBound bounds the probability that a bad version is accepted after lenientAfter; before, it is the default
 	// of rollout.Analyzer.
 	lateFalseAcceptBound = 0.05
+	// cutInterval is the time within which connections that a backend server ends count as one failure.
+	cutInterval = 500 * time.Millisecond
 	// minRouteSamples is the number of responses of a version that each route in use needs before the version is accepted.
 	minRouteSamples = 3
 	// minRouteShare is the share of the old version's responses from which a route is in use.
@@ -67,11 +69,12 @@
 // Controller controls the rollouts of one service; it is not safe for concurrent use.
 type Controller struct {
 	cfg            Config
-	orderRevision  int64                        // Store revision of the current order; 0 before the first.
-	target         string                       // Target version of the current order.
-	analyzers      map[string]*rollout.Analyzer // Analyzers by route; the empty name stands for all routes together.
-	targetFailures int                          // Number of failed responses of the target version.
-	fullSince      time.Time                    // Time since which the target version gets all traffic; zero before.
+	orderRevision  int64                           // Store revision of the current order; 0 before the first.
+	target         string                          // Target version of the current order.
+	analyzers      map[string]*rollout.Analyzer    // Analyzers by route; the empty name stands for all routes together.
+	cuts           map[fleet.Incarnation]time.Time // When a cut of a backend server was last counted.
+	targetFailures int                             // Number of failed responses of the target version.
+	fullSince      time.Time                       // Time since which the target version gets all traffic; zero before.
 }
 
 // New returns a controller without a rollout.
@@ -104,6 +107,16 @@
 	}
 }
 
+// ObserveCut records that a backend server ended the connection of a request. Those that end within cutInterval are one
+// failure, since one crash ends all of them.
+func (c *Controller) ObserveCut(now time.Time, route, version string, server fleet.Incarnation) {
+	if c.cuts == nil || now.Sub(c.cuts[server]) < cutInterval {
+		return
+	}
+	c.cuts[server] = now
+	c.Observe(now, route, rollout.Sample{Version: version})
+}
+
 // Next returns the next progress of a rollout with the current progress p, and whether it differs from p.
 func (c *Controller) Next(now time.Time, r fleet.ServiceRollout, p fleet.Progress, state FleetState) (fleet.Progress, bool) {
 	if c.orderRevision != r.Revision && c.orderRevision == p.Order && c.target == r.Target && p.BelongsTo(r) {
@@ -112,6 +125,7 @@
 	if c.orderRevision != r.Revision {
 		*c = Controller{
 			cfg: c.cfg, orderRevision: r.Revision, target: r.Target, analyzers: map[string]*rollout.Analyzer{},
+			cuts: map[fleet.Incarnation]time.Time{},
 		}
 	}
 	elapsed := float64(now.Sub(r.Ordered)) / float64(r.Duration)
--- a/mustardseam/canary/controller_test.go
+++ b/mustardseam/canary/controller_test.go
@@ -138,3 +138,43 @@
 	assert.Equal(t, e.Failures, 20)
 	assert.Equal(t, e.Control, 80)
 }
+
+// TestCrashIsOneFailure guards against a good version that is rolled back because one crash ends many of its requests, and
+// against a version that ends many connections and is not rolled back.
+func TestCrashIsOneFailure(t *testing.T) {
+	tests := []struct {
+		name     string
+		interval time.Duration // Time between two requests that are cut off.
+		want     rollout.Decision
+	}{
+		{"one crash", time.Millisecond, rollout.Undecided},
+		{"connections ended one by one", time.Second, rollout.Bad},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := New(Config{MaxCanaryShare: 0.1, ExtraRequests: 50})
+			r := fleet.ServiceRollout{Service: "s", Target: "v2", Duration: 60 * time.Second, Revision: 7, Ordered: start}
+			c.Next(start, r, fleet.Progress{}, FleetState{ReadyServers: 1, OldReadyServers: 1})
+			now := start
+			for range 10 {
+				now = now.Add(100 * time.Millisecond)
+				for range 9 {
+					c.Observe(now, "a", healthySample("v1"))
+				}
+				c.Observe(now, "a", healthySample("v2"))
+			}
+			for range 8 {
+				c.ObserveCut(now, "a", "v2", fleet.Incarnation{ID: "s1"})
+				for range 10 {
+					now = now.Add(test.interval / 10)
+					c.Observe(now, "a", healthySample("v1"))
+				}
+			}
+			e := c.Evidence(now.Add(2 * time.Second))
+			if e.Decision == rollout.Good {
+				e.Decision = rollout.Undecided // Good so far is no rollback either.
+			}
+			assert.Equal(t, e.Decision, test.want, "%+v", e)
+		})
+	}
+}
--- a/mustardseam/entry/attempt.go
+++ b/mustardseam/entry/attempt.go
@@ -137,7 +137,11 @@
 	}
 	ok := status < fasthttp.StatusInternalServerError
 	i.scheduler.Finish(g, placement.Outcome{Answered: true, OK: ok, Total: time.Since(sent)})
-	i.recordSample(req, g, ok, time.Since(sent), 0)
+	if ok {
+		i.recordSuccess(req, g, time.Since(sent), 0)
+	} else {
+		i.recordFailure(req, g, false)
+	}
 	req.reason = "backend server failed the request"
 	if !ok && req.mayRepeat() && i.scheduler.TakeRetry(req.service) {
 		// The retry was taken from the budget here; runAttempts would take it again.
--- a/mustardseam/entry/quarantine.go
+++ b/mustardseam/entry/quarantine.go
@@ -53,8 +53,7 @@
 // recordCut records that an attempt failed with err after a number of events, if the reason is that the backend server ended
 // the connection. The end of a planned shutdown says nothing about the request.
 func (i *Instance) recordCut(ctx context.Context, req *request, g *Grant, events int, err error) {
-	// An event stream without framing ends with io.EOF.
-	if ctx.Err() != nil || !errors.Is(err, http1.ErrDisconnected) && !errors.Is(err, io.EOF) {
+	if !isCut(ctx, err) {
 		return
 	}
 	i.metrics.answersCut.Inc()
@@ -67,6 +66,12 @@
 	i.quarantine.RecordCrash(time.Now(), g.Server.Incarnation(), req.meta.PromptParts)
 }
 
+// isCut reports whether an attempt failed because the backend server ended the connection.
+func isCut(ctx context.Context, err error) bool {
+	// An event stream without framing ends with io.EOF.
+	return ctx.Err() == nil && (errors.Is(err, http1.ErrDisconnected) || errors.Is(err, io.EOF))
+}
+
 // recordSound records that a backend server has answered a request, or enough of it.
 func (i *Instance) recordSound(req *request) {
 	if len(req.meta.PromptParts) > 0 {
--- a/mustardseam/entry/rollouts.go
+++ b/mustardseam/entry/rollouts.go
@@ -21,9 +21,6 @@
 	progressTimeout = time.Second
 	// evidenceLogInterval is how often the evidence about a version is logged.
 	evidenceLogInterval = time.Second
-	// sampleUnit converts the units of a hub.Sample to durations: a hundredth of a millisecond for InterToken. FirstEventRatio
-	// is mapped to a duration by the same factor because the version comparison works on durations.
-	sampleUnit = 10 * time.Microsecond
 )
 
 // rollouts advances the rollouts while this instance is the hub.
@@ -143,30 +140,14 @@
 	defer r.mu.Unlock()
 	now := time.Now()
 	for _, s := range samples {
-		r.controller(s.Service).Observe(now, s.Route, rollout.Sample{
+		c := r.controller(s.Service)
+		if s.Cut != (fleet.Incarnation{}) {
+			c.ObserveCut(now, s.Route, s.Version, s.Cut)
+			continue
+		}
+		c.Observe(now, s.Route, rollout.Sample{
 			Version: s.Version, OK: s.OK, FirstToken: time.Duration(s.FirstEventRatio * float64(sampleUnit)),
 			InterToken: time.Duration(s.InterToken * float64(sampleUnit)),
 		})
 	}
 }
-
-// recordSample queues the outcome of a request for the next report if a rollout of its service is in progress.
-func (i *Instance) recordSample(req *request, g *Grant, ok bool, first, interToken time.Duration) {
-	v := i.view.Load()
-	r, ordered := v.Rollouts[req.service]
-	if !ordered {
-		return
-	}
-	if p := v.Progress[req.service]; p.BelongsTo(r) && p.State != fleet.InProgress {
-		return
-	}
-	s := hub.Sample{Service: req.service, Route: req.route.Name, Version: g.Server.Version, OK: ok}
-	if idle := i.scheduler.PredictIdleFirstEvent(g); idle > 0 && ok {
-		s.FirstEventRatio = 100 * float64(first) / float64(idle)
-	}
-	if interToken > 0 {
-		s.InterToken = float64(interToken) / float64(sampleUnit)
-	}
-	req.sample = &s
-	i.reporter.addSample(s)
-}
--- a/mustardseam/entry/stream.go
+++ b/mustardseam/entry/stream.go
@@ -133,7 +133,7 @@
 		o.InterToken = latest.Sub(first) / time.Duration((n-1)*g.Service.TokensPerEvent)
 	}
 	i.scheduler.Finish(g, o)
-	i.recordSample(req, g, true, first.Sub(sent), o.InterToken)
+	i.recordSuccess(req, g, first.Sub(sent), o.InterToken)
 	return resultAnswered
 }
 
@@ -150,6 +150,6 @@
 	}
 	o.Answered = false
 	i.scheduler.Finish(g, o)
-	i.recordSample(req, g, false, 0, 0)
+	i.recordFailure(req, g, isCut(ctx, err))
 	return resultRetry
 }
--- a/mustardseam/hub/report.go
+++ b/mustardseam/hub/report.go
@@ -48,6 +48,8 @@
 	OK              bool    `json:"ok"`
 	FirstEventRatio float64 `json:"first"` // Time to the first event or byte in hundredths of the usual time; 0 when unknown.
 	InterToken      float64 `json:"pace"`  // Inter-token latency in hundredths of a millisecond; 0 when unknown.
+	// Cut is the backend server that ended the connection before its answer was complete; empty otherwise.
+	Cut fleet.Incarnation `json:"cut,omitzero"`
 }
 
 // ReportResponse is the hub's response to a Report.
