Withhold the verdict on a version while the old one is slower than usual

Being as good as a disturbed old version counted as good. Change: the controller knows the usual latencies of a service, the lowest median of its responses before the order, of which all instances together record one in 25 ms. Responses that are slower than usual beside an old version that is too do not count against a version, but withhold its good verdict; after 40 failed or unusually slow ones without a good verdict it is rolled back.

--- a/mustardseam/canary/controller.go
+++ b/mustardseam/canary/controller.go
@@ -46,6 +46,9 @@
 	lateFalseAcceptBound = 0.05
 	// cutInterval is the time within which connections that a backend server ends count as one failure.
 	cutInterval = 500 * time.Millisecond
+	// maxBadResponses is the number of responses of a version without a good verdict that may fail or be slower than usual. No
+	// request may reach a version long after its 50th bad response; the rest is a margin for requests that have not ended.
+	maxBadResponses = 40
 	// minRouteSamples is the number of responses of a version that each route in use needs before the version is accepted.
 	minRouteSamples = 3
 	// minRouteShare is the share of the old version's responses from which a route is in use.
@@ -69,6 +72,8 @@
 // Controller controls the rollouts of one service; it is not safe for concurrent use.
 type Controller struct {
 	cfg            Config
+	baseline       rollout.Baseline                // Usual latencies of the service, from before the current order.
+	active         bool                            // The current rollout is in progress.
 	orderRevision  int64                           // Store revision of the current order; 0 before the first.
 	target         string                          // Target version of the current order.
 	analyzers      map[string]*rollout.Analyzer    // Analyzers by route; the empty name stands for all routes together.
@@ -82,7 +87,8 @@
 
 // Observe records the outcome of a request to the service.
 func (c *Controller) Observe(now time.Time, route string, s rollout.Sample) {
-	if c.analyzers == nil {
+	if !c.active {
+		c.baseline.Add(s)
 		return
 	}
 	for _, name := range []string{"", route} {
@@ -93,7 +99,7 @@
 			if name != "" {
 				alpha = routeRollbackBound
 			}
-			analyzer = rollout.NewAnalyzer(rollout.AnalyzerConfig{Route: name, Old: "", New: c.target, Alpha: alpha})
+			analyzer = rollout.NewAnalyzer(rollout.AnalyzerConfig{Route: name, Old: "", New: c.target, Alpha: alpha, Baseline: &c.baseline})
 			c.analyzers[name] = analyzer
 		}
 		relabeled := s
@@ -110,7 +116,7 @@
 // ObserveCut records that a backend server ended the connection of a request. Those that end within cutInterval are one
 // failure, since one crash ends all of them.
 func (c *Controller) ObserveCut(now time.Time, route, version string, server fleet.Incarnation) {
-	if c.cuts == nil || now.Sub(c.cuts[server]) < cutInterval {
+	if !c.active || now.Sub(c.cuts[server]) < cutInterval {
 		return
 	}
 	c.cuts[server] = now
@@ -124,10 +130,11 @@
 	}
 	if c.orderRevision != r.Revision {
 		*c = Controller{
-			cfg: c.cfg, orderRevision: r.Revision, target: r.Target, analyzers: map[string]*rollout.Analyzer{},
+			cfg: c.cfg, baseline: c.baseline, orderRevision: r.Revision, target: r.Target, analyzers: map[string]*rollout.Analyzer{},
 			cuts: map[fleet.Incarnation]time.Time{},
 		}
 	}
+	c.active = !p.BelongsTo(r) || p.State == fleet.InProgress
 	elapsed := float64(now.Sub(r.Ordered)) / float64(r.Duration)
 	if !p.BelongsTo(r) {
 		return fleet.Progress{
@@ -158,8 +165,9 @@
 	return p, false
 }
 
-// decideAcceptance gives a version all traffic once it is good on all routes, and rolls it back if it is not by the end:
-// missing evidence is not a good verdict. A version that is the only one left stays. Otherwise the progress stays the same.
+// decideAcceptance gives a version all traffic once it is good on all routes, and rolls it back if it is not by the end, or
+// after too many bad responses: missing evidence is not a good verdict. A version that is the only one left stays. Otherwise
+// the progress stays the same.
 func (c *Controller) decideAcceptance(
 	now time.Time, p fleet.Progress, elapsed float64, state FleetState,
 ) (fleet.Progress, bool) {
@@ -167,7 +175,7 @@
 	case elapsed >= acceptAfter && state.ReadyServers > 0 && c.good(now, elapsed):
 		p.Share, c.fullSince = 1, now
 		return p, true
-	case elapsed >= rollBackUnprovenAfter && state.OldReadyServers > 0:
+	case state.OldReadyServers > 0 && (elapsed >= rollBackUnprovenAfter || c.tooManyBad(now)):
 		p.State, p.Share = fleet.RolledBack, 0
 		return p, true
 	}
@@ -177,6 +185,16 @@
 	return p, changed
 }
 
+// tooManyBad reports whether so many responses of a version without a good verdict failed or were slower than usual that it
+// must not go on, even if a disturbance of all versions may be the reason.
+func (c *Controller) tooManyBad(now time.Time) bool {
+	all := c.analyzers[""]
+	if all == nil || all.Verdict(now).Decision == rollout.Good {
+		return false
+	}
+	return all.Summary(now).Slow+c.targetFailures >= maxBadResponses
+}
+
 // canaryShare returns the share of the requests that a version without a verdict gets.
 func (c *Controller) canaryShare(elapsed float64, state FleetState) float64 {
 	requests := state.NewVersionRequests
@@ -201,7 +219,8 @@
 		if route == "" || float64(s.Control) < minRouteShare*control {
 			continue
 		}
-		if s.Samples < minRouteSamples || s.Doubtful && (elapsed < lenientAfter || s.Against > maxLateDoubt) {
+		doubt := s.Against > maxLateDoubt || 3*s.Slow > 2*s.Samples
+		if s.Samples < minRouteSamples || s.Doubtful && (elapsed < lenientAfter || doubt) {
 			return false
 		}
 	}
--- a/mustardseam/canary/disturbance_test.go
+++ b/mustardseam/canary/disturbance_test.go
@@ -59,6 +59,10 @@
 func (d *disturbedRollout) run(seed uint64) time.Duration {
 	d.rng = rand.New(rand.NewPCG(seed, 29))
 	d.controller = New(Config{MaxCanaryShare: 0.1, ExtraRequests: 50})
+	for range 64 {
+		_, s := d.response("v1", 0, "a", disturbance{queueing: 1, load: 1.2})
+		d.controller.Observe(start, "a", s)
+	}
 	r := fleet.ServiceRollout{Service: "s", Target: "v2", Duration: disturbedDuration, Revision: 7, Ordered: start}
 	var next time.Duration
 	var fiftieth time.Duration
@@ -92,35 +96,44 @@
 	}
 	d.ofShare[0]++
 	route := []string{"a", "b", "c"}[d.rng.IntN(3)]
-	s := rollout.Sample{Version: "v1", OK: true}
-	first, inter := math.Exp(0.35*d.rng.NormFloat64()), 4*math.Exp(0.15*d.rng.NormFloat64())
-	bad := false
+	version := "v1"
 	if d.progress.Share >= 1 || float64(d.ofShare[1]) < d.share*float64(d.ofShare[0]) {
 		d.target++
 		d.ofShare[1]++
-		s.Version = "v2"
-		if d.rng.Float64() < d.slowNew {
-			first, inter = 4*first, 4*inter
-		}
-		if bad = d.slowdown > 1 && at >= d.badFrom && (d.badRoute == "" || d.badRoute == route); bad {
+		version = "v2"
+	}
+	bad := version == "v2" && d.slowdown > 1 && at >= d.badFrom && (d.badRoute == "" || d.badRoute == route)
+	ends, s := d.response(version, at, route, d.disturbance)
+	d.running = append(d.running, runningRequest{at + ends, route, bad, s})
+}
+
+// response returns the response of a version and the time that it takes.
+func (d *disturbedRollout) response(version string, at time.Duration, route string, dist disturbance) (time.Duration, rollout.Sample) {
+	s := rollout.Sample{Version: version, OK: true}
+	first, inter := math.Exp(0.35*d.rng.NormFloat64()), 4*math.Exp(0.15*d.rng.NormFloat64())
+	slow := dist.slowOld
+	if version == "v2" {
+		slow = dist.slowNew
+		if d.slowdown > 1 && at >= d.badFrom && (d.badRoute == "" || d.badRoute == route) {
 			first, inter = 0.8*d.slowdown*first, d.slowdown*inter
 		}
-	} else {
-		if d.rng.Float64() < d.slowOld {
-			first, inter = 4*first, 4*inter
-		}
-		first, inter = d.queueing*first, d.load*inter
-		s.OK = d.rng.Float64() >= d.crashes
 	}
-	if d.rng.Float64() < d.stalls {
+	if d.rng.Float64() < slow {
+		first, inter = 4*first, 4*inter
+	}
+	if version == "v1" {
+		first, inter = dist.queueing*first, dist.load*inter
+		s.OK = d.rng.Float64() >= dist.crashes
+	}
+	if d.rng.Float64() < dist.stalls {
 		inter *= 5
 	}
 	s.FirstToken, s.InterToken = time.Duration(first*100*float64(time.Microsecond)), time.Duration(inter*float64(time.Millisecond))
-	ends := at + time.Duration(first*150*float64(time.Millisecond)) + 100*s.InterToken
+	takes := time.Duration(first*150*float64(time.Millisecond)) + 100*s.InterToken
 	if !s.OK {
 		s.FirstToken, s.InterToken = 0, 0
 	}
-	d.running = append(d.running, runningRequest{ends, route, bad, s})
+	return takes, s
 }
 
 // finish records the responses that have ended.
@@ -159,6 +172,7 @@
 	{"crashing requests", disturbance{crashes: 0.12, stalls: 0.12, queueing: 1.3, load: 1.3}},
 	{"slow old backend servers", disturbance{slowOld: 0.4, queueing: 1.3, load: 1.2}},
 	{"slow backend servers of both versions", disturbance{slowOld: 0.4, slowNew: 0.4, queueing: 1.3, load: 1.2, mayFail: 1}},
+	{"slow old backend servers, all", disturbance{slowOld: 1, queueing: 1.3, load: 1.2}},
 	{"burst", disturbance{stalls: 0.08, queueing: 2.5, load: 1.5}},
 }
 
--- a/mustardseam/entry/reporter.go
+++ b/mustardseam/entry/reporter.go
@@ -27,6 +27,8 @@
 	hubRetryDelay = 1500 * time.Millisecond
 	// maxSamples bounds the request outcomes that wait for a report; further ones are dropped.
 	maxSamples = 512
+	// baselineInterval is the time between the outcomes of a service that are recorded outside of rollouts.
+	baselineInterval = 25 * time.Millisecond
 )
 
 // reporter exchanges reports with the other instances by way of the hub.
@@ -40,6 +42,8 @@
 	sequence     int64
 	pendingUsage map[string]ratelimit.Usage // Quota usage that has not been reported, keyed by team.
 	samples      []hub.Sample               // Request outcomes that have not been reported.
+	// baselineSampled is when an outcome of a service was last recorded outside of rollouts, keyed by service.
+	baselineSampled map[string]time.Time
 	// hubName is the hub that answered the latest report; empty after a failed report, or if this instance is the hub.
 	hubName         string
 	hubRunID        int64                      // Random id of the hub's run of its process.
@@ -64,7 +68,7 @@
 
 func newReporter(i *Instance) *reporter {
 	return &reporter{
-		i: i, client: hub.NewClient(), aggregator: hub.NewAggregator(i.cfg.Name), pendingUsage: map[string]ratelimit.Usage{},
+		i: i, client: hub.NewClient(), baselineSampled: map[string]time.Time{}, aggregator: hub.NewAggregator(i.cfg.Name), pendingUsage: map[string]ratelimit.Usage{},
 		hubFailures: map[string]time.Time{}, hubUsage: map[string]ratelimit.Usage{},
 	}
 }
@@ -144,6 +148,18 @@
 	r.queueSamples(s)
 }
 
+// addBaselineSample queues the outcome of a request outside of rollouts. All instances together record one of a service in each
+// baselineInterval.
+func (r *reporter) addBaselineSample(now time.Time, s hub.Sample) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if now.Sub(r.baselineSampled[s.Service]) < time.Duration(max(1, r.instanceCount))*baselineInterval {
+		return
+	}
+	r.baselineSampled[s.Service] = now
+	r.queueSamples(s)
+}
+
 // queueSamples queues outcomes of requests for the next report; mu must be held.
 func (r *reporter) queueSamples(samples ...hub.Sample) {
 	r.samples = append(r.samples, samples[:min(len(samples), max(0, maxSamples-len(r.samples)))]...)
--- a/mustardseam/entry/rollout_sample.go
+++ b/mustardseam/entry/rollout_sample.go
@@ -46,17 +46,15 @@
 	}
 }
 
-// addSample queues an outcome for the next report if a rollout of the service is in progress.
+// addSample queues an outcome for the next report. Outside of rollouts, only some are recorded, to know the usual latencies.
 func (i *Instance) addSample(req *request, g *Grant, s hub.Sample) {
+	s.Service, s.Route, s.Version = req.service, req.route.Name, g.Server.Version
 	v := i.view.Load()
 	r, ordered := v.Rollouts[req.service]
-	if !ordered {
-		return
-	}
-	if p := v.Progress[req.service]; p.BelongsTo(r) && p.State != fleet.InProgress {
+	if p := v.Progress[req.service]; !ordered || p.BelongsTo(r) && p.State != fleet.InProgress {
+		i.reporter.addBaselineSample(time.Now(), s)
 		return
 	}
-	s.Service, s.Route, s.Version = req.service, req.route.Name, g.Server.Version
 	req.sample = &s
 	i.reporter.addSample(s)
 }
--- a/mustardseam/entry/rollouts.go
+++ b/mustardseam/entry/rollouts.go
@@ -82,7 +82,7 @@
 // logEvidence logs what the decisions on a rollout depend on.
 func (r *rollouts) logEvidence(service, target string, e canary.Evidence) {
 	event.RolloutEvidence.Log(r.i.log()).Str("service", service).Str("target", target).Str("decision", string(e.Decision)).
-		Int("samples", e.Samples).Int("failures", e.Failures).Int("control", e.Control).Float64("against", e.Against).
+		Int("samples", e.Samples).Int("slow", e.Slow).Int("failures", e.Failures).Int("control", e.Control).Float64("against", e.Against).
 		Str("route", e.WorstRoute).Float64("route-against", e.RouteAgainst).Float64("failure", e.Failure).
 		Float64("first-event", e.FirstEvent).Float64("inter-token", e.InterToken).
 		Float64("first-event-shift", e.FirstEventShift).Float64("inter-token-shift", e.InterTokenShift).Send()
--- a/mustardseam/rollout/analyzer.go
+++ b/mustardseam/rollout/analyzer.go
@@ -12,6 +12,8 @@
 	New   string  // Version under test, the candidate.
 	Alpha float64 // Bound on the probability that a good version ever gets a bad verdict; default 0.001.
 	Beta  float64 // Bound on the probability that a bad version passes a step; default 0.01.
+	// Baseline holds the usual latencies of the control; nil if they are not known.
+	Baseline *Baseline
 }
 
 const (
@@ -40,6 +42,7 @@
 const (
 	failureMargin                = 0.02 // Added to the control's failure rate.
 	minSlowNullRate              = 0.15 // Lowest null rate of slow responses: the tenth beyond the percentile, plus half of that.
+	unclearNullRate              = 0.5  // Null rate of responses that are slower than usual beside a control that is too.
 	maxNullRate                  = 0.95 // Upper limit of every null rate, so that the test retains some power.
 	maxFailureRateWithoutControl = 0.5  // Failure rate allowed without a control to compare with: most responses must succeed.
 	slowdownWithoutControl       = 2    // Factor on the control's last 90th percentile, without a control to compare with.
@@ -63,6 +66,7 @@
 	evidence             evidence                   // Evidence against the candidate over the whole rollout.
 	acceptance           acceptance                 // Evidence for the candidate in the current step.
 	verdict              Verdict
+	slow                 int       // Number of the candidate's responses that were slower than usual.
 	lastCandidate        time.Time // Time of the latest response of the candidate.
 	stepChanged          time.Time // Time of the latest change of the step.
 }
@@ -192,20 +196,30 @@
 			an.addEvidence(a, w, slow, nullRate)
 		}
 	}
+	slow := false
 	for a := firstTokenShift; a <= interTokenShift && w.OK; a++ {
-		an.assessShift(a, w, r)
+		slow = an.assessShift(a, w, r) || slow
+	}
+	if slow {
+		an.slow++
 	}
 }
 
-// assessShift counts whether a latency of a response is above the median of the window that it is compared with.
-func (an *Analyzer) assessShift(a aspect, w pendingSample, r referenceWindow) {
-	t, ok := r.shiftTest(timeOf(a))
-	d := timeOf(a)(w.Sample)
+// assessShift counts whether a latency of a response is above the median of the window that it is compared with, and reports
+// whether it is slower than usual. An unclear one does not count against the candidate, but withholds a good verdict.
+func (an *Analyzer) assessShift(a aspect, w pendingSample, r referenceWindow) bool {
+	t, ok := r.shiftTest(an.cfg.Baseline.usual(a), timeOf(a))
+	d := time.Duration(float64(timeOf(a)(w.Sample)) / r.allowance)
 	if !ok || d <= 0 {
-		return
+		return false
+	}
+	if t.isUnclear(d) {
+		an.acceptance.add(a, true, unclearNullRate)
+		return true
 	}
 	nullRate := max(minSlowNullRate, t.rate, r.shiftRateAround(r.totalAtArrival, t, timeOf(a)))
-	an.addEvidence(a, w, float64(d)/r.allowance >= float64(t.threshold), nullRate)
+	an.addEvidence(a, w, d >= t.threshold, nullRate)
+	return d >= t.threshold
 }
 
 // assessLatenciesLeniently counts the latencies of a response for which there is no window to compare with or which arrived
--- a/mustardseam/rollout/shift.go
+++ b/mustardseam/rollout/shift.go
@@ -15,14 +15,20 @@
 	shiftNeighbours = 2 * neighbourCount
 )
 
-// shiftTest compares latencies with the median of a window.
+// shiftTest compares latencies with the median of a window. Latencies from unclear up to threshold are slower than usual, and
+// so is the window: they speak neither for a candidate nor against it.
 type shiftTest struct {
+	unclear   time.Duration
 	threshold time.Duration // Latency from which a response is shifted.
-	rate      float64       // Fraction of the window's responses that are shifted, plus its standard error.
+	rate      float64       // Fraction of the window's clear responses that are shifted, plus its standard error.
 }
 
-// shiftTest returns the test of a latency; ok is false when the window has too few responses.
-func (c *controlWindow) shiftTest(of func(Sample) time.Duration) (t shiftTest, ok bool) {
+// isUnclear reports whether a latency speaks neither for a candidate nor against it.
+func (t shiftTest) isUnclear(d time.Duration) bool { return d >= t.unclear && d < t.threshold }
+
+// shiftTest returns the test of a latency, whose usual value is given unless it is 0; ok is false when the window has too few
+// responses.
+func (c *controlWindow) shiftTest(usual time.Duration, of func(Sample) time.Duration) (t shiftTest, ok bool) {
 	var values [windowSize]time.Duration
 	n := 0
 	for i := range c.size() {
@@ -37,9 +43,19 @@
 	sorted := values[:n]
 	slices.Sort(sorted)
 	t.threshold = time.Duration(shiftFactor * float64(sorted[n/2]))
-	first, _ := slices.BinarySearch(sorted, t.threshold)
-	rate := float64(n-first) / float64(n)
-	t.rate = rate + math.Sqrt(rate*(1-rate)/float64(n))
+	t.unclear = t.threshold
+	if usual > 0 {
+		t.unclear = min(t.threshold, time.Duration(shiftFactor*float64(usual)))
+	}
+	shifted, _ := slices.BinarySearch(sorted, t.threshold)
+	usualUpTo, _ := slices.BinarySearch(sorted, t.unclear)
+	clear := n - (shifted - usualUpTo)
+	if clear < minWindow {
+		t.rate = maxNullRate
+		return t, true
+	}
+	rate := float64(n-shifted) / float64(clear)
+	t.rate = rate + math.Sqrt(rate*(1-rate)/float64(clear))
 	return t, true
 }
 
@@ -48,7 +64,7 @@
 	n, shifted := 0, 0
 	for i := max(index-shiftNeighbours/2, c.total-windowSize, 0); i < min(c.total, index+shiftNeighbours/2); i++ {
 		s := &c.samples[i%windowSize]
-		if !s.OK || of(*s) <= 0 {
+		if !s.OK || of(*s) <= 0 || t.isUnclear(of(*s)) {
 			continue
 		}
 		n++
--- a/mustardseam/rollout/summary.go
+++ b/mustardseam/rollout/summary.go
@@ -9,6 +9,7 @@
 type Summary struct {
 	Decision   Decision
 	Samples    int     // Number of responses of the candidate that were assessed.
+	Slow       int     // Number of them that were slower than usual, whether or not the control's were too.
 	Control    int     // Number of responses of the control.
 	Doubtful   bool    // The responses in some aspect fit a bad candidate better than a good one.
 	Against    float64 // Evidence against the candidate, a likelihood ratio; from 1/Alpha on, the decision is bad.
@@ -23,7 +24,7 @@
 func (an *Analyzer) Summary(now time.Time) Summary {
 	ratios := an.acceptance.logRatios
 	return Summary{
-		Decision: an.Verdict(now).Decision, Samples: an.acceptance.samples, Control: an.overallControlWindow.total,
+		Decision: an.Verdict(now).Decision, Samples: an.acceptance.samples, Slow: an.slow, Control: an.overallControlWindow.total,
 		Doubtful: slices.Max(ratios[:]) > 0, Against: an.evidence.total(), Failure: ratios[failure],
 		FirstEvent: ratios[firstToken], InterToken: ratios[interToken],
 		FirstEventShift: ratios[firstTokenShift], InterTokenShift: ratios[interTokenShift],
