--- a/mustardseam/rollout/shift.go
+++ b/mustardseam/rollout/shift.go
@@ -49,13 +49,13 @@
 	}
 	shifted, _ := slices.BinarySearch(sorted, t.threshold)
 	usualUpTo, _ := slices.BinarySearch(sorted, t.unclear)
-	clear := n - (shifted - usualUpTo)
-	if clear < minWindow {
+	counted := n - (shifted - usualUpTo)
+	if counted < minWindow {
 		t.rate = maxNullRate
 		return t, true
 	}
-	rate := float64(n-shifted) / float64(clear)
-	t.rate = rate + math.Sqrt(rate*(1-rate)/float64(clear))
+	rate := float64(n-shifted) / float64(counted)
+	t.rate = rate + math.Sqrt(rate*(1-rate)/float64(counted))
 	return t, true
 }
 
