Keep the deadline of a rollout over the restart of an instance

What callers saw: nothing; operators got a good version late. Change: the progress of a rollout holds the time of day of its order; a controller that takes over uses it if it makes sense. Run: TestDeadlineSurvivesRestart failed at the deadline before and passes; tests of canary, fleet and entry, and of rollouts and restorations in platform passed.

--- a/mustardseam/canary/controller.go
+++ b/mustardseam/canary/controller.go
@@ -44,6 +44,8 @@
 	// lateFalseAcceptBound bounds the probability that a bad version is accepted after lenientAfter; before, it is the default
 	// of rollout.Analyzer.
 	lateFalseAcceptBound = 0.05
+	// maxClockAge is the factor on the duration of a rollout up to which its age by the time of day is believed.
+	maxClockAge = 2
 	// cutInterval is the time within which connections that a backend server ends count as one failure.
 	cutInterval = 500 * time.Millisecond
 	// maxBadResponses is the number of responses of a version without a good verdict that may fail or be slower than usual. No
@@ -79,6 +81,7 @@
 	analyzers      map[string]*rollout.Analyzer    // Analyzers by route; the empty name stands for all routes together.
 	cuts           map[fleet.Incarnation]time.Time // When a cut of a backend server was last counted.
 	targetFailures int                             // Number of failed responses of the target version.
+	tookOver       bool                            // Another controller has made the first decision.
 	fullSince      time.Time                       // Time since which the target version gets all traffic; zero before.
 }
 
@@ -130,15 +133,16 @@
 	}
 	if c.orderRevision != r.Revision {
 		*c = Controller{
-			cfg: c.cfg, baseline: c.baseline, orderRevision: r.Revision, target: r.Target, analyzers: map[string]*rollout.Analyzer{},
+			cfg: c.cfg, baseline: c.baseline, tookOver: p.BelongsTo(r), orderRevision: r.Revision, target: r.Target, analyzers: map[string]*rollout.Analyzer{},
 			cuts: map[fleet.Incarnation]time.Time{},
 		}
 	}
 	c.active = !p.BelongsTo(r) || p.State == fleet.InProgress
-	elapsed := float64(now.Sub(r.Ordered)) / float64(r.Duration)
+	elapsed := float64(c.age(now, r, p)) / float64(r.Duration)
 	if !p.BelongsTo(r) {
 		return fleet.Progress{
 			Target: r.Target, Order: r.Revision, Era: r.Era, Share: c.canaryShare(elapsed, state), State: fleet.InProgress,
+			Ordered: now.Round(0).Add(-now.Sub(r.Ordered)).Truncate(time.Millisecond),
 		}, true
 	}
 	if p.Order != r.Revision {
@@ -165,6 +169,19 @@
 	return p, false
 }
 
+// age returns the time since the order. An instance that has started again learned of the order late, so its time of day
+// counts, unless it makes no sense: the clocks of instances differ.
+func (c *Controller) age(now time.Time, r fleet.ServiceRollout, p fleet.Progress) time.Duration {
+	age := now.Sub(r.Ordered)
+	if !c.tookOver || !p.BelongsTo(r) || p.Ordered.IsZero() {
+		return age
+	}
+	if byClock := now.Round(0).Sub(p.Ordered); byClock > age && byClock <= maxClockAge*r.Duration {
+		return byClock
+	}
+	return age
+}
+
 // decideAcceptance gives a version all traffic once it is good on all routes, and rolls it back if it is not by the end, or
 // after too many bad responses: missing evidence is not a good verdict. A version that is the only one left stays. Otherwise
 // the progress stays the same.
--- a/mustardseam/canary/controller_test.go
+++ b/mustardseam/canary/controller_test.go
@@ -115,7 +115,7 @@
 	r.Revision, r.Era = 5, 2
 	p, changed := c.Next(start.Add(time.Second), r, p, FleetState{ReadyServers: 1})
 	assert.Assert(t, changed)
-	assert.Equal(t, p, fleet.Progress{Target: "v2", Order: 5, Era: 2, Share: p.Share, State: fleet.InProgress})
+	assert.Equal(t, p, fleet.Progress{Target: "v2", Order: 5, Era: 2, Share: p.Share, State: fleet.InProgress, Ordered: p.Ordered})
 	assert.Equal(t, c.Evidence(start.Add(3*time.Second)).Samples, 3)
 	_, changed = c.Next(start.Add(time.Second), r, p, FleetState{ReadyServers: 1})
 	assert.Assert(t, !changed)
@@ -178,3 +178,29 @@
 		})
 	}
 }
+
+// TestDeadlineSurvivesRestart guards against a controller that takes a rollout for new since its instance has just started.
+func TestDeadlineSurvivesRestart(t *testing.T) {
+	r := fleet.ServiceRollout{Service: "s", Target: "v2", Duration: 18 * time.Second, Revision: 7, Ordered: start}
+	servers := FleetState{ReadyServers: 1, OldReadyServers: 1}
+	p, _ := New(Config{MaxCanaryShare: 0.1}).Next(start, r, fleet.Progress{}, servers)
+	tests := []struct {
+		name string
+		now  time.Duration // Time since the order at which the instance starts again.
+		skew time.Duration // Error of its clock.
+		want fleet.State   // State a second later.
+	}{
+		{"before the deadline", 9 * time.Second, 0, fleet.InProgress},
+		{"at the deadline", 17 * time.Second, 0, fleet.RolledBack},
+		{"clock behind", 17 * time.Second, -time.Hour, fleet.InProgress},
+		{"clock far ahead", 9 * time.Second, time.Hour, fleet.InProgress},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			restarted := r
+			restarted.Ordered = start.Add(test.now + test.skew)
+			next, _ := New(Config{MaxCanaryShare: 0.1}).Next(restarted.Ordered.Add(time.Second), restarted, p, servers)
+			assert.Equal(t, next.State, test.want)
+		})
+	}
+}
