Tell a rollout order from a lost one with the same revision

If an order was lost when the store was restored, and an order of another version gets the same revision in the new history, the new rollout kept the evidence, the count and the deadline of the lost one. Cause: a revision was compared across two histories of the store.

--- a/mustardseam/canary/controller.go
+++ b/mustardseam/canary/controller.go
@@ -131,7 +131,7 @@
 	if c.orderRevision != r.Revision && c.orderRevision == p.Order && c.target == r.Target && p.BelongsTo(r) {
 		c.orderRevision = r.Revision // The order was written again after the store was restored.
 	}
-	if c.orderRevision != r.Revision {
+	if c.orderRevision != r.Revision || c.target != r.Target {
 		*c = Controller{
 			cfg: c.cfg, baseline: c.baseline, tookOver: p.BelongsTo(r), orderRevision: r.Revision, target: r.Target, analyzers: map[string]*rollout.Analyzer{},
 			cuts: map[fleet.Incarnation]time.Time{},
--- a/mustardseam/canary/controller_test.go
+++ b/mustardseam/canary/controller_test.go
@@ -204,3 +204,21 @@
 		})
 	}
 }
+
+// TestOrderAtRevisionOfLostOne guards against a rollout that goes on with the evidence about another version, whose order was lost
+// when the store was restored and had the same revision.
+func TestOrderAtRevisionOfLostOne(t *testing.T) {
+	c := New(Config{MaxCanaryShare: 0.1, ExtraRequests: 50})
+	r := fleet.ServiceRollout{Service: "s", Target: "v2", Duration: 12 * time.Second, Revision: 7, Era: 1, Ordered: start}
+	p, _ := c.Next(start, r, fleet.Progress{}, FleetState{ReadyServers: 1, OldReadyServers: 1})
+	for range 5 {
+		c.Observe(start, "a", rollout.Sample{Version: "v2"})
+	}
+	r.Target, r.Era = "v3", 2
+	p, changed := c.Next(start.Add(time.Second), r, p, FleetState{ReadyServers: 1, OldReadyServers: 1})
+	assert.Assert(t, changed)
+	assert.Equal(t, p.Target, "v3")
+	assert.Equal(t, c.Evidence(start.Add(time.Second)).Failures, 0)
+	c.Observe(start, "a", rollout.Sample{Version: "v3"})
+	assert.Equal(t, c.Evidence(start.Add(time.Second)).Failures, 1)
+}
--- a/mustardseam/fleet/builder.go
+++ b/mustardseam/fleet/builder.go
@@ -49,7 +49,7 @@
 	case c.Rollout != nil:
 		copyOnce(&b.Rollouts, &b.rolloutsCopied)
 		r := *c.Rollout
-		if old, ok := b.Rollouts[r.Service]; ok && (old.Revision == r.Revision || old.Era < r.Era && old.Target == r.Target) {
+		if old, ok := b.Rollouts[r.Service]; ok && old.Target == r.Target && (old.Revision == r.Revision || old.Era < r.Era) {
 			r.Ordered = old.Ordered
 		}
 		b.Rollouts[r.Service] = r
--- a/mustardseam/fleet/rollout_test.go
+++ b/mustardseam/fleet/rollout_test.go
@@ -42,4 +42,6 @@
 	assert.Equal(t, v.Rollouts["s"].Revision, int64(5))
 	v = v.With(order("v3", 9, 2, start.Add(2*time.Second)))
 	assert.Equal(t, v.Rollouts["s"].Ordered, start.Add(2*time.Second))
+	v = v.With(order("v4", 9, 3, start.Add(3*time.Second)))
+	assert.Equal(t, v.Rollouts["s"].Ordered, start.Add(3*time.Second), "another order has the revision of a lost one")
 }
