Log which request a backend server cut off, over its attempts

Cause: the line of an answer that was cut off names the id of an attempt, which is new for each one, so that the logs did not show whether one request crashed several backend servers. Change: answer-cut (7017) has a fingerprint of host, path, caller and body.

--- a/mustardseam/entry/quarantine.go
+++ b/mustardseam/entry/quarantine.go
@@ -58,7 +58,8 @@
 	}
 	i.metrics.answersCut.Inc()
 	event.AnswerCut.Log(i.log()).Str("request", req.meta.ID).Str("server", g.Server.ID).Int64("born", g.Server.StartMS).
-		Int("events", events).Str("parts", strings.Join(req.meta.PromptParts, ",")).Err(err).Send()
+		Int("events", events).Str("parts", strings.Join(req.meta.PromptParts, ",")).
+		Str("fingerprint", req.fingerprint()).Err(err).Send()
 	if events >= soundEvents || i.isLeaving(g.Server.Incarnation()) {
 		return
 	}
