Refuse requests that crash backend servers

Cause: what crashed backend servers was remembered by the shared parts of the prompt only. The parts of a request that crashes by itself are those of sound requests, whose answers clear them; and a request to a plain service has none. Change: the fingerprint of a request, by host, path, caller and body, counts like one more part of its prompt. Three crashes under it without an answer suffice (four for a part); it goes to all instances and into the store with the crashes, is checked before each attempt, and is kept among the parts that were answered only while crashes are known.

--- a/mustardseam/entry/fingerprint.go
+++ b/mustardseam/entry/fingerprint.go
@@ -3,6 +3,8 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
+
+	"github.com/mustardseam/mustardseam/mustardseam/quarantine"
 )
 
 // fingerprintBytes is the length of a fingerprint before it is encoded.
@@ -25,6 +27,6 @@
 		h.Write([]byte{0})
 	}
 	h.Write(req.exchange.Body)
-	req.fingerprintCache = "request-" + hex.EncodeToString(h.Sum(nil)[:fingerprintBytes])
+	req.fingerprintCache = quarantine.FingerprintPrefix + hex.EncodeToString(h.Sum(nil)[:fingerprintBytes])
 	return req.fingerprintCache
 }
--- a/mustardseam/entry/quarantine.go
+++ b/mustardseam/entry/quarantine.go
@@ -35,18 +35,23 @@
 	})
 }
 
-// refuseQuarantined returns the refusal of a request whose prompt crashes backend servers, or nil.
+// crashParts returns what a crash may be due to: the fingerprint of a request and the parts of its prompt.
+func (req *request) crashParts() []string {
+	return append([]string{req.fingerprint()}, req.meta.PromptParts...)
+}
+
+// refuseQuarantined returns the refusal of a request that crashes backend servers, or nil.
 func (i *Instance) refuseQuarantined(req *request) *placement.Refusal {
-	if len(req.meta.PromptParts) == 0 {
+	if !i.quarantine.Knows() {
 		return nil
 	}
-	p, found := i.quarantine.Match(time.Now(), req.meta.PromptParts)
+	p, found := i.quarantine.Match(time.Now(), req.crashParts())
 	if !found {
 		return nil
 	}
 	i.metrics.quarantined.Inc()
 	return &placement.Refusal{
-		RetryAfter: quarantine.RefusalTime, Reason: "prompt parts crash backend servers: " + strings.Join(p.Parts, ","),
+		RetryAfter: quarantine.RefusalTime, Reason: "request crashes backend servers: " + strings.Join(p.Parts, ","),
 	}
 }
 
@@ -64,7 +69,7 @@
 		return
 	}
 	req.crashed = true
-	i.quarantine.RecordCrash(time.Now(), g.Server.Incarnation(), req.meta.PromptParts)
+	i.quarantine.RecordCrash(time.Now(), g.Server.Incarnation(), req.crashParts())
 }
 
 // isCut reports whether an attempt failed because the backend server ended the connection.
@@ -75,14 +80,17 @@
 
 // recordSound records that a backend server has answered a request, or enough of it.
 func (i *Instance) recordSound(req *request) {
-	if len(req.meta.PromptParts) > 0 {
+	switch {
+	case i.quarantine.Knows():
+		i.quarantine.RecordAnswer(time.Now(), req.crashParts())
+	case len(req.meta.PromptParts) > 0:
 		i.quarantine.RecordAnswer(time.Now(), req.meta.PromptParts)
 	}
 }
 
 // carriesCrash reports whether another attempt of a request that was cut off could crash a further backend server.
 func (i *Instance) carriesCrash(req *request) bool {
-	return req.crashed && i.quarantine.Suspects(time.Now(), req.meta.PromptParts)
+	return req.crashed && i.quarantine.Suspects(time.Now(), req.crashParts())
 }
 
 // isLeaving reports whether an incarnation of a backend server is shutting down.
--- a/mustardseam/event/catalogue.go
+++ b/mustardseam/event/catalogue.go
@@ -80,7 +80,7 @@
 	ServerLimitChanged   = Event{7015, "server-limit-changed", zerolog.InfoLevel, "request limit of a backend server changed"}
 	ServerLimitInvalid   = Event{7016, "server-limit-invalid", zerolog.WarnLevel, "failed to read the request limit in an answer; the known limit stays in force"}
 	AnswerCut            = Event{7017, "answer-cut", zerolog.InfoLevel, "backend server ended the connection of a request without a complete answer"}
-	PromptQuarantined    = Event{7018, "prompt-quarantined", zerolog.WarnLevel, "backend servers crash on prompt parts; requests with all of them are refused"}
+	PromptQuarantined    = Event{7018, "prompt-quarantined", zerolog.WarnLevel, "backend servers crash on a request or on prompt parts; requests with all of them are refused"}
 	PromptReleased       = Event{7019, "prompt-released", zerolog.InfoLevel, "prompt parts are no longer refused in this combination"}
 )
 
--- a/mustardseam/quarantine/doc.go
+++ b/mustardseam/quarantine/doc.go
@@ -1,5 +1,6 @@
-// Package quarantine finds the parts of prompts on which backend servers crash, so that requests with them can be refused
-// (queries of death).
+// Package quarantine finds the requests and the parts of prompts on which backend servers crash, so that they can be refused
+// (queries of death). A request is known by its fingerprint, which is handled like one more part of its prompt: only requests with
+// the same fingerprint have it.
 //
 // A Table holds crashes: requests whose connection a backend server ended at the beginning of the answer, with the parts of
 // their prompts. A part on which a backend server has since answered is sound, and crashes before that no longer count against
--- a/mustardseam/quarantine/pattern.go
+++ b/mustardseam/quarantine/pattern.go
@@ -84,7 +84,11 @@
 	for {
 		best, most := "", 0
 		for _, part := range parts {
-			if n := all[part].unexplained(explained); n > most {
+			required := minCrashes
+			if isFingerprint(part) {
+				required = minFingerprintCrashes
+			}
+			if n := all[part].unexplained(explained, required); n > most {
 				best, most = part, n
 			}
 		}
@@ -100,15 +104,15 @@
 	}
 }
 
-// unexplained returns the number of crashes that no other pattern explains; 0 if they do not suffice for a pattern.
-func (e *evidence) unexplained(explained map[fleet.Incarnation]bool) int {
+// unexplained returns the number of crashes that no other pattern explains; 0 if they are fewer than required for a pattern.
+func (e *evidence) unexplained(explained map[fleet.Incarnation]bool, required int) int {
 	var times []time.Time
 	for server, at := range e.servers {
 		if !explained[server] {
 			times = append(times, at)
 		}
 	}
-	if len(times) < minCrashes {
+	if len(times) < required {
 		return 0
 	}
 	slices.SortFunc(times, time.Time.Compare)
--- a/mustardseam/quarantine/table.go
+++ b/mustardseam/quarantine/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -11,6 +12,8 @@
 const (
 	// minCrashes is the number of incarnations of backend servers that must crash on a part before it is refused.
 	minCrashes = 4
+	// minFingerprintCrashes is the same for a fingerprint, which fewer sound requests have in common.
+	minFingerprintCrashes = 3
 	// suspectCrashes is the number from which on requests with a part are not sent to another backend server after a crash.
 	suspectCrashes = 2
 	// suspectAnswerAge is how long ago the latest answer on a part may be for the part not to be suspect.
@@ -38,12 +41,15 @@
 	// maxAnswered bounds the parts whose latest answer is kept.
 	maxAnswered = 4096
 	// maxParts and maxPartBytes bound the parts of a prompt that are considered.
-	maxParts     = 64
+	maxParts     = 65
 	maxPartBytes = 64
 	// maxMessageCrashes bounds the crashes in a message; the rest follow in the next one.
 	maxMessageCrashes = 64
 )
 
+// FingerprintPrefix begins each fingerprint; no part of a prompt has a colon.
+const FingerprintPrefix = "request:"
+
 // RefusalTime is how long requests with a pattern are refused after the latest crash or refusal.
 const RefusalTime = time.Hour
 
@@ -81,7 +87,10 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, part := range parts {
-		t.answered[part] = now
+		// Nearly all fingerprints differ, and would displace the parts.
+		if !isFingerprint(part) || len(t.byPart[part]) > 0 {
+			t.answered[part] = now
+		}
 	}
 	t.pruneAnswered()
 	changed := false
@@ -133,6 +142,9 @@
 	return slices.DeleteFunc(slices.Clone(t.patterns), func(p Pattern) bool { return now.Before(p.From) })
 }
 
+// Knows reports whether the table holds any crash, so that answers may matter.
+func (t *Table) Knows() bool { return t.Len() > 0 }
+
 // Len returns the number of crashes in the table.
 func (t *Table) Len() int {
 	t.mu.Lock()
@@ -184,6 +196,9 @@
 	notify(t.patterns, old, t.cfg.OnQuarantine)
 }
 
+// isFingerprint reports whether a part is the fingerprint of a request.
+func isFingerprint(part string) bool { return strings.HasPrefix(part, FingerprintPrefix) }
+
 // notify calls f for the patterns that others lacks.
 func notify(patterns, others []Pattern, f func(Pattern)) {
 	for _, p := range patterns {
--- a/mustardseam/quarantine/table_test.go
+++ b/mustardseam/quarantine/table_test.go
@@ -109,6 +109,28 @@
 			[]string{"de"},
 			nil,
 		},
+		{"request", crashes("s", "request:x a", 3, interval), []string{"request:x a"}, []string{"a", "request:y a", "request:x"}},
+		{
+			"request beside a part that was answered",
+			append(crashes("s", "request:x a", 3, interval), step{interval, "request:y a", ""}),
+			[]string{"request:x a", "request:x"},
+			[]string{"a", "request:y a"},
+		},
+		{"request without parts", crashes("s", "request:x", 3, interval), []string{"request:x"}, []string{"", "request:y"}},
+		{"too few crashes of a request", crashes("s", "request:x a", 2, interval), nil, []string{"request:x a"}},
+		{
+			"request that was answered between crashes",
+			append(append(crashes("s", "request:x", 2, interval), step{interval, "request:x", ""}), crashes("t", "request:x", 2, interval)...),
+			nil,
+			[]string{"request:x"},
+		},
+		{"loss of power under a request", crashes("s", "request:x", 3, time.Millisecond), nil, []string{"request:x"}},
+		{
+			"part under different requests",
+			append(crashes("s", "request:x de", 2, interval), crashes("t", "request:y de", 2, interval)...),
+			[]string{"request:z de", "request:x de", "request:y de"},
+			[]string{"request:x", "a"},
+		},
 		{"no parts", crashes("s", "", 9, interval), nil, []string{"", "a"}},
 	}
 	for _, test := range tests {
@@ -190,6 +212,19 @@
 	assert.Assert(t, !found)
 }
 
+// TestFingerprintsLeaveRoomForAnsweredParts guards against parts whose answers are forgotten since every request has another
+// fingerprint.
+func TestFingerprintsLeaveRoomForAnsweredParts(t *testing.T) {
+	table := newTestTable()
+	now := time.Now()
+	table.RecordAnswer(now, []string{"hot"})
+	for n := range 2 * maxAnswered {
+		table.RecordAnswer(now, []string{fmt.Sprintf("request:%d", n)})
+	}
+	assert.Equal(t, table.answered["hot"], now)
+	assert.Equal(t, len(table.answered), 1)
+}
+
 // TestRefusalsExpire guards against a refusal for ever, and against one that ends while callers still send the part.
 func TestRefusalsExpire(t *testing.T) {
 	table := newTestTable()
