Count an ended connection as a crash only if the backend server is down

Symptom: found while looking for sound requests that the fingerprints of crashes would condemn: three resets of the same request by different backend servers that go on running were three crashes, and the request was refused for an hour. Change: a connection that ends at the beginning of an answer counts as a crash if the backend server accepts no new one within 100 ms. Run: TestResetRequestIsNotRefused failed for all three kinds of route and passes; tests of deadly requests and parts in platform passed.

--- a/mustardseam/entry/quarantine.go
+++ b/mustardseam/entry/quarantine.go
@@ -56,7 +56,8 @@
 }
 
 // recordCut records that an attempt failed with err after a number of events, if the reason is that the backend server ended
-// the connection. The end of a planned shutdown says nothing about the request.
+// the connection. The end of a planned shutdown, or of a connection to a backend server that goes on running, says nothing about
+// the request.
 func (i *Instance) recordCut(ctx context.Context, req *request, g *Grant, events int, err error) {
 	if !isCut(ctx, err) {
 		return
@@ -65,7 +66,7 @@
 	event.AnswerCut.Log(i.log()).Str("request", req.meta.ID).Str("server", g.Server.ID).Int64("born", g.Server.StartMS).
 		Int("events", events).Str("parts", strings.Join(req.meta.PromptParts, ",")).
 		Str("fingerprint", req.fingerprint()).Err(err).Send()
-	if events >= soundEvents || i.isLeaving(g.Server.Incarnation()) {
+	if events >= soundEvents || i.isLeaving(g.Server.Incarnation()) || !i.client.IsDown(ctx, g.Server) {
 		return
 	}
 	req.crashed = true
--- a/mustardseam/http1/client.go
+++ b/mustardseam/http1/client.go
@@ -18,6 +18,8 @@
 	// dialTimeout limits the time to connect. Two round trips take at most 4 ms, and a lost SYN is retransmitted only
 	// after a second; by then another backend server is the better choice.
 	dialTimeout = 300 * time.Millisecond
+	// downTimeout limits the time in which a backend server must accept a connection not to count as down.
+	downTimeout = 100 * time.Millisecond
 	// unackedTimeout closes a connection if sent data stays unacknowledged, for example because the peer lost power or
 	// there is a network partition (TCP_USER_TIMEOUT).
 	unackedTimeout = 1500 * time.Millisecond
@@ -140,6 +142,21 @@
 	return c.dialCount
 }
 
+// IsDown reports whether a backend server accepts no connection, as one that has just crashed.
+func (c *Client) IsDown(ctx context.Context, server *fleet.Server) bool {
+	ctx, cancel := context.WithTimeout(ctx, downTimeout)
+	defer cancel()
+	c.mu.Lock()
+	c.dialCount++
+	c.mu.Unlock()
+	conn, err := c.dialer.DialContext(ctx, "tcp", server.Address)
+	if err != nil {
+		return true
+	}
+	_ = conn.Close()
+	return false
+}
+
 // acquire returns an idle connection that is still open, or dials a new one.
 func (c *Client) acquire(ctx context.Context, call Call) (*clientConn, error) {
 	for !call.Exclusive {
