Write no error of a backend server into a stream that has begun

Cause: after a server error a request is tried at another backend server, and the first answer is sent if that fails. The second one may have begun a stream by then. Change: once something was sent, the result of the second attempt stands: the stream is resumed, or the connection is reset. Run: TestErrorIsNotWrittenIntoStream failed for two of three forms of broken streams before (the head and body of the error stood in the stream) and passes. Tests of streams, retries and server errors in platform passed, but for the known TestUnframedStreamOfCrashedServer.

--- a/mustardseam/entry/attempt.go
+++ b/mustardseam/entry/attempt.go
@@ -153,8 +153,9 @@
 	if !ok && req.mayRepeat() && i.scheduler.TakeRetry(req.service) {
 		// The retry was taken from the budget here; runAttempts would take it again.
 		req.job.Tried = append(req.job.Tried, g.Server.Incarnation())
-		if i.retryFailedAnswer(ctx, req) {
-			return resultAnswered
+		// The first answer must not follow the beginning of a stream.
+		if result := i.retryFailedAnswer(ctx, req); result == resultAnswered || req.exchange.HeaderSent() {
+			return result
 		}
 	}
 	req.status = status
@@ -167,15 +168,15 @@
 	return resultAnswered
 }
 
-// retryFailedAnswer tries another backend server after one responded with a server error. It returns false when that fails
-// too; the HTTP client then gets the first response.
-func (i *Instance) retryFailedAnswer(ctx context.Context, req *request) bool {
+// retryFailedAnswer tries another backend server after one responded with a server error. When that fails too and nothing was
+// sent to the HTTP client, it gets the first response.
+func (i *Instance) retryFailedAnswer(ctx context.Context, req *request) attemptResult {
 	i.metrics.retries.Inc()
 	i.logRetry(req)
 	g, err := i.acquire(ctx, req)
 	if err != nil {
-		return false
+		return resultFailed
 	}
 	i.recordPlacement(req, g)
-	return i.attempt(ctx, req, g) == resultAnswered
+	return i.attempt(ctx, req, g)
 }
