Tell the end of a stream without framing from the end of its server

Change: when such a stream ends, the backend server must accept a new connection and keep it for 20 ms; else the stream has broken off, and is resumed or reset. While an instance sends one, its connection is set to be reset if the process ends.

--- a/mustardseam/entry/stream.go
+++ b/mustardseam/entry/stream.go
@@ -32,6 +32,9 @@
 	var comments []byte // Comments that arrived before the first event.
 	for {
 		ev, err := events.Next()
+		if errors.Is(err, io.EOF) && !resp.SelfDelimited() && i.client.IsDown(ctx, g.Server) {
+			err = eris.Wrap(http1.ErrDisconnected, "backend server went down in a stream without framing")
+		}
 		switch {
 		case errors.Is(err, io.EOF) && i.mayEndStream(req, resp, s.events):
 			if len(comments) > 0 && !req.exchange.HeaderSent() {
--- a/mustardseam/http1/client.go
+++ b/mustardseam/http1/client.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"net"
+	"os"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -20,6 +22,8 @@
 	dialTimeout = 300 * time.Millisecond
 	// downTimeout limits the time in which a backend server must accept a connection not to count as down.
 	downTimeout = 100 * time.Millisecond
+	// endTimeout is how long a new connection must stay open for the backend server not to count as down.
+	endTimeout = 20 * time.Millisecond
 	// unackedTimeout closes a connection if sent data stays unacknowledged, for example because the peer lost power or
 	// there is a network partition (TCP_USER_TIMEOUT).
 	unackedTimeout = 1500 * time.Millisecond
@@ -142,7 +146,8 @@
 	return c.dialCount
 }
 
-// IsDown reports whether a backend server accepts no connection, as one that has just crashed.
+// IsDown reports whether a backend server accepts no connection, or ends it at once, as one that has just crashed or a proxy
+// before it.
 func (c *Client) IsDown(ctx context.Context, server *fleet.Server) bool {
 	ctx, cancel := context.WithTimeout(ctx, downTimeout)
 	defer cancel()
@@ -153,8 +158,12 @@
 	if err != nil {
 		return true
 	}
-	_ = conn.Close()
-	return false
+	defer func() { _ = conn.Close() }()
+	if err := conn.SetReadDeadline(time.Now().Add(endTimeout)); err != nil {
+		return true
+	}
+	_, err = conn.Read(make([]byte, 1))
+	return err != nil && !errors.Is(err, os.ErrDeadlineExceeded)
 }
 
 // acquire returns an idle connection that is still open, or dials a new one.
--- a/mustardseam/http1/exchange.go
+++ b/mustardseam/http1/exchange.go
@@ -55,6 +55,8 @@
 	if selfDelimited {
 		e.writeHeader(h, framingChunked)
 	} else {
+		// If the process ends now, the system must not end the connection as if the response were complete.
+		e.conn.setLinger(0)
 		e.writeHeader(h, framingUntilClose)
 	}
 	e.flush()
@@ -90,6 +92,9 @@
 	}
 	e.complete = true
 	e.flush()
+	if e.untilClose && !e.failed {
+		e.conn.setLinger(systemLinger)
+	}
 }
 
 // Abort marks the response as failed. The connection is then reset, so that a response started with Begin does not look
--- a/mustardseam/http1/serverconn.go
+++ b/mustardseam/http1/serverconn.go
@@ -80,9 +80,19 @@
 // resetOnClose makes the later close of a connection send a TCP RST if the response header was written but the response is
 // incomplete. Without the RST, a response that ends with the connection would look complete.
 func (c *serverConn) resetOnClose(e *Exchange) {
-	if nc, ok := c.conn.(interface{ NetConn() net.Conn }); ok && e.headerSent {
+	if e.headerSent {
+		c.setLinger(0)
+	}
+}
+
+// systemLinger makes the system send what is left and end a connection regularly when it is closed.
+const systemLinger = -1
+
+// setLinger sets how a connection is closed: with a TCP RST for 0 seconds.
+func (c *serverConn) setLinger(seconds int) {
+	if nc, ok := c.conn.(interface{ NetConn() net.Conn }); ok {
 		if t, ok := nc.NetConn().(*net.TCPConn); ok {
-			_ = t.SetLinger(0)
+			_ = t.SetLinger(seconds) // Where the option is refused, the connection ends regularly.
 		}
 	}
 }
