Tell the end of an answer without framing from the end of its server

Symptom: found in looking for the cause of the stream without framing elsewhere: a plain answer that ends with its connection was passed on as a 200 when its backend server crashed in the middle, and its request never counted as one that crashes backend servers. Change: the same check before such an answer is sent. Run: TestDeadlyRequestIsContained has the case, which failed before (17 answers of 200) and passes; tests of answers and streams without framing in platform passed.

--- a/mustardseam/entry/attempt.go
+++ b/mustardseam/entry/attempt.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"github.com/valyala/fasthttp"
 
 	"github.com/mustardseam/mustardseam/mustardseam/fleet"
@@ -134,6 +135,9 @@
 	ctx context.Context, req *request, g *Grant, resp *http1.Response, sent time.Time,
 ) attemptResult {
 	body, err := resp.ReadBody(maxAnswerBytes)
+	if err == nil && !resp.SelfDelimited() {
+		err = i.checkEnd(ctx, g)
+	}
 	if err != nil {
 		return i.attemptFailed(ctx, req, g, sent, err)
 	}
@@ -168,6 +172,14 @@
 	return resultAnswered
 }
 
+// checkEnd returns an error if an answer that ended with its connection was cut off because the backend server went down.
+func (i *Instance) checkEnd(ctx context.Context, g *Grant) error {
+	if i.client.IsDown(ctx, g.Server) {
+		return eris.Wrap(http1.ErrDisconnected, "backend server went down in an answer without framing")
+	}
+	return nil
+}
+
 // retryFailedAnswer tries another backend server after one responded with a server error. When that fails too and nothing was
 // sent to the HTTP client, it gets the first response.
 func (i *Instance) retryFailedAnswer(ctx context.Context, req *request) attemptResult {
--- a/mustardseam/entry/stream.go
+++ b/mustardseam/entry/stream.go
@@ -32,8 +32,10 @@
 	var comments []byte // Comments that arrived before the first event.
 	for {
 		ev, err := events.Next()
-		if errors.Is(err, io.EOF) && !resp.SelfDelimited() && i.client.IsDown(ctx, g.Server) {
-			err = eris.Wrap(http1.ErrDisconnected, "backend server went down in a stream without framing")
+		if errors.Is(err, io.EOF) && !resp.SelfDelimited() {
+			if down := i.checkEnd(ctx, g); down != nil {
+				err = down
+			}
 		}
 		switch {
 		case errors.Is(err, io.EOF) && i.mayEndStream(req, resp, s.events):
