Refuse several requests that crash the same backend servers

Cause: a crash that one pattern explains does not count against others. Requests that crash the same backend servers took turns: once one was refused, the next one had more crashes, explained those of the first, and the first was released. Change: a request with four crashes without an answer is refused, whoever explains them. Patterns depend on the evidence only, as before.

--- a/mustardseam/quarantine/pattern.go
+++ b/mustardseam/quarantine/pattern.go
@@ -76,10 +76,12 @@
 }
 
 // findPatterns returns the patterns that explain the crashes, the one with most crashes first. A crash that a pattern explains
-// does not count against other parts: their requests ran beside one that is to blame.
+// does not count against other parts: their requests ran beside one that is to blame. A request that was at minRepeatedCrashes or
+// more without an answer is no bystander, even if others explain them: several such requests may crash the same backend servers.
 func findPatterns(all map[string]*evidence, answered map[string]time.Time) []Pattern {
 	var patterns []Pattern
 	explained := map[fleet.Incarnation]bool{}
+	found := map[string]bool{}
 	parts := slices.Sorted(maps.Keys(all))
 	for {
 		best, most := "", 0
@@ -93,15 +95,26 @@
 			}
 		}
 		if most == 0 {
-			return patterns
+			break
 		}
 		e := all[best]
-		p := Pattern{Parts: e.group(), Crashes: len(e.servers), From: e.activeFrom(answered)}
-		patterns = append(patterns, p)
+		found[best] = true
+		patterns = append(patterns, e.pattern(answered))
 		for server := range e.servers {
 			explained[server] = true
 		}
 	}
+	for _, part := range parts {
+		if isFingerprint(part) && !found[part] && all[part].unexplained(nil, minRepeatedCrashes) > 0 {
+			patterns = append(patterns, all[part].pattern(answered))
+		}
+	}
+	return patterns
+}
+
+// pattern returns the pattern that the evidence is for.
+func (e *evidence) pattern(answered map[string]time.Time) Pattern {
+	return Pattern{Parts: e.group(), Crashes: len(e.servers), From: e.activeFrom(answered)}
 }
 
 // unexplained returns the number of crashes that no other pattern explains; 0 if they are fewer than required for a pattern.
--- a/mustardseam/quarantine/table.go
+++ b/mustardseam/quarantine/table.go
@@ -14,6 +14,8 @@
 	minCrashes = 4
 	// minFingerprintCrashes is the same for a fingerprint, which fewer sound requests have in common.
 	minFingerprintCrashes = 3
+	// minRepeatedCrashes is the number of crashes from which on a request is refused although others explain them.
+	minRepeatedCrashes = 4
 	// suspectCrashes is the number from which on requests with a part are not sent to another backend server after a crash.
 	suspectCrashes = 2
 	// suspectAnswerAge is how long ago the latest answer on a part may be for the part not to be suspect.
--- a/mustardseam/quarantine/table_test.go
+++ b/mustardseam/quarantine/table_test.go
@@ -131,6 +131,18 @@
 			[]string{"request:z de", "request:x de", "request:y de"},
 			[]string{"request:x", "a"},
 		},
+		{
+			"requests that crash the same backend servers",
+			append(crashes("s", "request:x", 5, interval), crashes("s", "request:y", 4, interval)...),
+			[]string{"request:x", "request:y"},
+			nil,
+		},
+		{
+			"request beside another one",
+			append(crashes("s", "request:x", 5, interval), crashes("s", "request:y", 3, interval)...),
+			[]string{"request:x"},
+			[]string{"request:y"},
+		},
 		{"no parts", crashes("s", "", 9, interval), nil, []string{"", "a"}},
 	}
 	for _, test := range tests {
