Play deadly requests and slow versions in the soak

Change: clients send a request on which all backend servers crash, on all kinds of routes, and operators order rollouts of a slow version, which must never be complete.

--- a/soak/client_soak_test.go
+++ b/soak/client_soak_test.go
@@ -92,9 +92,10 @@
 	if kind == "stream" {
 		prompt = "Mustardseam-Prompt-Prefix: " + site.prompt(rnd, r.id) + "\r\n"
 	}
+	body := site.body(rnd)
 	_, r.err = fmt.Fprintf(conn, "POST /%s/x HTTP/1.1\r\nHost: h.example\r\nMustardseam-Request-Id: %s\r\n"+
-		"%sMustardseam-Deadline-Ms: %d\r\nAuthorization: Bearer key\r\nContent-Length: 4\r\n\r\nbody",
-		kind, r.id, prompt, requestTimeout.Milliseconds())
+		"%sMustardseam-Deadline-Ms: %d\r\nAuthorization: Bearer key\r\nContent-Length: %d\r\n\r\n%s",
+		kind, r.id, prompt, requestTimeout.Milliseconds(), len(body), body)
 	if r.err != nil {
 		return r
 	}
--- a/soak/deadly_soak_test.go
+++ b/soak/deadly_soak_test.go
@@ -15,16 +15,49 @@
 	// that crashes backend servers.
 	crashContactTime = 3 * time.Second
 	knownCrashes     = 5
+	// knownRequestCrashes is knownCrashes for a request that crashes backend servers by itself.
+	knownRequestCrashes = 3
 	// maxDeadlyArrivals is how many requests with the part may reach backend servers after that.
 	maxDeadlyArrivals = 3
 	// deadlyShare is the share of streams with such a part while there is one.
 	deadlyShare = 0.2
 )
 
-// deadlyPeriod is a time during which clients send a prompt part that crashes backend servers.
+// deadlyPeriod is a time during which clients send a prompt part, or a request with a body, that crashes backend servers.
 type deadlyPeriod struct {
-	part     string
-	from, to time.Time
+	part, body string // One of them is empty.
+	from, to   time.Time
+}
+
+// crashes returns the times of the crashes of a backend server in the period.
+func (p deadlyPeriod) crashes(b *platformtest.Backend) []time.Time {
+	if p.body != "" {
+		return b.CrashesOnBody(p.body)
+	}
+	return b.CrashesOn(p.part)
+}
+
+// includes reports whether a request crashes backend servers.
+func (p deadlyPeriod) includes(a platformtest.Arrival) bool {
+	return p.body != "" && a.Body == p.body || p.part != "" && platformtest.HasSharedPart(a.Prompt, p.part)
+}
+
+// known returns the number of crashes after which requests must be refused.
+func (p deadlyPeriod) known() int {
+	if p.body != "" {
+		return knownRequestCrashes
+	}
+	return knownCrashes
+}
+
+// body returns the body of a request.
+func (s *site) body(rnd *rand.Rand) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.deadly.body != "" && rnd.Float64() < deadlyShare {
+		return s.deadly.body
+	}
+	return "body"
 }
 
 // prompt returns the parts of the prompt of a stream.
@@ -32,14 +65,14 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	parts := fmt.Sprintf("a%d:9,", rnd.IntN(3))
-	if s.deadly != "" && rnd.Float64() < deadlyShare {
-		parts += s.deadly + ":9,"
+	if s.deadly.part != "" && rnd.Float64() < deadlyShare {
+		parts += s.deadly.part + ":9,"
 	}
 	return parts + id + ":9"
 }
 
-// crashBackends lets clients send a prompt part on which all backend servers crash.
-func (s *site) crashBackends(rnd *rand.Rand) {
+// crashBackends lets clients send a prompt part, or a request, on which all backend servers crash.
+func (s *site) crashBackends(rnd *rand.Rand, p deadlyPeriod) {
 	if !s.crashing.TryLock() {
 		return
 	}
@@ -47,29 +80,34 @@
 	forms := []platformtest.CrashForm{
 		platformtest.CrashBeforeAnswer, platformtest.CrashAfterHeader, platformtest.CrashInEvent, platformtest.CrashUnframed,
 	}
-	p := deadlyPeriod{part: fmt.Sprintf("de%x", rnd.Uint32()), from: time.Now()}
 	form := forms[rnd.IntN(len(forms))]
-	s.logEvent("backend servers crash on %s, %s", p.part, form)
+	s.logEvent("backend servers crash on %s, %s", p.part+p.body, form)
+	p.from = time.Now()
 	for n, b := range s.backends {
-		b.CrashOn(p.part, form, func() { s.registerBackend(n, "ready") })
+		register := func() { s.registerBackend(n, "ready") }
+		if p.body != "" {
+			b.CrashOnRequest("team", p.body, form, register)
+		} else {
+			b.CrashOn(p.part, form, register)
+		}
 	}
-	s.setDeadly(p.part)
+	s.setDeadly(p)
 	time.Sleep(2*crashContactTime + randomDuration(rnd, 2*time.Second))
-	s.setDeadly("")
+	s.setDeadly(deadlyPeriod{})
 	p.to = time.Now()
 	for _, b := range s.backends {
-		b.Survive(p.part)
+		b.Survive(p.part + p.body)
 	}
-	s.logEvent("no more requests with %s", p.part)
+	s.logEvent("no more requests with %s", p.part+p.body)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.deadlyPeriods = append(s.deadlyPeriods, p)
 }
 
-func (s *site) setDeadly(part string) {
+func (s *site) setDeadly(p deadlyPeriod) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.deadly = part
+	s.deadly = p
 }
 
 // checkDeadlyParts checks that few requests reached backend servers with each part once it had crashed several, except for
@@ -83,24 +121,24 @@
 	for _, p := range s.deadlyPeriods {
 		var crashes []time.Time
 		for _, b := range s.backends {
-			crashes = append(crashes, b.CrashesOn(p.part)...)
+			crashes = append(crashes, p.crashes(b)...)
 		}
 		slices.SortFunc(crashes, time.Time.Compare)
-		if len(crashes) < knownCrashes {
+		if len(crashes) < p.known() {
 			continue
 		}
-		from := crashes[knownCrashes-1].Add(crashContactTime)
+		from := crashes[p.known()-1].Add(crashContactTime)
 		n := 0
 		for _, b := range s.backends {
 			for _, a := range b.Arrivals() {
-				if platformtest.HasSharedPart(a.Prompt, p.part) && a.At.After(from) && !s.excusedAt(sender[a.ID], a.At) {
+				if p.includes(a) && a.At.After(from) && !s.excusedAt(sender[a.ID], a.At) {
 					n++
 				}
 			}
 		}
-		s.t.Logf("seed %d: %d crashes on %s, %d requests after the bound, allowed %d", seed, len(crashes), p.part, n, maxDeadlyArrivals)
+		s.t.Logf("seed %d: %d crashes on %s, %d requests after the bound, allowed %d", seed, len(crashes), p.part+p.body, n, maxDeadlyArrivals)
 		if n > maxDeadlyArrivals {
-			s.t.Errorf("seed %d: %d requests with %s reached backend servers from %.2f s on, allowed %d\n%s", seed, n, p.part,
+			s.t.Errorf("seed %d: %d requests with %s reached backend servers from %.2f s on, allowed %d\n%s", seed, n, p.part+p.body,
 				from.Sub(s.start).Seconds(), maxDeadlyArrivals, strings.Join(s.timeline, "\n"))
 		}
 	}
--- a/soak/fault_soak_test.go
+++ b/soak/fault_soak_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"sync"
 	"syscall"
@@ -67,7 +68,13 @@
 	}},
 	{"request limit", func(rnd *rand.Rand, s *site) { s.limitRequests(rnd) }},
 	{"store restored", func(rnd *rand.Rand, s *site) { s.restoreStore(rnd) }},
-	{"deadly prompt part", func(rnd *rand.Rand, s *site) { s.crashBackends(rnd) }},
+	{"deadly prompt part", func(rnd *rand.Rand, s *site) {
+		s.crashBackends(rnd, deadlyPeriod{part: fmt.Sprintf("de%x", rnd.Uint32())})
+	}},
+	{"deadly request", func(rnd *rand.Rand, s *site) {
+		s.crashBackends(rnd, deadlyPeriod{body: fmt.Sprintf("deadly %x", rnd.Uint32())})
+	}},
+	{"slow version", func(rnd *rand.Rand, s *site) { s.rollOutSlowVersion(rnd) }},
 	{"store compaction", func(_ *rand.Rand, s *site) {
 		s.logEvent("store compacts its history")
 		s.kv.Compact()
--- a/soak/site_soak_test.go
+++ b/soak/site_soak_test.go
@@ -32,7 +32,8 @@
 	links     []*proxy   // Proxies in front of the backend servers.
 	limiting  sync.Mutex // Held while a backend server names a request limit.
 	restoring sync.Mutex // Held while the store is restored from a copy.
-	crashing  sync.Mutex // Held while a prompt part crashes backend servers.
+	crashing  sync.Mutex // Held while a prompt part or a request crashes backend servers.
+	rolling   sync.Mutex // Held during a rollout.
 	start     time.Time
 
 	mu            sync.Mutex
@@ -42,7 +43,8 @@
 	timeline      []string
 	limits        []limitPeriod
 	excuses       []excuse
-	deadly        string // Prompt part on which backend servers crash; empty for none.
+	deadly        deadlyPeriod // What crashes backend servers; the zero value for nothing.
+	newVersions   []*platformtest.Backend
 	deadlyPeriods []deadlyPeriod
 	victim        int  // The process that is stopped or paused next if oneVictim is set.
 	oneVictim     bool // Only one process is stopped or paused, so that the others are not excused.
@@ -145,7 +147,7 @@
 // countRuns returns how often backend servers ran each request.
 func (s *site) countRuns() map[string]int {
 	runs := map[string]int{}
-	for _, b := range s.backends {
+	for _, b := range append(s.newVersions, s.backends...) {
 		for _, r := range b.Runs() {
 			runs[r.ID]++
 		}
