Predict the usual time of a request only where its outcome is recorded

Symptom: none seen; found in the last read. Change: the prediction comes after the question whether the outcome is recorded. Long lines are wrapped, and a ratio has a name. Run: tests of canary, entry, quarantine, hub and fleet, passed.

--- a/mustardseam/canary/controller.go
+++ b/mustardseam/canary/controller.go
@@ -27,6 +27,8 @@
 	lenientAfter = 0.75
 	// maxLateDoubt is the evidence against a version on a route, a likelihood ratio, up to which the version is accepted then.
 	maxLateDoubt = 2
+	// maxSlowRatio is the ratio of responses on a route that may be slower than usual then.
+	maxSlowRatio = 2. / 3
 	// rollBackUnprovenAfter is the fraction of the time to the deadline after which a version without a good verdict is rolled
 	// back.
 	rollBackUnprovenAfter = 0.97
@@ -65,10 +67,10 @@
 	OldVersionRequests int // Number of requests that run on the old version.
 }
 
-// Config holds how many requests a version may get before it is known to be good: a share of all and a number beside it.
+// Config holds how many requests a version may get before it is known to be good.
 type Config struct {
-	MaxCanaryShare float64
-	ExtraRequests  float64
+	MaxCanaryShare float64 // Share of all requests, from 0 to 1.
+	ExtraRequests  float64 // Number of requests beside the share.
 }
 
 // Controller controls the rollouts of one service; it is not safe for concurrent use.
@@ -102,7 +104,9 @@
 			if name != "" {
 				alpha = routeRollbackBound
 			}
-			analyzer = rollout.NewAnalyzer(rollout.AnalyzerConfig{Route: name, Old: "", New: c.target, Alpha: alpha, Baseline: &c.baseline})
+			analyzer = rollout.NewAnalyzer(rollout.AnalyzerConfig{
+				Route: name, Old: "", New: c.target, Alpha: alpha, Baseline: &c.baseline,
+			})
 			c.analyzers[name] = analyzer
 		}
 		relabeled := s
@@ -133,8 +137,8 @@
 	}
 	if c.orderRevision != r.Revision || c.target != r.Target {
 		*c = Controller{
-			cfg: c.cfg, baseline: c.baseline, tookOver: p.BelongsTo(r), orderRevision: r.Revision, target: r.Target, analyzers: map[string]*rollout.Analyzer{},
-			cuts: map[fleet.Incarnation]time.Time{},
+			cfg: c.cfg, baseline: c.baseline, tookOver: p.BelongsTo(r), orderRevision: r.Revision, target: r.Target,
+			analyzers: map[string]*rollout.Analyzer{}, cuts: map[fleet.Incarnation]time.Time{},
 		}
 	}
 	c.active = !p.BelongsTo(r) || p.State == fleet.InProgress
@@ -236,7 +240,7 @@
 		if route == "" || float64(s.Control) < minRouteShare*control {
 			continue
 		}
-		doubt := s.Against > maxLateDoubt || 3*s.Slow > 2*s.Samples
+		doubt := s.Against > maxLateDoubt || float64(s.Slow) > maxSlowRatio*float64(s.Samples)
 		if s.Samples < minRouteSamples || s.Doubtful && (elapsed < lenientAfter || doubt) {
 			return false
 		}
--- a/mustardseam/entry/reporter.go
+++ b/mustardseam/entry/reporter.go
@@ -68,7 +68,8 @@
 
 func newReporter(i *Instance) *reporter {
 	return &reporter{
-		i: i, client: hub.NewClient(), baselineSampled: map[string]time.Time{}, aggregator: hub.NewAggregator(i.cfg.Name), pendingUsage: map[string]ratelimit.Usage{},
+		i: i, client: hub.NewClient(), baselineSampled: map[string]time.Time{},
+		aggregator: hub.NewAggregator(i.cfg.Name), pendingUsage: map[string]ratelimit.Usage{},
 		hubFailures: map[string]time.Time{}, hubUsage: map[string]ratelimit.Usage{},
 	}
 }
@@ -153,11 +154,22 @@
 func (r *reporter) addBaselineSample(now time.Time, s hub.Sample) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if now.Sub(r.baselineSampled[s.Service]) < time.Duration(max(1, r.instanceCount))*baselineInterval {
-		return
+	if r.isBaselineDue(now, s.Service) {
+		r.baselineSampled[s.Service] = now
+		r.queueSamples(s)
 	}
-	r.baselineSampled[s.Service] = now
-	r.queueSamples(s)
+}
+
+// baselineDue reports whether the next outcome of a service outside of rollouts is recorded.
+func (r *reporter) baselineDue(now time.Time, service string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.isBaselineDue(now, service)
+}
+
+// isBaselineDue is baselineDue; mu must be held.
+func (r *reporter) isBaselineDue(now time.Time, service string) bool {
+	return now.Sub(r.baselineSampled[service]) >= time.Duration(max(1, r.instanceCount))*baselineInterval
 }
 
 // queueSamples queues outcomes of requests for the next report; mu must be held.
--- a/mustardseam/entry/rollout_sample.go
+++ b/mustardseam/entry/rollout_sample.go
@@ -15,8 +15,11 @@
 	slowFirstEventFactor = 3
 )
 
-// recordSuccess queues a successful outcome of a request for the next report if a rollout of its service is in progress.
+// recordSuccess queues a successful outcome of a request for the next report.
 func (i *Instance) recordSuccess(req *request, g *Grant, first, interToken time.Duration) {
+	if !i.inRollout(req) && !i.reporter.baselineDue(time.Now(), req.service) {
+		return
+	}
 	s := hub.Sample{OK: true, InterToken: float64(interToken) / float64(sampleUnit)}
 	if idle := i.scheduler.PredictIdleFirstEvent(g); idle > 0 {
 		s.FirstEventRatio = 100 * float64(first) / float64(idle)
@@ -49,12 +52,18 @@
 // addSample queues an outcome for the next report. Outside of rollouts, only some are recorded, to know the usual latencies.
 func (i *Instance) addSample(req *request, g *Grant, s hub.Sample) {
 	s.Service, s.Route, s.Version = req.service, req.route.Name, g.Server.Version
-	v := i.view.Load()
-	r, ordered := v.Rollouts[req.service]
-	if p := v.Progress[req.service]; !ordered || p.BelongsTo(r) && p.State != fleet.InProgress {
+	if !i.inRollout(req) {
 		i.reporter.addBaselineSample(time.Now(), s)
 		return
 	}
 	req.sample = &s
 	i.reporter.addSample(s)
 }
+
+// inRollout reports whether a rollout of the service of a request is in progress.
+func (i *Instance) inRollout(req *request) bool {
+	v := i.view.Load()
+	r, ordered := v.Rollouts[req.service]
+	p := v.Progress[req.service]
+	return ordered && (!p.BelongsTo(r) || p.State == fleet.InProgress)
+}
