Refuse no popular request beside one that crashes backend servers

(2) The check whether a backend server is down read with a deadline, which passes while the instance is paused. Change: answers on fingerprints are kept, in a table of their own, and requests that were ever answered need four crashes that nothing else explains. The check waits and then looks at the connection. Run: the new case of TestPatternIsFound failed before and passes; TestIsDown is new.

--- a/mustardseam/entry/quarantine.go
+++ b/mustardseam/entry/quarantine.go
@@ -81,12 +81,7 @@
 
 // recordSound records that a backend server has answered a request, or enough of it.
 func (i *Instance) recordSound(req *request) {
-	switch {
-	case i.quarantine.Knows():
-		i.quarantine.RecordAnswer(time.Now(), req.crashParts())
-	case len(req.meta.PromptParts) > 0:
-		i.quarantine.RecordAnswer(time.Now(), req.meta.PromptParts)
-	}
+	i.quarantine.RecordAnswer(time.Now(), req.crashParts())
 }
 
 // carriesCrash reports whether another attempt of a request that was cut off could crash a further backend server.
--- a/mustardseam/http1/client.go
+++ b/mustardseam/http1/client.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"errors"
 	"net"
-	"os"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -159,11 +157,9 @@
 		return true
 	}
 	defer func() { _ = conn.Close() }()
-	if err := conn.SetReadDeadline(time.Now().Add(endTimeout)); err != nil {
-		return true
-	}
-	_, err = conn.Read(make([]byte, 1))
-	return err != nil && !errors.Is(err, os.ErrDeadlineExceeded)
+	// A read with a deadline would take a connection for open that has ended while the process was paused.
+	time.Sleep(endTimeout)
+	return !newClientConn(conn).isOpenAndEmpty()
 }
 
 // acquire returns an idle connection that is still open, or dials a new one.
--- a/mustardseam/http1/client_test.go
+++ b/mustardseam/http1/client_test.go
@@ -238,3 +238,38 @@
 		})
 	}
 }
+
+// TestIsDown guards against a crashed backend server that counts as running, also behind a proxy that accepts its connections, and
+// against a running one that counts as crashed.
+func TestIsDown(t *testing.T) {
+	tests := []struct {
+		name   string
+		accept func(c net.Conn)
+		want   bool
+	}{
+		{"running", func(net.Conn) {}, false},
+		{"proxy without a backend server", func(c net.Conn) { _ = c.Close() }, true},
+		{"reset", func(c net.Conn) {
+			_ = c.(*net.TCPConn).SetLinger(0)
+			_ = c.Close()
+		}, true},
+		{"refused", nil, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			assert.NilError(t, err)
+			defer func() { _ = ln.Close() }()
+			if test.accept == nil {
+				_ = ln.Close()
+			} else {
+				go func() {
+					if c, err := ln.Accept(); err == nil {
+						test.accept(c)
+					}
+				}()
+			}
+			assert.Equal(t, NewClient().IsDown(t.Context(), &fleet.Server{Address: ln.Addr().String()}), test.want)
+		})
+	}
+}
--- a/mustardseam/quarantine/bounds.go
+++ b/mustardseam/quarantine/bounds.go
@@ -72,20 +72,20 @@
 	}
 }
 
-// pruneAnswered drops the older half of the answers beyond maxAnswered; mu must be held.
-func (t *Table) pruneAnswered() {
-	if len(t.answered) <= maxAnswered {
+// prune drops the older half of the times beyond limit.
+func prune(answered map[string]time.Time, limit int) {
+	if len(answered) <= limit {
 		return
 	}
-	times := make([]time.Time, 0, len(t.answered))
-	for _, at := range t.answered {
+	times := make([]time.Time, 0, len(answered))
+	for _, at := range answered {
 		times = append(times, at)
 	}
 	slices.SortFunc(times, time.Time.Compare)
-	limit := times[len(times)/2]
-	for part, at := range t.answered {
-		if !at.After(limit) {
-			delete(t.answered, part)
+	oldest := times[len(times)/2]
+	for part, at := range answered {
+		if !at.After(oldest) {
+			delete(answered, part)
 		}
 	}
 }
--- a/mustardseam/quarantine/exchange.go
+++ b/mustardseam/quarantine/exchange.go
@@ -34,7 +34,7 @@
 	if !known {
 		r = &record{server: c.Server, parts: parts, sound: map[string]bool{}, at: at, refused: at}
 		for _, part := range parts {
-			r.sound[part] = t.answered[part].After(at)
+			r.sound[part] = t.answeredBy(part)[part].After(at)
 		}
 		t.records[key] = r
 	}
--- a/mustardseam/quarantine/pattern.go
+++ b/mustardseam/quarantine/pattern.go
@@ -77,8 +77,9 @@
 
 // findPatterns returns the patterns that explain the crashes, the one with most crashes first. A crash that a pattern explains
 // does not count against other parts: their requests ran beside one that is to blame. A request that was at minRepeatedCrashes or
-// more without an answer is no bystander, even if others explain them: several such requests may crash the same backend servers.
-func findPatterns(all map[string]*evidence, answered map[string]time.Time) []Pattern {
+// more, and was never answered, is no bystander even if others explain them: several such requests may crash the same backend
+// servers.
+func findPatterns(all map[string]*evidence, answered func(part string) time.Time) []Pattern {
 	var patterns []Pattern
 	explained := map[fleet.Incarnation]bool{}
 	found := map[string]bool{}
@@ -87,7 +88,7 @@
 		best, most := "", 0
 		for _, part := range parts {
 			required := minCrashes
-			if isFingerprint(part) {
+			if isFingerprint(part) && answered(part).IsZero() {
 				required = minFingerprintCrashes
 			}
 			if n := all[part].unexplained(explained, required); n > most {
@@ -105,7 +106,7 @@
 		}
 	}
 	for _, part := range parts {
-		if isFingerprint(part) && !found[part] && all[part].unexplained(nil, minRepeatedCrashes) > 0 {
+		if isFingerprint(part) && answered(part).IsZero() && !found[part] && all[part].unexplained(nil, minRepeatedCrashes) > 0 {
 			patterns = append(patterns, all[part].pattern(answered))
 		}
 	}
@@ -113,7 +114,7 @@
 }
 
 // pattern returns the pattern that the evidence is for.
-func (e *evidence) pattern(answered map[string]time.Time) Pattern {
+func (e *evidence) pattern(answered func(part string) time.Time) Pattern {
 	return Pattern{Parts: e.group(), Crashes: len(e.servers), From: e.activeFrom(answered)}
 }
 
@@ -155,7 +156,7 @@
 
 // activeFrom returns the time from which on requests are refused. Until then, instances that know of answers on the parts can
 // tell the others, which takes longer for parts that were answered before the crashes.
-func (e *evidence) activeFrom(answered map[string]time.Time) time.Time {
+func (e *evidence) activeFrom(answered func(part string) time.Time) time.Time {
 	var first time.Time
 	for _, at := range e.servers {
 		if first.IsZero() || at.Before(first) {
@@ -163,7 +164,7 @@
 		}
 	}
 	for _, part := range e.group() {
-		if answered[part].IsZero() {
+		if answered(part).IsZero() {
 			return first.Add(settleTime)
 		}
 	}
--- a/mustardseam/quarantine/table.go
+++ b/mustardseam/quarantine/table.go
@@ -12,7 +12,7 @@
 const (
 	// minCrashes is the number of incarnations of backend servers that must crash on a part before it is refused.
 	minCrashes = 4
-	// minFingerprintCrashes is the same for a fingerprint, which fewer sound requests have in common.
+	// minFingerprintCrashes is the same for a fingerprint on which there was no answer yet.
 	minFingerprintCrashes = 3
 	// minRepeatedCrashes is the number of crashes from which on a request is refused although others explain them.
 	minRepeatedCrashes = 4
@@ -68,15 +68,20 @@
 	mu       sync.Mutex
 	records  map[recordKey]*record // Guarded by mu, like all fields below.
 	answered map[string]time.Time  // Time of the latest answer on each part.
-	sequence int64                 // Number of the latest change.
-	patterns []Pattern
-	suspects map[string]bool      // Parts that were in the prompt at suspectCrashes or more.
-	byPart   map[string][]*record // Records with each part that is not known to be sound.
+	// answeredRequests is the same for fingerprints, nearly all of which differ and would displace the parts.
+	answeredRequests map[string]time.Time
+	sequence         int64 // Number of the latest change.
+	patterns         []Pattern
+	suspects         map[string]bool      // Parts that were in the prompt at suspectCrashes or more.
+	byPart           map[string][]*record // Records with each part that is not known to be sound.
 }
 
 // NewTable returns an empty table.
 func NewTable(cfg Config) *Table {
-	return &Table{cfg: cfg, records: map[recordKey]*record{}, answered: map[string]time.Time{}, suspects: map[string]bool{}, byPart: map[string][]*record{}}
+	return &Table{
+		cfg: cfg, records: map[recordKey]*record{}, answered: map[string]time.Time{}, answeredRequests: map[string]time.Time{},
+		suspects: map[string]bool{}, byPart: map[string][]*record{},
+	}
 }
 
 // RecordCrash records that a backend server ended the connection of a request at the beginning of its answer.
@@ -89,12 +94,10 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, part := range parts {
-		// Nearly all fingerprints differ, and would displace the parts.
-		if !isFingerprint(part) || len(t.byPart[part]) > 0 {
-			t.answered[part] = now
-		}
+		t.answeredBy(part)[part] = now
 	}
-	t.pruneAnswered()
+	prune(t.answered, maxAnswered)
+	prune(t.answeredRequests, maxAnswered)
 	changed := false
 	for _, part := range parts {
 		for _, r := range t.byPart[part] {
@@ -133,7 +136,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return slices.ContainsFunc(parts, func(part string) bool {
-		return t.suspects[part] && now.Sub(t.answered[part]) > suspectAnswerAge
+		return t.suspects[part] && now.Sub(t.answeredBy(part)[part]) > suspectAnswerAge
 	})
 }
 
@@ -174,6 +177,14 @@
 	}
 }
 
+// answeredBy returns the map with the latest answer on a part; mu must be held.
+func (t *Table) answeredBy(part string) map[string]time.Time {
+	if isFingerprint(part) {
+		return t.answeredRequests
+	}
+	return t.answered
+}
+
 // touch numbers a change of a record; mu must be held.
 func (t *Table) touch(r *record) {
 	t.sequence++
@@ -190,7 +201,7 @@
 		}
 	}
 	old := t.patterns
-	t.patterns = findPatterns(all, t.answered)
+	t.patterns = findPatterns(all, func(part string) time.Time { return t.answeredBy(part)[part] })
 	t.markSurplus()
 	t.evict()
 	t.index()
--- a/mustardseam/quarantine/table_test.go
+++ b/mustardseam/quarantine/table_test.go
@@ -137,6 +137,12 @@
 			[]string{"request:x", "request:y"},
 			nil,
 		},
+		{
+			"popular request beside one that crashes backend servers",
+			append(append([]step{{0, "request:hot", ""}}, crashes("s", "request:x", 6, interval)...), crashes("s", "request:hot", 6, 0)...),
+			[]string{"request:x"},
+			[]string{"request:hot"},
+		},
 		{
 			"request beside another one",
 			append(crashes("s", "request:x", 5, interval), crashes("s", "request:y", 3, interval)...),
@@ -235,6 +241,7 @@
 	}
 	assert.Equal(t, table.answered["hot"], now)
 	assert.Equal(t, len(table.answered), 1)
+	assert.Assert(t, len(table.answeredRequests) <= maxAnswered)
 }
 
 // TestRefusalsExpire guards against a refusal for ever, and against one that ends while callers still send the part.
