--- a/soak/deadly_soak_test.go
+++ b/soak/deadly_soak_test.go
@@ -26,6 +26,7 @@
 // deadlyPeriod is a time during which clients send a prompt part, or a request with a body, that crashes backend servers.
 type deadlyPeriod struct {
 	part, body string // One of them is empty.
+	form       platformtest.CrashForm
 	from, to   time.Time
 }
 
@@ -37,6 +38,15 @@
 	return b.CrashesOn(p.part)
 }
 
+// apply makes a backend server crash on the part or the requests.
+func (p deadlyPeriod) apply(b *platformtest.Backend, register func()) {
+	if p.body != "" {
+		b.CrashOnRequest("team", p.body, p.form, register)
+	} else {
+		b.CrashOn(p.part, p.form, register)
+	}
+}
+
 // includes reports whether a request crashes backend servers.
 func (p deadlyPeriod) includes(a platformtest.Arrival) bool {
 	return p.body != "" && a.Body == p.body || p.part != "" && platformtest.HasSharedPart(a.Prompt, p.part)
@@ -80,16 +90,11 @@
 	forms := []platformtest.CrashForm{
 		platformtest.CrashBeforeAnswer, platformtest.CrashAfterHeader, platformtest.CrashInEvent, platformtest.CrashUnframed,
 	}
-	form := forms[rnd.IntN(len(forms))]
-	s.logEvent("backend servers crash on %s, %s", p.part+p.body, form)
+	p.form = forms[rnd.IntN(len(forms))]
+	s.logEvent("backend servers crash on %s, %s", p.part+p.body, p.form)
 	p.from = time.Now()
 	for n, b := range s.backends {
-		register := func() { s.registerBackend(n, "ready") }
-		if p.body != "" {
-			b.CrashOnRequest("team", p.body, form, register)
-		} else {
-			b.CrashOn(p.part, form, register)
-		}
+		p.apply(b, func() { s.registerBackend(n, "ready") })
 	}
 	s.setDeadly(p)
 	time.Sleep(2*crashContactTime + randomDuration(rnd, 2*time.Second))
@@ -108,6 +113,12 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.deadly = p
+	if p.part+p.body == "" {
+		return
+	}
+	for _, b := range s.newVersions {
+		p.apply(b, func() {})
+	}
 }
 
 // checkDeadlyParts checks that few requests reached backend servers with each part once it had crashed several, except for
@@ -118,9 +129,10 @@
 	for _, r := range c.snapshot() {
 		sender[r.id] = r.instance
 	}
+	all := append(s.newVersions, s.backends...)
 	for _, p := range s.deadlyPeriods {
 		var crashes []time.Time
-		for _, b := range s.backends {
+		for _, b := range all {
 			crashes = append(crashes, p.crashes(b)...)
 		}
 		slices.SortFunc(crashes, time.Time.Compare)
@@ -129,7 +141,7 @@
 		}
 		from := crashes[p.known()-1].Add(crashContactTime)
 		n := 0
-		for _, b := range s.backends {
+		for _, b := range all {
 			for _, a := range b.Arrivals() {
 				if p.includes(a) && a.At.After(from) && !s.excusedAt(sender[a.ID], a.At) {
 					n++
--- a/soak/rollout_soak_test.go
+++ b/soak/rollout_soak_test.go
@@ -28,6 +28,9 @@
 	b.SetBehaviour(platformtest.Slow)
 	s.mu.Lock()
 	s.newVersions = append(s.newVersions, b)
+	if s.deadly.part+s.deadly.body != "" {
+		s.deadly.apply(b, func() {})
+	}
 	s.mu.Unlock()
 	s.logEvent("rollout of slow version %s", version)
 	s.kv.Put("op/rollout/pool", fmt.Appendf(nil, `{"service":"pool","target":%q,"durationS":%g}`, version, rolloutDuration.Seconds()))
