--- a/mustardseam/rollout/analyzer.go
+++ b/mustardseam/rollout/analyzer.go
@@ -53,7 +53,8 @@
 // Analyzer tests a new version of a route against the old one; it is not safe for concurrent use.
 //
 // A response of the candidate is bad when it failed, when it was slower than the 90th percentile of the control's latest
-// responses under the same load, or when it was slower than their median by shiftFactor. It is assessed once further responses of the control have arrived, or after maxWait: a
+// responses under the same load, or when it was slower than their median by shiftFactor. It is assessed once further responses
+// of the control have arrived, or after maxWait: a
 // good version's responses are bad at most as often as the control's window and the control's responses just before and
 // after it indicate, plus a margin. A disturbance of both versions shows in these responses and therefore does not count
 // against the candidate. Without a control, which gets no requests at the last step, only failures of most responses count
@@ -205,23 +206,6 @@
 	}
 }
 
-// assessShift counts whether a latency of a response is above the median of the window that it is compared with, and reports
-// whether it is slower than usual. An unclear one does not count against the candidate, but withholds a good verdict.
-func (an *Analyzer) assessShift(a aspect, w pendingSample, r referenceWindow) bool {
-	t, ok := r.shiftTest(an.cfg.Baseline.usual(a), timeOf(a))
-	d := time.Duration(float64(timeOf(a)(w.Sample)) / r.allowance)
-	if !ok || d <= 0 {
-		return false
-	}
-	if t.isUnclear(d) {
-		an.acceptance.add(a, true, unclearNullRate)
-		return true
-	}
-	nullRate := max(minSlowNullRate, t.rate, r.shiftRateAround(r.totalAtArrival, t, timeOf(a)))
-	an.addEvidence(a, w, d >= t.threshold, nullRate)
-	return d >= t.threshold
-}
-
 // assessLatenciesLeniently counts the latencies of a response for which there is no window to compare with or which arrived
 // within stepSettleTime of a step. Slow ones do not count against the candidate, because a disturbance of both versions
 // would look the same; twice the control's latency is allowed.
--- a/mustardseam/rollout/shift.go
+++ b/mustardseam/rollout/shift.go
@@ -77,3 +77,20 @@
 	}
 	return float64(shifted+1) / float64(n+1)
 }
+
+// assessShift counts whether a latency of a response is above the median of the window that it is compared with, and reports
+// whether it is slower than usual. An unclear one does not count against the candidate, but withholds a good verdict.
+func (an *Analyzer) assessShift(a aspect, w pendingSample, r referenceWindow) bool {
+	t, ok := r.shiftTest(an.cfg.Baseline.usual(a), timeOf(a))
+	d := time.Duration(float64(timeOf(a)(w.Sample)) / r.allowance)
+	if !ok || d <= 0 {
+		return false
+	}
+	if t.isUnclear(d) {
+		an.acceptance.add(a, true, unclearNullRate)
+		return true
+	}
+	nullRate := max(minSlowNullRate, t.rate, r.shiftRateAround(r.totalAtArrival, t, timeOf(a)))
+	an.addEvidence(a, w, d >= t.threshold, nullRate)
+	return d >= t.threshold
+}
