--- a/review/standin/drain.go
+++ b/review/standin/drain.go
@@ -15,8 +15,9 @@
 	drainInstances = 8 // As on the sheets.
 	// outage is how long the store is down.
 	outage = 4500 * time.Millisecond
-	// drainRounds is the number of backend servers that leave one after the other.
-	drainRounds = 9
+	// outages is the number of outages, and drainRounds that of backend servers that leave after each.
+	outages     = 3
+	drainRounds = 4
 	// serveOn is how long a backend server goes on serving after its entry was removed.
 	serveOn = 3500 * time.Millisecond
 	// stormTime and stormInterval are the length of a series of configurations and the time between two of them.
@@ -30,7 +31,7 @@
 	askPause = 100 * time.Millisecond
 )
 
-// playDrain plays an outage of the store, after which backend servers leave by the removal of their entries. Rule DRAIN: no
+// playDrain plays outages of the store, after which backend servers leave by the removal of their entries. Rule DRAIN: no
 // request may reach one later than drainMs after the store has acknowledged the removal.
 func playDrain(s *site, trouble bool) verdict {
 	var version int
@@ -63,22 +64,24 @@
 	defer stop()
 	callers := startLooks(ctx, s)
 	time.Sleep(3 * time.Second)
-	if trouble {
-		s.rec.logf("store    is down for %v", outage)
-		s.store.setDown(true)
-		time.Sleep(outage)
-		s.store.setDown(false)
-		s.rec.logf("store    is back")
-	}
-	// All instances are in touch again after contactMs.
-	time.Sleep(contact + 1500*time.Millisecond)
 	late := 0
-	for round := range drainRounds {
-		n, err := playRemoval(s, round, writeConfig)
-		if err != nil {
-			return verdict{err: err}
+	for n := range outages {
+		if trouble {
+			s.rec.logf("store    is down for %v", outage)
+			s.store.setDown(true)
+			time.Sleep(outage)
+			s.store.setDown(false)
+			s.rec.logf("store    is back")
+		}
+		// All instances are in touch again after contactMs.
+		time.Sleep(contact + time.Second)
+		for round := range drainRounds {
+			n, err := playRemoval(s, n*drainRounds+round, writeConfig)
+			if err != nil {
+				return verdict{err: err}
+			}
+			late += n
 		}
-		late += n
 	}
 	stop()
 	callers.Wait()
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -29,6 +29,7 @@
 	"drain":    playDrain,
 	"grace":    playGrace,
 	"unframed": playUnframed,
+	"slowline": playSlowLine,
 }
 
 func main() {
--- a/review/standin/unframed.go
+++ b/review/standin/unframed.go
@@ -97,18 +97,18 @@
 			s.rec.logf("run      %s at i-reports", id)
 			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nMustardseam-Request-Id: %s\r\nMustardseam-Response-Seal: seal-%s\r\n"+
 				"Content-Type: application/octet-stream\r\nConnection: close\r\n\r\n", id, id)
-			if _, err := c.Write(report()); err == nil {
+			if _, err := c.Write(report(reportBytes)); err == nil {
 				s.rec.logf("run      %s ends, all %d bytes were sent", id, reportBytes)
 			}
 		}()
 	}
 }
 
-// report returns the body of the answer.
-func report() []byte {
-	b := make([]byte, reportBytes)
-	for n := range b {
-		b[n] = 'a' + byte(n%26)
+// report returns the body of an answer with n bytes.
+func report(n int) []byte {
+	b := make([]byte, n)
+	for k := range b {
+		b[k] = 'a' + byte(k%26)
 	}
 	return b
 }
