--- a/review/standin/grace.go
+++ b/review/standin/grace.go
@@ -13,7 +13,8 @@
 )
 
 const (
-	graceInstances = 3 // Of one zone, as in the zones of the sheets.
+	graceInstances = 8 // As on the sheets.
+	graceZone      = 3 // Instances of the clients' zone, the first ones.
 	// stopGap is the time between the two planned stops.
 	stopGap = 1300 * time.Millisecond
 	// orderTime is how long a backend server works on an order, orderDeadline how long the client waits, as on the sheets.
@@ -36,7 +37,7 @@
 	err      error
 }
 
-// playGrace plays planned stops of two of the three instances of a zone, one after the other. Rule LOST: an order that was
+// playGrace plays planned stops of two of the three instances of a zone, of eight in all, one after the other. Rule LOST: an order that was
 // passed on to a backend server must get its answer.
 func playGrace(s *site, trouble bool) verdict {
 	s.store.put("op/config", []byte(`{"version":1,"routes":[{"name":"order","host":"h.example","prefix":"/order/","kind":"unsafe",
@@ -53,12 +54,13 @@
 		backends = append(backends, b)
 		s.store.put("servers/"+b.id, b.entry("ready"))
 	}
+	s.firstZone = graceZone
 	if err := s.startInstances(graceInstances); err != nil {
 		return verdict{err: err}
 	}
 	entry := newEntryAddress(s)
 	defer entry.stop()
-	stopped := make([]time.Time, graceInstances)
+	stopped := make([]time.Time, graceZone)
 	var stops sync.WaitGroup
 	begin := time.Now().Add(3 * time.Second)
 	if trouble {
@@ -106,7 +108,7 @@
 }
 
 func newEntryAddress(s *site) *entryAddress {
-	e := &entryAddress{site: s, done: make(chan struct{}), misses: make([]int, len(s.instances))}
+	e := &entryAddress{site: s, done: make(chan struct{}), misses: make([]int, graceZone)}
 	go func() {
 		for {
 			select {
@@ -114,7 +116,7 @@
 				return
 			case <-time.After(time.Second):
 			}
-			for n, i := range s.instances {
+			for n, i := range s.instances[:graceZone] {
 				ready := i.isReady()
 				e.mu.Lock()
 				if ready {
@@ -136,13 +138,13 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	var in []*instance
-	for n, i := range e.site.instances {
+	for n, i := range e.site.instances[:graceZone] {
 		if e.misses[n] < 2 {
 			in = append(in, i)
 		}
 	}
-	if 2*len(in) < len(e.site.instances) {
-		in = e.site.instances
+	if 2*len(in) < graceZone {
+		in = e.site.instances[:graceZone]
 	}
 	e.turn++
 	return in[e.turn%len(in)]
--- a/review/standin/site.go
+++ b/review/standin/site.go
@@ -28,6 +28,7 @@
 	folder     string // Temporary folder.
 	store      *store
 	base       string // First three parts of the addresses of the instances.
+	firstZone  int    // Number of instances in the zone z1; 0 means all. The others are in z2.
 
 	mu        sync.Mutex
 	instances []*instance
@@ -69,6 +70,7 @@
 type instance struct {
 	name     string
 	ip       string
+	zone     string
 	settings string
 	site     *site
 
@@ -83,6 +85,10 @@
 func (s *site) startInstances(n int) error {
 	for k := range n {
 		i := &instance{name: fmt.Sprintf("front-z1-%d", k+1), ip: fmt.Sprintf("%s.%d", s.base, k+1), site: s}
+		i.zone = "ZONE"
+		if s.firstZone > 0 && k >= s.firstZone {
+			i.zone = "z2"
+		}
 		i.settings = filepath.Join(s.folder, i.name+".toml")
 		if err := os.WriteFile(i.settings, []byte(s.settingsOf(i)), 0o600); err != nil {
 			return err
@@ -108,12 +114,12 @@
 
 // settingsOf returns the settings file of an instance, with the figures of the small sites.
 func (s *site) settingsOf(i *instance) string {
-	return strings.NewReplacer("NAME", i.name, "IP", i.ip, "BASE", s.base, "STORE", s.store.addr()).Replace(`nodeName = "NAME"
+	return strings.NewReplacer("NAME", i.name, "ZONE", i.zone, "IP", i.ip, "BASE", s.base, "STORE", s.store.addr()).Replace(`nodeName = "NAME"
 role = "entry"
 class = "front"
 serves = ["front", "control"]
 ip = "IP"
-zone = "z1"
+zone = "ZONE"
 region = "r1"
 portRange = [7600, 7615]
 seeds = ["BASE.1:8229"]
@@ -125,6 +131,7 @@
 contracts = ["base", "drain", "config", "cost", "retry", "recover", "engine", "stream", "tenants", "quota", "rollout", "places", "platform"]
 [zones]
 z1 = "r1"
+z2 = "r1"
 [listen]
 front = "IP:8221"
 ready = "IP:8224"
--- a/review/standin/slowline.go
+++ b/review/standin/slowline.go
@@ -14,7 +14,8 @@
 )
 
 const (
-	slowClients = 6
+	slowClients   = 6
+	slowInstances = 2
 	// allowedLosses is the number of connections that the rule allows to be closed.
 	allowedLosses = 3
 	// The long answer has longBytes. A client on a slow line reads slowReadBytes at a time and lineRate bytes a second: 14 s.
@@ -64,7 +65,7 @@
 		return verdict{err: err}
 	}
 	s.store.put("servers/i-reports", entry)
-	if err := s.startInstances(unframedInstances); err != nil {
+	if err := s.startInstances(slowInstances); err != nil {
 		return verdict{err: err}
 	}
 	var mu sync.Mutex
--- a/review/standin/unframed.go
+++ b/review/standin/unframed.go
@@ -13,7 +13,7 @@
 )
 
 const (
-	unframedInstances = 2
+	unframedInstances = 8 // As on the sheets; one of them is killed.
 	unframedRounds    = 3
 	// reportBytes is the size of the answer, that of the largest body on the sheets.
 	reportBytes = 4 << 20
