Accept only requests that can end before a planned stop does

What callers saw: an order that an instance had accepted 5.2 to 5.5 s after its stop signal, and had sent to a backend server, ended without an answer when the process ended at 7.5 s (LOST). It could not be sent again, since it may have run. Cause: the stop had fixed bounds by the kind of a request (3 s, 5.5 s) and another for the end of the process (7.5 s); none looked at the time that a request may take. On routes with a limit above 2 s more was accepted than could end, on those with a shorter one less. Change: one schedule of the stop. Accepted is what ends by its deadline 0.1 s before the process begins to exit; other requests until 2.9 s if they usually end in time, and later if slow ones of their route do, by the durations of its latest requests. The same holds before each send, also of a retry, and for requests that wait, which are refused as not run once they could not end. At the end the remaining ones get 504 if they may have run and 503 otherwise, in place of a closed connection. The reason of a refusal names the time left and the durations; mustardseam_stop_refusals_total counts them. TestAcceptedFor had the bounds by kind; its five cases are in TestMayFinish, which adds time limits, since the old bounds are the fault.

--- a/mustardseam/entry/attempt.go
+++ b/mustardseam/entry/attempt.go
@@ -26,6 +26,7 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	sent := time.Now()
+	req.sentAt = sent
 	req.sends++
 	req.grant = g
 	if req.serverLimit = i.scheduler.serverLimit(g.Server); req.serverLimit.Named {
@@ -111,6 +112,10 @@
 		i.scheduler.Finish(g, placement.Outcome{Abandoned: true})
 		req.reason = "caller has gone"
 		return resultCallerGone
+	case errors.Is(cause, errStopping):
+		i.scheduler.Finish(g, placement.Outcome{Abandoned: true})
+		req.reason = cause.Error()
+		return resultFailed
 	case errors.Is(cause, errTimeout) || !time.Now().Before(req.job.Deadline):
 		i.recordFailure(req, g, false)
 		// Reaching the deadline counts against the backend server only if it answered no other request for a while.
--- a/mustardseam/entry/handler.go
+++ b/mustardseam/entry/handler.go
@@ -59,15 +59,15 @@
 			return
 		}
 	}
-	if i.tooLateToFinish(req.route.Kind) {
-		i.refuse(req, fasthttp.StatusServiceUnavailable, 0, "instance stops")
+	i.prepare(req)
+	if r := i.refuseStopping(req); r != nil {
+		i.refuse(req, fasthttp.StatusServiceUnavailable, r.RetryAfter, r.Reason)
 		return
 	}
 	if r := i.refuseQuarantined(req); r != nil {
 		i.refuse(req, fasthttp.StatusServiceUnavailable, r.RetryAfter, r.Reason)
 		return
 	}
-	i.prepare(req)
 	if req.team != nil {
 		req.units = quotaUnits(req.team, req.meta)
 		var r *placement.Refusal
@@ -76,10 +76,19 @@
 			return
 		}
 	}
-	ctx, cancel := context.WithDeadlineCause(req.exchange.Context, req.job.Deadline, errTimeout)
-	defer cancel()
+	ctx, cancel := context.WithCancelCause(req.exchange.Context)
+	defer cancel(nil)
+	ctx, cancelDeadline := context.WithDeadlineCause(ctx, req.job.Deadline, errTimeout)
+	defer cancelDeadline()
+	req.pending = &pendingRequest{
+		route: req.route.Name, repeatable: req.route.Repeatable(), received: req.exchange.ReceivedAt, deadline: req.job.Deadline,
+		cancel: cancel,
+	}
+	i.pending.add(req.pending)
+	defer i.pending.remove(req.pending)
 	i.scheduler.CountFirst(req.service)
 	i.runAttempts(ctx, req)
+	i.recordDuration(ctx, req)
 	if req.team != nil && req.runs == 0 {
 		i.scheduler.RefundQuota(req.team, req.units)
 	}
@@ -124,12 +133,12 @@
 	for {
 		g, err := i.acquire(ctx, req)
 		if err != nil {
-			i.replyUnplaced(req, err)
+			i.replyUnplaced(ctx, req, err)
 			return
 		}
 		if time.Until(req.job.Deadline) < minTimeToSend {
 			i.scheduler.Finish(g, placement.Outcome{Abandoned: true})
-			i.replyUnplaced(req, errTimeout)
+			i.replyUnplaced(ctx, req, errTimeout)
 			return
 		}
 		i.recordPlacement(req, g)
@@ -137,17 +146,17 @@
 		case resultAnswered, resultCallerGone:
 			return
 		case resultFailed:
-			i.replyFailed(req)
+			i.replyFailed(ctx, req)
 			return
 		case resultRetry:
 			if !req.mayRepeat() || ctx.Err() != nil || i.carriesCrash(req) {
-				i.replyFailed(req)
+				i.replyFailed(ctx, req)
 				return
 			}
 			req.job.Tried = append(req.job.Tried, g.Server.Incarnation())
 			if !req.retryCovered && !i.scheduler.TakeRetry(req.service) {
 				req.reason += "; no retry in the budget"
-				i.replyFailed(req)
+				i.replyFailed(ctx, req)
 				return
 			}
 			i.metrics.retries.Inc()
@@ -160,13 +169,29 @@
 	}
 }
 
-// acquire waits until a backend server has room for a request, like Scheduler.Acquire, and refuses a request whose prompt was
-// found to crash backend servers meanwhile.
+// recordDuration records how long a request took that reached a backend server, unless its caller or a planned stop ended it.
+func (i *Instance) recordDuration(ctx context.Context, req *request) {
+	cause := context.Cause(ctx)
+	if req.runs > 0 && !errors.Is(cause, http1.ErrCallerGone) && !errors.Is(cause, errStopping) {
+		i.durations.record(time.Now(), req.route.Name, req.exchange.ReceivedAt, req.sentAt)
+	}
+}
+
+// acquire waits until a backend server has room for a request, like Scheduler.Acquire. It refuses a request whose prompt was
+// found to crash backend servers meanwhile, and one that could not end before a planned stop does.
 func (i *Instance) acquire(ctx context.Context, req *request) (*Grant, error) {
+	if !req.pending.beginWait() {
+		return nil, errStopping
+	}
 	g, err := i.scheduler.Acquire(ctx, req.service, req.job)
 	if err != nil {
+		req.pending.beginSend() // It no longer waits; a failed retry may leave the first answer to be sent.
 		return nil, err
 	}
+	if !i.beginSend(req) {
+		i.scheduler.Finish(g, placement.Outcome{Abandoned: true})
+		return nil, errStopping
+	}
 	if r := i.refuseQuarantined(req); r != nil {
 		i.scheduler.Finish(g, placement.Outcome{Abandoned: true})
 		return nil, r
@@ -192,7 +217,7 @@
 }
 
 // replyUnplaced answers a request that was not placed.
-func (i *Instance) replyUnplaced(req *request, err error) {
+func (i *Instance) replyUnplaced(ctx context.Context, req *request, err error) {
 	var r *placement.Refusal
 	switch {
 	case errors.Is(err, http1.ErrCallerGone):
@@ -209,14 +234,14 @@
 		return
 	}
 	if req.runs > 0 {
-		i.replyFailed(req)
+		i.replyFailed(ctx, req)
 		return
 	}
 	i.refuse(req, fasthttp.StatusServiceUnavailable, r.RetryAfter, req.reason)
 }
 
 // replyFailed gives the final answer to a request that failed at backend servers.
-func (i *Instance) replyFailed(req *request) {
+func (i *Instance) replyFailed(ctx context.Context, req *request) {
 	switch {
 	case errors.Is(context.Cause(req.exchange.Context), http1.ErrCallerGone):
 		req.reason = "caller has gone"
@@ -224,7 +249,7 @@
 		req.exchange.Abort()
 	case req.runs == 0:
 		i.refuse(req, fasthttp.StatusServiceUnavailable, i.scheduler.refuseUnplaced(req.service, req.job).RetryAfter, req.reason)
-	case !time.Now().Before(req.job.Deadline):
+	case errors.Is(context.Cause(ctx), errStopping), !time.Now().Before(req.job.Deadline):
 		i.reply(req, fasthttp.StatusGatewayTimeout, req.reason)
 	default:
 		i.reply(req, fasthttp.StatusBadGateway, req.reason)
--- a/mustardseam/entry/instance.go
+++ b/mustardseam/entry/instance.go
@@ -67,7 +67,9 @@
 	metrics         *instanceMetrics
 	active          atomic.Int64
 	bounds          atomic.Pointer[Bounds]
-	stopping        atomic.Pointer[time.Time] // When the stop began; nil before.
+	pending         *pendingRequests
+	durations       *routeDurations
+	stopping        atomic.Pointer[stopPlan] // Schedule of the planned stop; nil before.
 	ctx             context.Context
 	cancel          context.CancelFunc
 	tasks           conc.WaitGroup
@@ -78,6 +80,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	i := &Instance{
 		cfg: cfg, ctx: ctx, cancel: cancel, client: http1.NewClient(), random: rand.Float64, runID: rand.Int64(),
+		pending: newPendingRequests(), durations: newRouteDurations(),
 		logger: zerolog.New(cfg.LogWriter).Level(cfg.LogLevel).With().Timestamp().Str("instance", cfg.Name).Logger(),
 	}
 	i.view.Store(fleet.NewView())
@@ -188,6 +191,7 @@
 				i.client.CloseExpired(now, i.listed)
 				i.scheduler.sweep(now, i.listed)
 				i.quarantine.Sweep(now)
+				i.durations.sweep(now)
 			}
 		})
 	}
--- a/mustardseam/entry/metrics.go
+++ b/mustardseam/entry/metrics.go
@@ -17,11 +17,13 @@
 	panics        *metrics.Counter // Recovered panics.
 	placedByHub   *metrics.Counter
 	placedLocally *metrics.Counter
-	answersCut    *metrics.Counter   // Answers that backend servers cut off by ending the connection.
-	quarantined   *metrics.Counter   // Requests refused because their prompts crash backend servers.
-	limitedSends  *metrics.Counter   // Requests sent to backend servers with a known request limit.
-	firstEvent    *metrics.Histogram // Seconds from the arrival to the first event.
-	total         *metrics.Histogram // Seconds from the arrival to the end.
+	answersCut    *metrics.Counter // Answers that backend servers cut off by ending the connection.
+	quarantined   *metrics.Counter // Requests refused because their prompts crash backend servers.
+	// refusedStopping counts requests that were refused because they could not end before a planned stop.
+	refusedStopping *metrics.Counter
+	limitedSends    *metrics.Counter   // Requests sent to backend servers with a known request limit.
+	firstEvent      *metrics.Histogram // Seconds from the arrival to the first event.
+	total           *metrics.Histogram // Seconds from the arrival to the end.
 }
 
 func newInstanceMetrics(i *Instance) *instanceMetrics {
@@ -38,18 +40,19 @@
 	set.NewGauge("mustardseam_prompt_patterns_quarantined", func() float64 { return float64(len(i.quarantine.Patterns(time.Now()))) })
 	set.NewGauge("mustardseam_crashes_known", func() float64 { return float64(i.quarantine.Len()) })
 	return &instanceMetrics{
-		set:           set,
-		requests:      set.NewCounter("mustardseam_requests_total"),
-		retries:       set.NewCounter("mustardseam_retries_total"),
-		resumed:       set.NewCounter("mustardseam_streams_resumed_total"),
-		panics:        set.NewCounter("mustardseam_panics_total"),
-		placedByHub:   set.NewCounter(`mustardseam_placed_total{by="hub"}`),
-		placedLocally: set.NewCounter(`mustardseam_placed_total{by="itself"}`),
-		answersCut:    set.NewCounter("mustardseam_answers_cut_total"),
-		quarantined:   set.NewCounter("mustardseam_quarantined_requests_total"),
-		limitedSends:  set.NewCounter("mustardseam_limited_sends_total"),
-		firstEvent:    set.NewHistogram("mustardseam_first_event_seconds"),
-		total:         set.NewHistogram("mustardseam_request_seconds"),
+		set:             set,
+		requests:        set.NewCounter("mustardseam_requests_total"),
+		retries:         set.NewCounter("mustardseam_retries_total"),
+		resumed:         set.NewCounter("mustardseam_streams_resumed_total"),
+		panics:          set.NewCounter("mustardseam_panics_total"),
+		placedByHub:     set.NewCounter(`mustardseam_placed_total{by="hub"}`),
+		placedLocally:   set.NewCounter(`mustardseam_placed_total{by="itself"}`),
+		answersCut:      set.NewCounter("mustardseam_answers_cut_total"),
+		quarantined:     set.NewCounter("mustardseam_quarantined_requests_total"),
+		refusedStopping: set.NewCounter("mustardseam_stop_refusals_total"),
+		limitedSends:    set.NewCounter("mustardseam_limited_sends_total"),
+		firstEvent:      set.NewHistogram("mustardseam_first_event_seconds"),
+		total:           set.NewHistogram("mustardseam_request_seconds"),
 	}
 }
 
--- /dev/null
+++ b/mustardseam/entry/recent_durations.go
@@ -0,0 +1,49 @@
+package entry
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// recentDurationCount is the number of durations that are kept.
+	recentDurationCount = 64
+	// minDurations is the number of durations from which on they describe the usual ones.
+	minDurations = 16
+	// durationSlack is added to the durations of the past to bound the next one.
+	durationSlack = 250 * time.Millisecond
+)
+
+// recentDurations holds the latest durations of similar requests.
+type recentDurations struct {
+	ring []time.Duration
+	next int
+}
+
+// durationSummary describes recent durations.
+type durationSummary struct {
+	median, longest time.Duration
+	known           bool // There are enough durations.
+}
+
+// bound returns a duration within which the next request can be expected to end.
+func (s durationSummary) bound() time.Duration { return 2*s.longest - s.median + durationSlack }
+
+// add adds a duration and drops the oldest one if there are too many.
+func (r *recentDurations) add(d time.Duration) {
+	if len(r.ring) < recentDurationCount {
+		r.ring = append(r.ring, d)
+		return
+	}
+	r.ring[r.next] = d
+	r.next = (r.next + 1) % recentDurationCount
+}
+
+// summary returns the summary of the durations.
+func (r *recentDurations) summary() durationSummary {
+	if len(r.ring) < minDurations {
+		return durationSummary{}
+	}
+	sorted := slices.Sorted(slices.Values(r.ring))
+	return durationSummary{median: sorted[len(sorted)/2], longest: sorted[len(sorted)-1], known: true}
+}
--- /dev/null
+++ b/mustardseam/entry/recent_durations_test.go
@@ -0,0 +1,41 @@
+package entry
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestRecentDurations guards against a summary of too few, or of outdated, durations.
+func TestRecentDurations(t *testing.T) {
+	var r recentDurations
+	add := func(n int, d time.Duration) {
+		for range n {
+			r.add(d)
+		}
+	}
+	add(minDurations-1, time.Second)
+	assert.Equal(t, r.summary(), durationSummary{})
+	add(1, time.Minute)
+	assert.Equal(t, r.summary(), durationSummary{median: time.Second, longest: time.Minute, known: true})
+	add(recentDurationCount-1, 2*time.Second)
+	assert.Equal(t, r.summary(), durationSummary{median: 2 * time.Second, longest: time.Minute, known: true})
+	add(1, 3*time.Second)
+	assert.Equal(t, r.summary(), durationSummary{median: 2 * time.Second, longest: 3 * time.Second, known: true})
+}
+
+// TestRouteDurationsAreForgotten guards against state of routes that are no longer used.
+func TestRouteDurationsAreForgotten(t *testing.T) {
+	d, now := newRouteDurations(), time.Unix(1000, 0)
+	for n := range minDurations {
+		d.record(now.Add(time.Duration(n)*time.Second), "a", now, now.Add(time.Duration(n)*time.Second/2))
+	}
+	total, run := d.summary("a")
+	assert.Equal(t, total.longest, 15*time.Second)
+	assert.Equal(t, run.longest, 7500*time.Millisecond)
+	d.sweep(now.Add(routeDurationsAge))
+	assert.Equal(t, len(d.routes), 1)
+	d.sweep(now.Add(routeDurationsAge + 16*time.Second))
+	assert.Equal(t, len(d.routes), 0)
+}
--- a/mustardseam/entry/request.go
+++ b/mustardseam/entry/request.go
@@ -25,6 +25,8 @@
 	// retryCovered says that the next retry needs no further charge: it was already taken from the budget, or is free because
 	// the latest attempt reached no backend server. Whether the request may be repeated at all is decided by mayRepeat.
 	retryCovered        bool
+	pending             *pendingRequest    // Entry in the set of requests without a final answer; nil before it is run.
+	sentAt              time.Time          // Time of the latest send to a backend server.
 	fingerprintCache    string             // Result of fingerprint; empty before the first call.
 	crashed             bool               // An attempt was cut off at the beginning of its answer.
 	lastEventID         string             // Id of the latest event that the caller has.
--- a/mustardseam/entry/stop.go
+++ b/mustardseam/entry/stop.go
@@ -1,27 +1,18 @@
 package entry
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/mustardseam/mustardseam/mustardseam/event"
-	"github.com/mustardseam/mustardseam/mustardseam/fleet"
+	"github.com/mustardseam/mustardseam/mustardseam/placement"
 )
 
 const (
-	// unlistDelay is how long after the stop signal callers may still be sent to this instance: two readiness checks, 1 s
-	// apart, and the time until they take effect.
-	unlistDelay = 2500 * time.Millisecond
-	// refuseMargin is how long before the end of the grace period new requests are refused as not run, since their answers
-	// could not be completed.
-	refuseMargin = 2500 * time.Millisecond
-	// streamAcceptTime is how long after the stop signal streams are accepted. By then, callers that follow the load balancer
-	// have left, and a stream of unknown length may not end within the rest of the grace period.
-	streamAcceptTime = unlistDelay + 500*time.Millisecond
-	// exitMargin is the part of the grace period that is reserved for the end of the process: open exchanges with other
-	// instances and the last log lines may take 300 ms.
-	exitMargin = 500 * time.Millisecond
-	// stopPollInterval is how often Stop checks whether all callers have left.
+	// stopPollInterval is how often Stop checks the requests that have not ended.
 	stopPollInterval = 50 * time.Millisecond
+	// lastAnswerPollInterval is how often Stop checks whether the final answers have been sent.
+	lastAnswerPollInterval = 5 * time.Millisecond
 	// logCloseTimeout bounds the writing of the last log lines.
 	logCloseTimeout = 100 * time.Millisecond
 )
@@ -29,21 +20,24 @@
 // Stop ends the instance within the grace period. It stops being listed as ready, answers the requests that still arrive,
 // and returns when all callers have left.
 func (i *Instance) Stop() {
-	start := time.Now()
-	i.stopping.Store(&start)
+	p := newStopPlan(time.Now(), i.bounds.Load().GracePeriod)
+	i.stopping.Store(p)
 	event.InstanceDraining.Log(i.log()).Int64("active", i.active.Load()).Send()
 	i.server.Drain()
-	grace := i.bounds.Load().GracePeriod
-	i.sleep(min(unlistDelay, grace/2))
-	event.ShutdownProgress.Log(i.log()).Str("step", "close idle connections").Int64("active", i.active.Load()).Send()
-	i.server.CloseIdle()
-	end := start.Add(grace - min(exitMargin, grace/4))
-	for time.Now().Before(end) && (i.server.OpenConns() > 0 || i.active.Load() > 0) {
+	idleClosed := false
+	for now := time.Now(); now.Before(p.finishBy) && i.ctx.Err() == nil; now = time.Now() {
+		if !idleClosed && !now.Before(p.closeIdle) {
+			event.ShutdownProgress.Log(i.log()).Str("step", "close idle connections").Int64("active", i.active.Load()).Send()
+			i.server.CloseIdle()
+			idleClosed = true
+		}
+		if idleClosed && i.server.OpenConns() == 0 && i.active.Load() == 0 {
+			break
+		}
+		i.withdrawLate(p, now)
 		i.sleep(stopPollInterval)
 	}
-	if n := i.active.Load(); n > 0 {
-		event.GracePeriodOver.Log(i.log()).Int64("active", n).Send()
-	}
+	i.endPending(p)
 	i.server.Close()
 	i.cancel()
 	i.follower.Stop()
@@ -54,18 +48,58 @@
 	i.cfg.LogWriter.Close(logCloseTimeout)
 }
 
-// tooLateToFinish reports whether a request of a kind that arrives now could not be completed before the process ends.
-func (i *Instance) tooLateToFinish(kind fleet.Kind) bool {
-	start := i.stopping.Load()
-	return start != nil && time.Since(*start) > acceptedFor(kind, i.bounds.Load().GracePeriod)
+// withdrawLate refuses the requests that wait for a backend server and could no longer end before the instance does.
+func (i *Instance) withdrawLate(p *stopPlan, now time.Time) {
+	for _, r := range i.pending.all() {
+		if _, run := i.durations.summary(r.route); !p.mayFinish(now, r.received, r.deadline, r.repeatable, run) {
+			r.withdraw()
+		}
+	}
 }
 
-// acceptedFor returns how long after the stop signal requests of a kind are accepted.
-func acceptedFor(kind fleet.Kind, grace time.Duration) time.Duration {
-	if kind == fleet.Stream {
-		return min(streamAcceptTime, grace/2)
+// endPending gives the requests that have not ended their final answer and waits until it is sent.
+func (i *Instance) endPending(p *stopPlan) {
+	if n := i.active.Load(); n > 0 {
+		event.GracePeriodOver.Log(i.log()).Int64("active", n).Send()
+	}
+	for i.active.Load() > 0 && time.Now().Before(p.end) {
+		for _, r := range i.pending.all() {
+			r.withdraw()
+			r.cancel(errStopping)
+		}
+		i.sleep(lastAnswerPollInterval)
+	}
+}
+
+// refuseStopping returns the refusal of a request that has arrived and could not end before a planned stop does, or nil.
+func (i *Instance) refuseStopping(req *request) *placement.Refusal {
+	p := i.stopping.Load()
+	if p == nil {
+		return nil
+	}
+	total, _ := i.durations.summary(req.route.Name)
+	now := time.Now()
+	if p.mayFinish(now, req.exchange.ReceivedAt, req.job.Deadline, req.route.Repeatable(), total) {
+		return nil
+	}
+	i.metrics.refusedStopping.Inc()
+	return &placement.Refusal{Reason: fmt.Sprintf("%v: %d ms left, %d ms needed at most, %d ms usual, %d ms longest", errStopping,
+		p.finishBy.Sub(now).Milliseconds(), req.job.Deadline.Sub(now).Milliseconds(), total.median.Milliseconds(),
+		total.longest.Milliseconds())}
+}
+
+// beginSend records that a request is about to be sent to a backend server. It returns false if the request must not be
+// sent, because it could not end before a planned stop does.
+func (i *Instance) beginSend(req *request) bool {
+	if !req.pending.beginSend() {
+		return false
+	}
+	p := i.stopping.Load()
+	if p == nil {
+		return true
 	}
-	return grace - min(refuseMargin, grace/3)
+	_, run := i.durations.summary(req.route.Name)
+	return p.mayFinish(time.Now(), req.exchange.ReceivedAt, req.job.Deadline, req.route.Repeatable(), run)
 }
 
 // Active returns the number of requests that are being processed.
--- /dev/null
+++ b/mustardseam/entry/stop_plan.go
@@ -0,0 +1,58 @@
+package entry
+
+import (
+	"errors"
+	"time"
+)
+
+const (
+	// unlistDelay is how long after the stop signal callers may still be sent to this instance: two readiness checks, 1 s
+	// apart, and the time until they take effect.
+	unlistDelay = 2500 * time.Millisecond
+	// acceptTime is how long after the stop signal requests are accepted of which it is not known that they end in time.
+	// Callers that follow the load balancer have left by then.
+	acceptTime = unlistDelay + 400*time.Millisecond
+	// exitMargin is the part of the grace period that is reserved for the end of the process: open exchanges with other
+	// instances and the last log lines may take 300 ms.
+	exitMargin = 500 * time.Millisecond
+	// answerMargin is the time before exitMargin in which the requests that have not ended get their final answer.
+	answerMargin = 100 * time.Millisecond
+)
+
+// errStopping is the cancellation cause of a request that cannot end before the instance does.
+var errStopping = errors.New("instance stops")
+
+// stopPlan is the schedule of a planned stop; it is immutable.
+type stopPlan struct {
+	closeIdle time.Time // Idle connections of callers are closed.
+	acceptAny time.Time // Until then, requests are accepted that may not end in time.
+	finishBy  time.Time // Requests that have not ended get their final answer.
+	end       time.Time // The process begins to exit.
+}
+
+// newStopPlan returns the schedule of a stop that may take the grace period.
+func newStopPlan(start time.Time, grace time.Duration) *stopPlan {
+	end := start.Add(grace - min(exitMargin, grace/8))
+	return &stopPlan{
+		closeIdle: start.Add(min(unlistDelay, grace/2)), acceptAny: start.Add(min(acceptTime, grace/2)),
+		finishBy: end.Add(-min(answerMargin, grace/40)), end: end,
+	}
+}
+
+// mayFinish reports whether a request that ends at its deadline, at the latest, can be expected to end in time if it begins
+// now; usual describes the durations of earlier ones. Until acceptAny, one that may be repeated is accepted on even odds, since
+// its caller would be sent here again.
+func (p *stopPlan) mayFinish(now, received, deadline time.Time, repeatable bool, usual durationSummary) bool {
+	left := p.finishBy.Sub(now)
+	switch {
+	case !deadline.After(p.finishBy):
+		return true
+	case received.After(p.acceptAny):
+		return usual.known && usual.bound() <= left
+	case !usual.known:
+		return left > 0
+	case repeatable:
+		return usual.median <= left
+	}
+	return usual.longest <= left
+}
--- /dev/null
+++ b/mustardseam/entry/stop_plan_test.go
@@ -0,0 +1,96 @@
+package entry
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestMayFinish guards against a request that is accepted in a planned stop and cut off at its end, and against one that is
+// refused although it would have ended in time.
+func TestMayFinish(t *testing.T) {
+	const ms = time.Millisecond
+	fast := durationSummary{median: 30 * ms, longest: 60 * ms, known: true}
+	slow := durationSummary{median: 2300 * ms, longest: 2400 * ms, known: true}
+	mixed := durationSummary{median: 800 * ms, longest: 6 * time.Second, known: true}
+	unknown := durationSummary{}
+	tests := []struct {
+		name       string
+		grace      time.Duration
+		after      time.Duration // Time from the stop signal to the arrival.
+		limit      time.Duration
+		repeatable bool
+		usual      durationSummary
+		accepted   bool
+	}{
+		{"any while callers leave", 8 * time.Second, 2900 * ms, 10 * time.Second, true, unknown, true},
+		{"any after callers left", 8 * time.Second, 5400 * ms, 10 * time.Second, true, unknown, false},
+		{"any in a short grace period", 2 * time.Second, 1100 * ms, 10 * time.Second, true, unknown, false},
+		{"0.3 s at the end", 8 * time.Second, 7 * time.Second, 300 * ms, false, unknown, true},
+		{"0.3 s after the end", 8 * time.Second, 7200 * ms, 300 * ms, false, unknown, false},
+		{"1.2 s", 8 * time.Second, 6100 * ms, 1200 * ms, false, unknown, true},
+		{"1.2 s too late", 8 * time.Second, 6300 * ms, 1200 * ms, false, unknown, false},
+		{"2 s", 8 * time.Second, 5400 * ms, 2 * time.Second, false, unknown, true},
+		{"2 s too late", 8 * time.Second, 5600 * ms, 2 * time.Second, false, unknown, false},
+		{"2.5 s in time", 8 * time.Second, 4800 * ms, 2500 * ms, false, slow, true},
+		{"2.5 s too late", 8 * time.Second, 5300 * ms, 2500 * ms, false, slow, false},
+		{"2.5 s of a fast route", 8 * time.Second, 7 * time.Second, 2500 * ms, false, fast, true},
+		{"10 s of a fast route", 8 * time.Second, 7 * time.Second, 10 * time.Second, false, fast, true},
+		{"10 s of a fast route too late", 8 * time.Second, 7100 * ms, 10 * time.Second, false, fast, false},
+		{"10 s of a slow route in time", 8 * time.Second, 4600 * ms, 10 * time.Second, false, slow, true},
+		{"10 s of a slow route", 8 * time.Second, 4700 * ms, 10 * time.Second, false, slow, false},
+		{"10 s of a mixed route at once", 8 * time.Second, 1400 * ms, 10 * time.Second, false, mixed, true},
+		{"10 s of a mixed route", 8 * time.Second, 1500 * ms, 10 * time.Second, false, mixed, false},
+		{"10 s of a mixed route that may be repeated", 8 * time.Second, 2800 * ms, 10 * time.Second, true, mixed, true},
+		{"10 s of a mixed route that may be repeated, later", 8 * time.Second, 3 * time.Second, 10 * time.Second, true, mixed, false},
+		{"after the end", 8 * time.Second, 7600 * ms, 10 * time.Second, true, fast, false},
+		{"0.3 s in a grace period of 30 s", 30 * time.Second, 29 * time.Second, 300 * ms, false, unknown, true},
+		{"10 s in a grace period of 30 s", 30 * time.Second, 19 * time.Second, 10 * time.Second, false, unknown, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			start := time.Unix(1000, 0)
+			p, at := newStopPlan(start, test.grace), start.Add(test.after)
+			assert.Equal(t, p.mayFinish(at, at, at.Add(test.limit), test.repeatable, test.usual), test.accepted)
+		})
+	}
+}
+
+// TestAcceptedRequestsEndBeforeTheProcess guards against two bounds of a planned stop that contradict each other: whatever is
+// accepted because of its time limit must end before the process does.
+func TestAcceptedRequestsEndBeforeTheProcess(t *testing.T) {
+	start := time.Unix(1000, 0)
+	for grace := 500 * time.Millisecond; grace <= 60*time.Second; grace += 750 * time.Millisecond {
+		p := newStopPlan(start, grace)
+		assert.Assert(t, p.acceptAny.Before(p.finishBy) && p.finishBy.Before(p.end) && p.end.Before(start.Add(grace)), "%v", grace)
+		for limit := 300 * time.Millisecond; limit <= 10*time.Second; limit += 300 * time.Millisecond {
+			for after := min(acceptTime, grace/2) + time.Millisecond; after < grace; after += 250 * time.Millisecond {
+				at := start.Add(after)
+				ends := at.Add(limit)
+				assert.Equal(t, p.mayFinish(at, at, ends, false, durationSummary{}), !ends.After(p.finishBy),
+					"grace period %v, limit %v, arrival after %v", grace, limit, after)
+			}
+		}
+	}
+}
+
+// TestWaitingRequestIsRefusedInTime guards against a request that waits for a backend server until it can no longer end.
+func TestWaitingRequestIsRefusedInTime(t *testing.T) {
+	start := time.Unix(1000, 0)
+	p := newStopPlan(start, 8*time.Second)
+	received, deadline := start.Add(-time.Second), start.Add(9*time.Second)
+	run := durationSummary{median: time.Second, longest: 2 * time.Second, known: true}
+	for _, test := range []struct {
+		after      time.Duration
+		repeatable bool
+		waits      bool
+	}{
+		{5 * time.Second, false, true},
+		{6 * time.Second, false, false},
+		{6 * time.Second, true, true},
+		{7 * time.Second, true, false},
+	} {
+		assert.Equal(t, p.mayFinish(start.Add(test.after), received, deadline, test.repeatable, run), test.waits, "%+v", test)
+	}
+}
--- a/mustardseam/entry/stream.go
+++ b/mustardseam/entry/stream.go
@@ -148,6 +148,11 @@
 	switch cause := context.Cause(ctx); {
 	case errors.Is(cause, http1.ErrCallerGone):
 		return i.callerGone(req, g, o, sent, s)
+	case errors.Is(cause, errStopping):
+		req.reason = cause.Error()
+		o.Abandoned = true
+		i.scheduler.Finish(g, o)
+		return resultFailed
 	case errors.Is(cause, errTimeout) || !time.Now().Before(req.job.Deadline):
 		o.Abandoned = true
 		i.scheduler.Finish(g, o)
