End an outage of the store with an answer that is relayed

Cause: the follower of the store keeps that its last call failed, and only a successful call of its own cleared this. While the hub relays the changes there are no own calls, so each later removal counted as a lease that expired in the outage and may return: the server was used for 1.8 s more, counted from when the instance learned of it. Hypotheses and timeline: docs/incidents. Change: a relayed response that is newer than the failed call ends the outage. The time in which removals may be lapses counts from the start of the last failed call, since one that noticed the end late kept it open after the store counted as stable. A call that hung and fails after another instance got an answer starts no outage; relayed changes end the series of failures that sets the delay of calls; calls to a store that hangs begin at most 2.1 s apart; the era of relayed changes is logged. Why it works: what decides is when the store last answered anyone, which relays carry, not who asked it.

--- a/mustardseam/store/follower.go
+++ b/mustardseam/store/follower.go
@@ -22,8 +22,8 @@
 	pageTimeout = time.Second
 	// listTimeout bounds a list, which takes several pages.
 	listTimeout = 5 * time.Second
-	// minRetryDelay and maxRetryDelay bound the mean delay between calls while the store fails; refused calls cost as much
-	// as others.
+	// minRetryDelay and maxRetryDelay bound the mean time between the starts of calls while the store fails; refused calls cost
+	// as much as others.
 	minRetryDelay = 200 * time.Millisecond
 	maxRetryDelay = 1200 * time.Millisecond
 	// minPollInterval is the least time from the start of a successful call to the next one. Changes come in series, and
@@ -42,7 +42,8 @@
 	// OnChange is called with new changes in order, while the follower is locked; mayReturn reports that deletions may come
 	// from leases that expired during an outage, so that the items may be written again.
 	OnChange func(items []Item, mayReturn bool)
-	// OnAvailable is called when the store responds again after a failure, OnUnavailable when a call fails for the first time.
+	// OnAvailable is called when the store responds again after a failure, to this instance or to one that relays its changes;
+	// OnUnavailable when a call fails for the first time.
 	OnAvailable   func()
 	OnUnavailable func(err error)
 	// OnListed is called after a list of the store with its position and the number of items.
@@ -62,13 +63,20 @@
 	replica            *Replica  // Guarded by mu.
 	lastResponse       time.Time // Time of the store's latest response, direct or relayed; guarded by mu.
 	lastDirectResponse time.Time // Time of the store's latest response to this instance; guarded by mu.
-	unavailable        bool      // A call failed after the latest successful one; guarded by mu.
-	era                int64     // Era of the store's latest answer to this instance; guarded by mu.
-	recoveredAt        time.Time // Time of the store's first response after the latest outage; guarded by mu.
+	// unavailable is true if a call of this instance failed and the store has answered no instance since; guarded by mu.
+	unavailable bool
+	failedAt    time.Time // Start of the latest failed call; guarded by mu.
+	lapsesUntil time.Time // Until then, deletions may come from leases that expired during an outage; guarded by mu.
+	era         int64     // Era of the latest answer of the store; guarded by mu.
 }
 
-// lapseWindow is how long after the end of an outage deletions may come from leases that expired during it.
-const lapseWindow = 2500 * time.Millisecond
+const (
+	// lapseWindow is how long after the start of a failed call deletions may come from leases that expired during an outage.
+	// It is shorter than the time after which the store counts as stable again.
+	lapseWindow = 2900 * time.Millisecond
+	// restorationWindow is how long after a restoration of the store deletions may come from leases that it has lost.
+	restorationWindow = 2500 * time.Millisecond
+)
 
 // NewFollower returns a follower that updates its replica until Stop is called.
 func NewFollower(cfg FollowerConfig) *Follower {
@@ -146,7 +154,7 @@
 
 // notifyAndUnlock passes changes to the OnChange callback and unlocks mu, which the caller must hold.
 func (f *Follower) notifyAndUnlock(changed []Item, now time.Time) {
-	mayReturn := f.unavailable || now.Sub(f.recoveredAt) < lapseWindow && !f.recoveredAt.IsZero()
+	mayReturn := f.unavailable || now.Before(f.lapsesUntil)
 	defer f.mu.Unlock()
 	if len(changed) > 0 {
 		f.cfg.OnChange(changed, mayReturn)
@@ -157,7 +165,14 @@
 // caller must hold mu.
 func (f *Follower) recordRestoration(restored bool, now time.Time) {
 	if restored {
-		f.recoveredAt = now
+		f.extendLapses(now.Add(restorationWindow))
+	}
+}
+
+// extendLapses makes deletions count as possible lapses until a time; the caller must hold mu.
+func (f *Follower) extendLapses(until time.Time) {
+	if until.After(f.lapsesUntil) {
+		f.lapsesUntil = until
 	}
 }
 
@@ -177,22 +192,27 @@
 	f.lastDirectResponse = at
 }
 
+// markAvailable records that the store has answered this instance or another one.
 func (f *Follower) markAvailable() {
 	f.mu.Lock()
 	wasUnavailable := f.unavailable
-	if wasUnavailable {
-		f.unavailable, f.recoveredAt = false, time.Now()
-	}
+	f.unavailable = false
 	f.mu.Unlock()
 	if wasUnavailable {
 		f.cfg.OnAvailable()
 	}
 }
 
-func (f *Follower) markUnavailable(err error) {
+// markUnavailable records that a call failed that began at the given time, unless the store has answered another instance since.
+func (f *Follower) markUnavailable(began time.Time, err error) {
 	f.mu.Lock()
+	if f.lastResponse.After(began) {
+		f.mu.Unlock()
+		return
+	}
 	wasUnavailable := f.unavailable
-	f.unavailable = true
+	f.unavailable, f.failedAt = true, began
+	f.extendLapses(began.Add(lapseWindow))
 	f.mu.Unlock()
 	if !wasUnavailable {
 		f.cfg.OnUnavailable(err)
--- a/mustardseam/store/poll.go
+++ b/mustardseam/store/poll.go
@@ -15,7 +15,7 @@
 		f.releaseHeld()
 		if f.cfg.IsRelayed() {
 			f.sleep(relayCheckInterval)
-			listed = true // The replica is continued by relayed changes, so it needs no list.
+			listed, failures = true, 0 // The replica is continued by relayed changes, so it needs no list.
 			continue
 		}
 		var err error
@@ -37,9 +37,9 @@
 			listed = false
 		case f.ctx.Err() == nil:
 			failures++
-			f.markUnavailable(err)
+			f.markUnavailable(began, err)
 			wait := min(minRetryDelay<<min(failures-1, 4), maxRetryDelay)
-			f.sleep(wait/2 + rand.N(wait))
+			f.sleep(max(minRetryDelay/2, wait/2+rand.N(wait)-time.Since(began)))
 		}
 	}
 }
--- a/mustardseam/store/relay.go
+++ b/mustardseam/store/relay.go
@@ -35,9 +35,19 @@
 	} else {
 		changed = f.replica.Apply(items, upTo.Revision)
 	}
-	if at := now.Add(-age); at.After(f.lastResponse) {
-		f.lastResponse = at
-	}
+	f.recordEra(upTo)
 	f.recordRestoration(restored, now)
+	answered := now.Add(-age)
+	if answered.After(f.lastResponse) {
+		f.lastResponse = answered
+	}
+	recovered := f.unavailable && answered.After(f.failedAt)
+	if recovered {
+		// An instance that gets relayed changes makes no calls by which it would notice the end of the outage.
+		f.unavailable = false
+	}
 	f.notifyAndUnlock(changed, now)
+	if recovered {
+		f.cfg.OnAvailable()
+	}
 }
