Play late requests in stops and removals after outages in the soak

Cause: the soak stopped instances only while requests took milliseconds, and callers left an instance as soon as it was not ready; no backend server left without a word after an outage. Change: backend servers work for up to 3 s on requests; some callers come to an instance that is not ready; after the drawn faults, an instance is stopped while half of the callers come to it and requests take long, and the entry of a backend server is removed after an outage, beside a series of configurations and full other ones. Each request that ran must have an answer unless its instance was killed or paused; none may reach the removed backend server later than 2 s. Backend servers cut heads, too.

--- a/soak/fault_soak_test.go
+++ b/soak/fault_soak_test.go
@@ -10,6 +10,9 @@
 	"github.com/mustardseam/mustardseam/platform/platformtest"
 )
 
+// maxWork is the longest time that a slow backend server works on a request; a planned stop waits for about as long.
+const maxWork = 3 * time.Second
+
 // fault is a fault to inject into a site; run returns when the fault is over.
 type fault struct {
 	name string
@@ -23,7 +26,8 @@
 	{"pause", func(rnd *rand.Rand, s *site) {
 		p := s.pickVictim(rnd)
 		s.logEvent("pause %s", p.name)
-		defer s.excuse(p, time.Now())
+		from := time.Now()
+		defer func() { s.excuse(p, from, false) }()
 		p.signal(syscall.SIGSTOP)
 		time.Sleep(randomDuration(rnd, 2*time.Second))
 		p.signal(syscall.SIGCONT)
@@ -39,13 +43,23 @@
 		all := []platformtest.Behaviour{
 			platformtest.ServerError, platformtest.Refusing, platformtest.Truncated, platformtest.Duplicated, platformtest.Unsealed, platformtest.Misdirected, platformtest.UntilClose,
 			platformtest.SlowStart, platformtest.Reset, platformtest.UnframedStream, platformtest.UnframedCut, platformtest.UnframedReset,
+			platformtest.CutHead, platformtest.CutHeadReset,
 		}
+		b.SetCutAfter(rnd.IntN(platformtest.HeadBytes))
 		v := all[rnd.IntN(len(all))]
 		s.logEvent("%s is %s", b.ID, v)
 		b.SetBehaviour(v)
 		time.Sleep(randomDuration(rnd, 2*time.Second))
 		b.SetBehaviour(platformtest.Good)
 	}},
+	{"slow work", func(rnd *rand.Rand, s *site) {
+		b := s.backends[rnd.IntN(len(s.backends))]
+		work := randomDuration(rnd, maxWork)
+		s.logEvent("%s works for %v on a request", b.ID, work)
+		b.SetWork(work)
+		time.Sleep(randomDuration(rnd, maxWork))
+		b.SetWork(0)
+	}},
 	{"drain", func(rnd *rand.Rand, s *site) {
 		n := rnd.IntN(len(s.backends))
 		s.logEvent("%s drains", s.backends[n].ID)
@@ -60,7 +74,7 @@
 		s.writeConfig()
 	}},
 	{"store fault", func(rnd *rand.Rand, s *site) {
-		f := []platformtest.Fault{platformtest.Unavailable, platformtest.LostResponse}[rnd.IntN(2)]
+		f := []platformtest.Fault{platformtest.Unavailable, platformtest.LostResponse, platformtest.Resetting}[rnd.IntN(3)]
 		s.logEvent("store is %s", f)
 		s.kv.SetFault(f)
 		time.Sleep(randomDuration(rnd, 2*time.Second))
@@ -90,7 +104,8 @@
 // signal.
 func (s *site) restartInstance(rnd *rand.Rand, sig syscall.Signal) {
 	p := s.pickVictim(rnd)
-	defer s.excuse(p, time.Now())
+	from, planned := time.Now(), sig == syscall.SIGTERM
+	defer func() { s.excuse(p, from, planned) }()
 	s.logEvent("%v to %s", sig, p.name)
 	p.signal(syscall.SIGCONT)
 	if !p.restarting.TryLock() {
@@ -99,6 +114,7 @@
 	}
 	defer p.restarting.Unlock()
 	if p.stop(sig) {
+		planned = false
 		s.logEvent("%s outlived its grace period", p.name)
 	}
 	time.Sleep(randomDuration(rnd, time.Second))
--- a/soak/limit_soak_test.go
+++ b/soak/limit_soak_test.go
@@ -28,13 +28,14 @@
 type excuse struct {
 	instance string
 	from, to time.Time
+	planned  bool // The instance was only asked to stop.
 }
 
 // excuse excuses an instance from a time until now.
-func (s *site) excuse(p *process, from time.Time) {
+func (s *site) excuse(p *process, from time.Time, planned bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.excuses = append(s.excuses, excuse{p.name, from, time.Now()})
+	s.excuses = append(s.excuses, excuse{p.name, from, time.Now(), planned})
 }
 
 // pickVictim returns a process to stop or pause.
--- a/soak/site_soak_test.go
+++ b/soak/site_soak_test.go
@@ -19,6 +19,8 @@
 	instances = 4
 	backends  = 4
 	callers   = 8
+	// strayCallers is the number of callers of which one comes to an instance that is not ready.
+	strayCallers = 6
 	// readyPoll is the interval at which the readiness of the instances is polled.
 	readyPoll = 200 * time.Millisecond
 )
@@ -39,7 +41,8 @@
 	mu            sync.Mutex
 	ready         []*process // Guarded by mu, like all fields below.
 	version       int
-	engines       bool // The backend servers are engines.
+	engines       bool     // The backend servers are engines.
+	overused      *process // Instance that gets half of the callers; nil for none.
 	timeline      []string
 	limits        []limitPeriod
 	excuses       []excuse
@@ -134,11 +137,15 @@
 	}
 }
 
-// pickInstance returns a random ready instance for a new connection, or any instance if none is ready.
+// pickInstance returns a random ready instance for a new connection, or any instance if none is ready. Some callers do not
+// look at the readiness, and half of them go to the instance that is overused.
 func (s *site) pickInstance(rnd *rand.Rand) *process {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if len(s.ready) == 0 {
+	switch {
+	case s.overused != nil && rnd.IntN(2) == 0:
+		return s.overused
+	case len(s.ready) == 0 || rnd.IntN(strayCallers) == 0:
 		return s.processes[rnd.IntN(len(s.processes))]
 	}
 	return s.ready[rnd.IntN(len(s.ready))]
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -36,7 +36,7 @@
 // TestSoak guards against violations of the guarantees under combinations of faults that no other test covers:
 // non-idempotent requests that run twice, requests that ran but are answered as not run, answers that are incomplete or
 // belong to another request, gaps in streams, request limits that are exceeded, prompt parts that crash one backend server after
-// the other, and service that does not recover.
+// the other, requests without an answer around planned stops, use of removed backend servers, and service that does not recover.
 func TestSoak(t *testing.T) {
 	program := build(t)
 	var list []uint64
@@ -65,10 +65,13 @@
 	s.logEvent("faults are over")
 	recovered := waitForRecovery(c)
 	s.checkVersion(seed)
+	s.stopUnderLoad(rand.New(rand.NewPCG(seed, 3000)))
+	s.checkRemoval(rand.New(rand.NewPCG(seed, 2000)), seed)
 	close(stopAll)
 	workers.Wait()
 	time.Sleep(settleTime)
 	checkResults(t, s, c, seed)
+	s.checkAnswers(c, seed)
 	s.checkLimits(c, seed)
 	s.checkDeadlyParts(c, seed)
 	assert.Assert(t, recovered, "seed %d: not every request succeeds %v after the last fault\n%s", seed, recoveryTime,
