Reset answers without framing whose process ends on the way

Cause: the system ends the connections of a process regularly, unless their linger time is 0. Streams without framing had that from their head to their end, other answers without framing did not: ReplyUntilClose was written apart from Begin and End. Change: both share the beginning and the end of such an answer.

--- a/mustardseam/http1/exchange.go
+++ b/mustardseam/http1/exchange.go
@@ -39,29 +39,32 @@
 // ReplyUntilClose sends a complete response without a Content-Length and closes the connection after it. It is for a body
 // that was itself received without a length: that body may have been cut off, and a length would declare it complete.
 func (e *Exchange) ReplyUntilClose(h ResponseHeader, body []byte) {
-	e.untilClose = true
-	e.writeHeader(h, framingUntilClose)
+	e.beginUntilClose(h)
 	if !e.Request.Header.IsHead() {
 		e.write(body)
 	}
-	e.complete = true
-	e.flush()
+	e.End()
 }
 
 // Begin starts a response of unknown length. If selfDelimited is true, the body is chunked, so that the caller can detect
 // a truncated response; otherwise the body ends when the connection is closed.
 func (e *Exchange) Begin(h ResponseHeader, selfDelimited bool) {
-	e.untilClose = !selfDelimited
 	if selfDelimited {
 		e.writeHeader(h, framingChunked)
 	} else {
-		// If the process ends now, the system must not end the connection as if the response were complete.
-		e.conn.setLinger(0)
-		e.writeHeader(h, framingUntilClose)
+		e.beginUntilClose(h)
 	}
 	e.flush()
 }
 
+// beginUntilClose writes the header of a response whose body ends when the connection is closed.
+func (e *Exchange) beginUntilClose(h ResponseHeader) {
+	e.untilClose = true
+	// If the process ends before the response does, the system must not end the connection as if the response were complete.
+	e.conn.setLinger(0)
+	e.writeHeader(h, framingUntilClose)
+}
+
 // SelfDelimited reports whether the caller can detect that the response started with Begin is truncated.
 func (e *Exchange) SelfDelimited() bool { return !e.untilClose }
 
