Cut off slow readers only if they stop reading

Cause: the write timeout of 10 s, meant for callers that do not read, was set once for the whole body. Change: a write of more than 64 KB goes on while the caller takes at least 4 KB in 10 s, counting what leaves the send buffer, since the system accepts more only when much of it is free. Beyond 64 MB of such writes at an instance the former bound applies, so that slow callers cannot take more memory than before by more than that.

--- a/mustardseam/http1/server.go
+++ b/mustardseam/http1/server.go
@@ -20,6 +20,8 @@
 	defaultIdleTimeout   = 60 * time.Second
 	// writeTimeout closes a connection whose caller does not read the response.
 	writeTimeout = 10 * time.Second
+	// maxUnsentBytes limits the responses to callers that read slowly. Beyond it each of them must be sent within writeTimeout.
+	maxUnsentBytes = 64 << 20
 	// acceptRetryDelay is the wait after a failed accept, for example if no file descriptor is free.
 	acceptRetryDelay = 20 * time.Millisecond
 )
@@ -54,7 +56,9 @@
 func NewServer(cfg ServerConfig) *Server {
 	s := &Server{
 		cfg: cfg, conns: map[*serverConn]struct{}{}, done: make(chan struct{}),
-		listener: tcp.NewListener(cfg.Listener, tcp.ListenerConfig{MaxConns: cfg.MaxConns, WriteTimeout: writeTimeout}),
+		listener: tcp.NewListener(cfg.Listener, tcp.ListenerConfig{
+			MaxConns: cfg.MaxConns, WriteTimeout: writeTimeout, MaxUnsentBytes: maxUnsentBytes,
+		}),
 	}
 	go s.accept()
 	return s
--- a/mustardseam/tcp/acceptedconn.go
+++ b/mustardseam/tcp/acceptedconn.go
@@ -1,13 +1,25 @@
 package tcp
 
 import (
+	"errors"
 	"net"
+	"os"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+const (
+	// minProgressBytes is the number of bytes that a peer must take within the write timeout.
+	minProgressBytes = 4 << 10
+	// maxShortWriteBytes is the length up to which a write is short: it must end within the write timeout.
+	maxShortWriteBytes = 64 << 10
 )
 
-// acceptedConn is an accepted connection with a timeout for each write. It can detect that its peer disconnects while a
+// acceptedConn is an accepted connection with a timeout for writes without progress. It can detect that its peer disconnects while a
 // request is being handled.
 type acceptedConn struct {
 	net.Conn
@@ -30,14 +42,55 @@
 	return c.Conn.Read(b)
 }
 
-// Write writes to the peer. It fails if the peer does not read within ListenerConfig.WriteTimeout.
+// Write writes to the peer. It fails if it takes longer than ListenerConfig.WriteTimeout; a long write only if the peer takes
+// fewer than minProgressBytes within that time, or if the long writes on all connections together exceed
+// ListenerConfig.MaxUnsentBytes.
 func (c *acceptedConn) Write(b []byte) (int, error) {
-	if d := c.listener.cfg.WriteTimeout; d > 0 {
-		if err := c.SetWriteDeadline(time.Now().Add(d)); err != nil {
+	timeout := c.listener.cfg.WriteTimeout
+	if timeout <= 0 {
+		return c.Conn.Write(b)
+	}
+	if len(b) <= maxShortWriteBytes {
+		if err := c.SetWriteDeadline(time.Now().Add(timeout)); err != nil {
 			return 0, err
 		}
+		return c.Conn.Write(b)
+	}
+	c.listener.unsentBytes.Add(int64(len(b)))
+	defer c.listener.unsentBytes.Add(-int64(len(b)))
+	for written := 0; ; {
+		queued := c.queuedBytes()
+		if err := c.SetWriteDeadline(time.Now().Add(timeout)); err != nil {
+			return written, err
+		}
+		n, err := c.Conn.Write(b[written:])
+		written += n
+		taken := queued + n - c.queuedBytes()
+		if !errors.Is(err, os.ErrDeadlineExceeded) || taken < minProgressBytes ||
+			c.listener.unsentBytes.Load() > c.listener.cfg.MaxUnsentBytes {
+			return written, err
+		}
+	}
+}
+
+// queuedBytes returns the number of bytes in the send buffer of the system that the peer has not acknowledged; 0 if it is not
+// known. The system accepts more only when a large part of the buffer is free, so a write may wait while the peer reads.
+func (c *acceptedConn) queuedBytes() int {
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return 0
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return 0
 	}
-	return c.Conn.Write(b)
+	queued := 0
+	_ = raw.Control(func(fd uintptr) {
+		if n, err := unix.IoctlGetInt(int(fd), unix.SIOCOUTQ); err == nil {
+			queued = n
+		}
+	})
+	return queued
 }
 
 // NetConn returns the underlying connection, for access to socket options.
--- a/mustardseam/tcp/listener.go
+++ b/mustardseam/tcp/listener.go
@@ -17,16 +17,20 @@
 // ListenerConfig configures a Listener.
 type ListenerConfig struct {
 	MaxConns     int           // Maximum number of open connections; 0 means no limit.
-	WriteTimeout time.Duration // Timeout of each write; 0 means none.
-	Refusal      []byte        // Sent to a connection beyond the limit before it is closed; empty means nothing is sent.
+	WriteTimeout time.Duration // Time within which a peer must take data that is being written; 0 means no limit.
+	// MaxUnsentBytes limits the memory that slow peers occupy. While long writes of more bytes than this are in progress, each
+	// of them must end within WriteTimeout; with 0 that is always so.
+	MaxUnsentBytes int64
+	Refusal        []byte // Sent to a connection beyond the limit before it is closed; empty means nothing is sent.
 }
 
 // Listener accepts connections up to a limit and sets a timeout for writes on them.
 type Listener struct {
 	net.Listener
-	cfg       ListenerConfig
-	openConns atomic.Int64 // Number of accepted connections that are open.
-	refusals  atomic.Int64 // Number of refusals in progress.
+	cfg         ListenerConfig
+	openConns   atomic.Int64 // Number of accepted connections that are open.
+	refusals    atomic.Int64 // Number of refusals in progress.
+	unsentBytes atomic.Int64 // Length of all long writes in progress.
 }
 
 // NewListener returns a Listener that accepts connections from ln.
--- a/mustardseam/tcp/tcp_test.go
+++ b/mustardseam/tcp/tcp_test.go
@@ -124,6 +124,51 @@
 	assert.Assert(t, errors.Is(err, os.ErrDeadlineExceeded), "%v", err)
 }
 
+// TestWriteToSlowPeer guards against a write that is cut off although its peer reads all the time, and against slow peers that
+// occupy memory without limit.
+func TestWriteToSlowPeer(t *testing.T) {
+	const timeout, size = 300 * time.Millisecond, 16 << 20
+	tests := []struct {
+		name      string
+		maxUnsent int64
+		whole     bool
+	}{
+		{"within the memory limit", size, true},
+		{"beyond the memory limit", size - 1, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			l := startListener(t, ListenerConfig{WriteTimeout: timeout, MaxUnsentBytes: test.maxUnsent})
+			out, err := net.Dial("tcp", l.Addr().String())
+			assert.NilError(t, err)
+			defer func() { _ = out.Close() }()
+			assert.NilError(t, out.(*net.TCPConn).SetReadBuffer(64<<10))
+			in, err := l.Accept()
+			assert.NilError(t, err)
+			defer func() { _ = in.Close() }()
+			go func() {
+				for {
+					if _, err := io.CopyN(io.Discard, out, 64<<10); err != nil {
+						return
+					}
+					time.Sleep(10 * time.Millisecond)
+				}
+			}()
+			began := time.Now()
+			n, err := in.Write(make([]byte, size))
+			if test.whole {
+				assert.NilError(t, err)
+				assert.Equal(t, n, size)
+				assert.Assert(t, time.Since(began) > timeout, "the write is too short for the test: %v", time.Since(began))
+			} else {
+				assert.Assert(t, errors.Is(err, os.ErrDeadlineExceeded), "%v", err)
+			}
+			assert.Equal(t, l.unsentBytes.Load(), int64(0))
+		})
+	}
+}
+
 // TestWatchCloseReportsCloseAndKeepsData guards against a caller whose disconnect goes unnoticed while its request is being
 // handled, and against losing bytes of its next request that were read ahead.
 func TestWatchCloseReportsCloseAndKeepsData(t *testing.T) {
