Send no request of unknown duration late in a planned stop

What callers saw: in a trial with orders of 6 s on a route of 10 s, orders that had been accepted in the first seconds of a stop waited for a backend server, were sent late and got 504 at the end, though they could have been refused as not run. Cause: without durations of the route, a waiting request was sent at any time before the end. And 16 durations were needed to know a route, so that orders of 2.3 s on a route of 10 s were refused from 2.9 s on at an instance that had seen 10. Change: without known durations nothing is accepted or sent later than 2.9 s after the signal; eight durations describe a route. Tests: three cases of TestWaitingRequestIsRefusedInTime; it fails without the first change, at the case of 3 s. Run: TestStopAnswersWhatItSends twice, the tests of the plan, passed.

--- a/mustardseam/entry/recent_durations.go
+++ b/mustardseam/entry/recent_durations.go
@@ -9,7 +9,7 @@
 	// recentDurationCount is the number of durations that are kept.
 	recentDurationCount = 64
 	// minDurations is the number of durations from which on they describe the usual ones.
-	minDurations = 16
+	minDurations = 8
 	// durationSlack is added to the durations of the past to bound the next one.
 	durationSlack = 250 * time.Millisecond
 )
--- a/mustardseam/entry/stop_plan.go
+++ b/mustardseam/entry/stop_plan.go
@@ -50,7 +50,7 @@
 	case received.After(p.acceptAny):
 		return usual.known && usual.bound() <= left
 	case !usual.known:
-		return left > 0
+		return !now.After(p.acceptAny)
 	case repeatable:
 		return usual.median <= left
 	}
