--- a/soak/site_soak_test.go
+++ b/soak/site_soak_test.go
@@ -19,8 +19,8 @@
 	instances = 4
 	backends  = 4
 	callers   = 8
-	// strayCallers is the number of callers of which one comes to an instance that is not ready.
-	strayCallers = 6
+	// bypassRatio is the number of new connections of which one ignores the readiness of the instances.
+	bypassRatio = 6
 	// readyPoll is the interval at which the readiness of the instances is polled.
 	readyPoll = 200 * time.Millisecond
 )
@@ -137,15 +137,15 @@
 	}
 }
 
-// pickInstance returns a random ready instance for a new connection, or any instance if none is ready. Some callers do not
-// look at the readiness, and half of them go to the instance that is overused.
+// pickInstance returns a random ready instance for a new connection, or any instance if none is ready. Some ignore the
+// readiness, and half of all go to the overused instance.
 func (s *site) pickInstance(rnd *rand.Rand) *process {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch {
 	case s.overused != nil && rnd.IntN(2) == 0:
 		return s.overused
-	case len(s.ready) == 0 || rnd.IntN(strayCallers) == 0:
+	case len(s.ready) == 0 || rnd.IntN(bypassRatio) == 0:
 		return s.processes[rnd.IntN(len(s.processes))]
 	}
 	return s.ready[rnd.IntN(len(s.ready))]
