--- a/mustardseam/entry/instance.go
+++ b/mustardseam/entry/instance.go
@@ -38,6 +38,7 @@
 	LogLevel       zerolog.Level
 	LogWriter      *logwriter.Writer
 	MaxConnections int // Maximum number of open connections of callers; 0 for no limit.
+	Duties         DutiesConfig
 }
 
 const (
