Elect a holder of the duties and report usage windows

Cause: the platform wants the usage of each window reported by one holder at a time, whatever fails. Change: package duty (election by a leased record in the store, token from era and revision), package usage (clock agreed by a median, counts merged by their maximum, sealing, record of sealed windows), store leases in the platform adapter, the duties of an instance, counts and clocks in reports, state dump, metrics and events 8001 to 8007; stand-ins for leases and for the cloud.

--- a/mustardseam/entry/attempt.go
+++ b/mustardseam/entry/attempt.go
@@ -147,6 +147,7 @@
 		return i.attemptFailed(ctx, req, g, sent, err)
 	}
 	req.runs++
+	i.duties.countRequest(req)
 	status := resp.Header.StatusCode()
 	if status/100 == 2 && resp.SelfDelimited() {
 		i.recordSound(req) // An error may come before the prompt is processed.
--- a/mustardseam/entry/cluster_state.go
+++ b/mustardseam/entry/cluster_state.go
@@ -34,6 +34,13 @@
 	quotaUsage        map[string]ratelimit.Usage // Quota usage at the other instances since the last report, keyed by team.
 }
 
+// runningInstances returns the names of the running instances, including this one, as of the latest report.
+func (s *Scheduler) runningInstances() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.instances
+}
+
 // takeReport returns the data for the next report of this instance and marks the quota usage as reported.
 func (s *Scheduler) takeReport() (
 	loads map[string]placement.Load, interTokenMS map[string]float64, used map[string]ratelimit.Usage,
--- a/mustardseam/entry/dump.go
+++ b/mustardseam/entry/dump.go
@@ -30,6 +30,8 @@
 	Quarantine []quarantine.Pattern `json:"quarantine,omitempty"`
 	// OutOfService holds the data centres that are out of service.
 	OutOfService []string `json:"out-of-service,omitempty"`
+	// Duties shows who performs the duties; nil if there are none.
+	Duties *DutiesState `json:"duties,omitempty"`
 }
 
 // State returns the state of the instance as a State.
@@ -47,6 +49,7 @@
 	d.Hub = i.reporter.hubName
 	i.reporter.mu.Unlock()
 	d.OutOfService = slices.Sorted(maps.Keys(v.OutOfService))
+	d.Duties = i.duties.state()
 	d.Quarantine = i.quarantine.Patterns(time.Now())
 	i.scheduler.mu.Lock()
 	defer i.scheduler.mu.Unlock()
--- a/mustardseam/entry/duties_config.go
+++ b/mustardseam/entry/duties_config.go
@@ -13,6 +13,7 @@
 	ReportWindow  time.Duration // Length of a usage window.
 	ReportDue     time.Duration // Time from the end of a usage window until its report is due.
 	MaxValueBytes int           // Maximum size of an item of the store; 0 for no limit.
+	LeaseStore    LeaseStore
 	UsageReporter UsageReporter
 	ScaleOrderer  ScaleOrderer
 }
--- a/mustardseam/entry/instance.go
+++ b/mustardseam/entry/instance.go
@@ -66,6 +66,7 @@
 	rollouts        *rollouts
 	quarantine      *quarantine.Table
 	metrics         *instanceMetrics
+	duties          *duties // Nil if there are none.
 	active          atomic.Int64
 	bounds          atomic.Pointer[Bounds]
 	pending         *pendingRequests
@@ -91,6 +92,7 @@
 	})
 	i.quarantine = newQuarantine(i.log())
 	i.metrics = newInstanceMetrics(i)
+	i.duties = newDuties(i)
 	i.reporter = newReporter(i)
 	i.placementClient = newPlacementClient(placementClientConfig{
 		instance: cfg.Name, run: i.runID, scheduler: i.scheduler, reachableHub: i.reporter.reachableHub,
@@ -125,6 +127,9 @@
 	i.tasks.Go(i.saveQuotas)
 	i.tasks.Go(i.saveCrashes)
 	i.tasks.Go(i.sweep)
+	if i.duties != nil {
+		i.tasks.Go(i.duties.run)
+	}
 	event.InstanceStarted.Log(i.log()).Str("data-centre", cfg.DataCentre).Send()
 	return i
 }
--- a/mustardseam/entry/report_exchange.go
+++ b/mustardseam/entry/report_exchange.go
@@ -64,12 +64,14 @@
 	report.Crashes, crashesUpTo = r.i.quarantine.Since(time.Now(), r.crashSync.sent)
 	report.CrashRun, report.CrashSequence = r.crashSync.run, r.crashSync.known
 	r.mu.Unlock()
+	windowsUpTo, sent := r.i.duties.addToReport(&report, target)
 	response, err := r.client.Report(target.Address, report)
 	if err != nil {
 		r.reportFailed(target, report, err)
 		return
 	}
 	r.syncCrashes(target, response, crashesUpTo)
+	r.i.duties.applyResponse(target, response, windowsUpTo, sent)
 	r.applyResponse(target, report, response)
 }
 
@@ -255,5 +257,6 @@
 	if response.AgeMS < 0 {
 		response.Items, response.Complete = nil, false
 	}
+	r.i.duties.handleReport(report, &response)
 	return response
 }
--- a/mustardseam/entry/request.go
+++ b/mustardseam/entry/request.go
@@ -28,6 +28,7 @@
 	pending             *pendingRequest    // Entry in the set of requests without a final answer; nil before it is run.
 	sentAt              time.Time          // Time of the latest send to a backend server.
 	fingerprintCache    string             // Result of fingerprint; empty before the first call.
+	counted             bool               // The request was counted as usage of its team.
 	crashed             bool               // An attempt was cut off at the beginning of its answer.
 	lastEventID         string             // Id of the latest event that the caller has.
 	serverID            string             // Id of the latest backend server.
--- a/mustardseam/entry/stop.go
+++ b/mustardseam/entry/stop.go
@@ -38,6 +38,8 @@
 		i.sleep(stopPollInterval)
 	}
 	i.endPending(p)
+	i.duties.stop()
+	i.reporter.reportEnd()
 	i.server.Close()
 	i.cancel()
 	i.follower.Stop()
--- a/mustardseam/entry/stream.go
+++ b/mustardseam/entry/stream.go
@@ -76,6 +76,7 @@
 		if s.events++; s.events == 1 {
 			s.first = now
 			o.FirstEvent = true
+			i.duties.countRequest(req)
 			i.scheduler.RecordFirstEvent(g, now.Sub(sent))
 		}
 		if interTokenSampleEvents[s.events] && g.Service.TokensPerEvent > 0 {
--- a/mustardseam/entry/wire.go
+++ b/mustardseam/entry/wire.go
@@ -41,6 +41,9 @@
 	Quotas(q fleet.QuotaSnapshot) (key string, value []byte, err error)
 	// Crashes returns the item that stores crashes of backend servers.
 	Crashes(crashes []fleet.Crash) (key string, value []byte, err error)
+	// DutyKey returns the key of the record of the holder of duties, and UsageKey that of the sealed usage windows.
+	DutyKey(name string) string
+	UsageKey() string
 	// Progress returns the item that tells operators and instances the progress of a rollout.
 	Progress(service string, p fleet.Progress) (key string, value []byte, err error)
 }
--- a/mustardseam/event/catalogue.go
+++ b/mustardseam/event/catalogue.go
@@ -84,6 +84,17 @@
 	PromptReleased       = Event{7019, "prompt-released", zerolog.InfoLevel, "prompt parts are no longer refused in this combination"}
 )
 
+// Events of duties, which one instance at a time performs.
+var (
+	DutyAcquired        = Event{8001, "duty-acquired", zerolog.InfoLevel, "instance became the holder of the duties"}
+	DutyLost            = Event{8002, "duty-lost", zerolog.InfoLevel, "instance is no longer the holder of the duties"}
+	DutyCallFailed      = Event{8003, "duty-call-failed", zerolog.WarnLevel, "platform did not accept a call on a duty"}
+	DutyStoreCallFailed = Event{8004, "duty-store-call-failed", zerolog.WarnLevel, "failed to keep the record of the holder of the duties in the store"}
+	UsageSealed         = Event{8005, "usage-sealed", zerolog.InfoLevel, "counts of a usage window fixed in the store"}
+	UsageReported       = Event{8006, "usage-reported", zerolog.InfoLevel, "platform accepted the report of a usage window"}
+	UsageReportedLate   = Event{8007, "usage-reported-late", zerolog.WarnLevel, "platform accepted the report of a usage window after it was due"}
+)
+
 // All returns all events in ascending order of their numbers.
 func All() []Event {
 	return []Event{
@@ -98,5 +109,6 @@
 		HubChosen, HubLost, InstanceRegistered, StoreWriteFailed, ShutdownProgress,
 		HubPlacementStarted, HubPlacementStopped, PanicContained, ServerLimitChanged, ServerLimitInvalid, AnswerCut,
 		PromptQuarantined, PromptReleased,
+		DutyAcquired, DutyLost, DutyCallFailed, DutyStoreCallFailed, UsageSealed, UsageReported, UsageReportedLate,
 	}
 }
--- a/mustardseam/hub/report.go
+++ b/mustardseam/hub/report.go
@@ -7,6 +7,7 @@
 	"github.com/mustardseam/mustardseam/mustardseam/placement"
 	"github.com/mustardseam/mustardseam/mustardseam/ratelimit"
 	"github.com/mustardseam/mustardseam/mustardseam/store"
+	"github.com/mustardseam/mustardseam/mustardseam/usage"
 )
 
 // Report is the message that an instance sends to the hub at each report interval.
@@ -38,6 +39,13 @@
 	// CrashSequence is the CrashSequence of the hub's latest response, from its run CrashRun.
 	CrashSequence int64 `json:"crash-sequence,omitempty"`
 	CrashRun      int64 `json:"crash-run,omitempty"`
+	// ClockUS is the time by the instance's own clock in Unix microseconds; 0 without duties, as all fields below.
+	ClockUS int64             `json:"clock-us,omitempty"`
+	Windows []usage.RunCounts `json:"windows,omitempty"` // Changed counts of usage windows.
+	// WindowSequence is the WindowSequence of the hub's latest response, from its run WindowRun.
+	WindowSequence int64 `json:"window-sequence,omitempty"`
+	WindowRun      int64 `json:"window-run,omitempty"`
+	WindowsWanted  bool  `json:"windows-wanted,omitempty"` // The instance needs the counts of all instances.
 }
 
 // Sample is the outcome of a request to a service that has a rollout.
@@ -78,4 +86,9 @@
 	Crashes       []fleet.Crash             `json:"crashes,omitempty"`
 	// CrashSequence is the number of the hub's changes up to which Crashes is complete.
 	CrashSequence int64 `json:"crash-sequence,omitempty"`
+	// ClockUS is the time that all instances use, in Unix microseconds; 0 if it is not known.
+	ClockUS int64             `json:"clock-us,omitempty"`
+	Windows []usage.RunCounts `json:"windows,omitempty"` // Changed counts of usage windows of all instances.
+	// WindowSequence is the number of the hub's changes up to which Windows is complete; 0 if it holds none.
+	WindowSequence int64 `json:"window-sequence,omitempty"`
 }
