--- a/mustardseam/duty/config.go
+++ b/mustardseam/duty/config.go
@@ -15,9 +15,9 @@
 	// attempt, so that the next candidates usually see the new record first.
 	candidateStep = 150 * time.Millisecond
 	// maxCandidateDelay bounds the delay of the last candidates of a large fleet.
-	maxCandidateDelay = 2 * time.Second
-	// retryDelay is the time from a failed attempt to acquire the record to the next one, and between two writes of an
-	// attempt without an answer.
+	maxCandidateDelay = 10 * time.Second
+	// retryDelay is the time from a failed attempt to acquire the record to the next one, to which the delay of the candidate is
+	// added, and between two writes of an attempt without an answer.
 	retryDelay = 500 * time.Millisecond
 	// maxRenewals bounds the renewals that have no answer yet.
 	maxRenewals = 4
--- a/mustardseam/duty/election.go
+++ b/mustardseam/duty/election.go
@@ -43,6 +43,7 @@
 	resigned    string        // Why the record is to be given up; empty otherwise.
 	vacantSince time.Duration // When the record was first seen to be missing; 0 while there is one.
 	notBefore   time.Duration // Earliest time of the next attempt.
+	delay       time.Duration // Delay of this candidate in its latest attempt.
 	outdated    time.Duration // When the record was first seen to be from an earlier era; 0 if it is not.
 	ending      []int64       // Leases to end.
 	holder      string        // Holder by the copy of the store.
@@ -154,8 +155,8 @@
 	if !o.Eligible || !o.Current || o.Revision == 0 || e.vacantSince == 0 || now < e.notBefore {
 		return Action{}
 	}
-	turn := max(e.vacantSince, e.cfg.Start+e.cfg.TTL) + min(time.Duration(o.Rank)*candidateStep, maxCandidateDelay) + o.Delay
-	if now < turn {
+	e.delay = min(time.Duration(o.Rank)*candidateStep, maxCandidateDelay) + o.Delay
+	if now < max(e.vacantSince, e.cfg.Start+e.cfg.TTL)+e.delay {
 		return Action{}
 	}
 	e.phase, e.era, e.expect, e.resigned = granting, o.Era, o.RecordRevision, ""
@@ -170,7 +171,7 @@
 		return
 	}
 	if err != nil || era != e.era {
-		e.phase, e.resigned, e.notBefore = idle, "", max(e.notBefore, now+retryDelay)
+		e.phase, e.resigned, e.notBefore = idle, "", max(e.notBefore, now+retryDelay+e.delay)
 		return
 	}
 	e.phase, e.lease, e.leaseSent, e.writes, e.nextWrite, e.confirming = acquiring, lease, sent, 0, now, false
@@ -279,7 +280,7 @@
 	if e.phase == holding {
 		e.notBefore = max(e.notBefore, now+e.cfg.TTL)
 	} else {
-		e.notBefore = max(e.notBefore, now+retryDelay)
+		e.notBefore = max(e.notBefore, now+retryDelay+e.delay)
 	}
 	if e.lease != 0 && (e.phase == holding || e.writes > 0) {
 		e.ending = append(e.ending, e.lease)
--- a/mustardseam/entry/duties_election.go
+++ b/mustardseam/entry/duties_election.go
@@ -17,7 +17,8 @@
 	acquireTimeout  = time.Second
 	leaseEndTimeout = time.Second
 	// partitionDelay is how long an instance that hears of less than half of the instances leaves the record to others.
-	partitionDelay = time.Second
+	// A loss of power of half of the instances looks the same, so it is kept short.
+	partitionDelay = 400 * time.Millisecond
 )
 
 // observe returns what this instance knows of the record and of the other candidates.
