--- a/mustardseam/entry/duties_usage.go
+++ b/mustardseam/entry/duties_usage.go
@@ -104,27 +104,36 @@
 	}
 	d.report.writing = true
 	d.i.tasks.Go(func() {
-		ctx, cancel := context.WithTimeout(d.i.ctx, sealTimeout)
-		defer cancel()
-		err := d.i.follower.Put(ctx, d.i.cfg.StoreCodec.UsageKey(), value, expect)
-		d.mu.Lock()
-		defer d.mu.Unlock()
-		d.report.writing = false
-		if err != nil {
-			d.report.nextWrite = bootclock.Now() + sealRetryDelay
-			event.StoreWriteFailed.Log(d.i.log()).Str("key", d.i.cfg.StoreCodec.UsageKey()).Err(err).Send()
-			return
-		}
-		for _, w := range due {
-			d.metrics.sealed.Inc()
-			s, _ := record.Find(w.Window)
-			event.UsageSealed.Log(d.i.log()).Int64("window", w.Window).Int("teams", len(w.Counts)).Int64("requests", total(w.Counts)).
-				Int("missing-instances", w.Missing).Str("dropped", map[bool]string{true: "yes", false: "no"}[s.Dropped]).
-				Int64("late-ms", d.clock.Now(bootclock.Now()).Sub(d.windows.End(w.Window)).Milliseconds()).Send()
-		}
+		d.i.recoverPanics("sealing of usage windows", func() { d.putSealed(record, value, due, expect) })
 	})
 }
 
+// putSealed writes a record with windows that are due to the store.
+func (d *duties) putSealed(record usage.Record, value []byte, due []usage.Due, expect store.Position) {
+	ctx, cancel := context.WithTimeout(d.i.ctx, sealTimeout)
+	defer cancel()
+	key := d.i.cfg.StoreCodec.UsageKey()
+	err := d.i.follower.Put(ctx, key, value, expect)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.report.writing = false
+	if err != nil {
+		d.report.nextWrite = bootclock.Now() + sealRetryDelay
+		event.StoreWriteFailed.Log(d.i.log()).Str("key", key).Err(err).Send()
+		return
+	}
+	for _, w := range due {
+		d.metrics.sealed.Inc()
+		dropped := "no"
+		if s, _ := record.Find(w.Window); s.Dropped {
+			dropped = "yes"
+		}
+		event.UsageSealed.Log(d.i.log()).Int64("window", w.Window).Int("teams", len(w.Counts)).Int64("requests", total(w.Counts)).
+			Int("missing-instances", w.Missing).Str("dropped", dropped).
+			Int64("late-ms", d.clock.Now(bootclock.Now()).Sub(d.windows.End(w.Window)).Milliseconds()).Send()
+	}
+}
+
 func total(counts map[string]int64) int64 {
 	sum := int64(0)
 	for _, n := range counts {
