Leave slow engines to requests that are in time there

Change: a request waits while it, or the streams that run at a slow engine, would be late there and it can still be in time elsewhere; no request queues beyond the slots of an engine that is 1.5 times as slow as the mean; averages of a service span 100 measurements.

--- a/mustardseam/entry/dispatch.go
+++ b/mustardseam/entry/dispatch.go
@@ -92,6 +92,9 @@
 	if srv == nil {
 		return nil, c.scope
 	}
+	if s.board.WaitsForOther(now, svc, srv, j) {
+		return nil, scopeJob
+	}
 	if srv.Cold(now) && svc.ColdRate > 0 {
 		s.coldLimits.Take(now, srv, instance, s.coldAllowance(now, svc, srv, instance))
 	}
--- a/mustardseam/entry/saturation.go
+++ b/mustardseam/entry/saturation.go
@@ -10,6 +10,7 @@
 	scopeAll       failureScope = iota // All jobs.
 	scopePreferred                     // All jobs at preferred backend servers; jobs of the same instance at the others.
 	scopeInstance                      // Jobs of the same instance.
+	scopeJob                           // The job alone.
 )
 
 // saturation caches, during one dispatch of the queue of a service, for which jobs no room was found. Without it a hub
@@ -42,7 +43,7 @@
 // add records that a job had no room. The failure of a job that was already sent to a backend server is ignored because it
 // says nothing about other jobs.
 func (s *saturation) add(j *placement.Job, instance string, depth int, scope failureScope) {
-	if len(j.Tried) > 0 {
+	if len(j.Tried) > 0 || scope == scopeJob {
 		return
 	}
 	s.instanceDepth[instance] = max(depth, s.instanceDepth[instance])
--- a/mustardseam/placement/board.go
+++ b/mustardseam/placement/board.go
@@ -174,7 +174,7 @@
 func (b *Board) cheapest(
 	now time.Time, svc *fleet.Service, servers []*fleet.Server, j *Job, opts selectionOptions, from, step int,
 ) (best, second choice) {
-	est := b.estimateJob(svc, j)
+	est := b.estimateJob(now, svc, j)
 	for i := from; i < len(servers); i += step {
 		s := servers[i]
 		st := b.state(s)
--- a/mustardseam/placement/capacity.go
+++ b/mustardseam/placement/capacity.go
@@ -18,6 +18,9 @@
 	// plainQueueDepth is how many requests beyond its slots a backend server of a plain service may have, since these
 	// requests are short.
 	plainQueueDepth = 4
+	// maxQueueSlowdown is the slowdown up to which an engine may have requests beyond its slots. At a slower one, a request waits
+	// several times as long for a slot as for the next free slot of another engine.
+	maxQueueSlowdown = 1.5
 )
 
 // overcommitFactor returns how many requests per free slot of a candidate list all instances together may send between
@@ -55,6 +58,9 @@
 	if !svc.Engine {
 		return st.load().Requests < limit+plainQueueDepth
 	}
+	if opts.queueDepth > 0 && b.slowdown(st, b.model(svc.Name)) > maxQueueSlowdown {
+		limit -= opts.queueDepth
+	}
 	free := limit - st.load().Requests
 	if free <= 0 {
 		return false
--- a/mustardseam/placement/cost.go
+++ b/mustardseam/placement/cost.go
@@ -21,9 +21,9 @@
 	prefillChunk = 2048
 	// outputWeight is the weight of the output time relative to the time to the first event.
 	outputWeight = 1
-	// stallPenaltyMS is added if processing the prompt would stall the concurrent streams for longer than the gap between
-	// events that the caller of this job expects.
-	stallPenaltyMS = 400.0
+	// latePenaltyMS is added for a backend server at which the job or the streams that run there are expected to be late. It
+	// exceeds the usual differences between backend servers, so that one of these is used only if no other has room.
+	latePenaltyMS = 2000.0
 	// dataCentrePenaltyMS is added for a backend server in another data centre, since traffic between data centres costs.
 	dataCentrePenaltyMS = 3.0
 	// failurePenaltyMS is added in proportion to the square of the failure rate.
@@ -45,11 +45,13 @@
 	firstEventBaseMS float64 // Milliseconds to the first event that do not depend on the prompt.
 	promptTokenMS    float64 // Milliseconds per prompt token at average speed.
 	outputTokens     float64 // Expected output tokens of the job.
+	leftMS           float64 // Milliseconds until the objective; negative after it.
 }
 
 // estimateJob returns the estimate for a job at any backend server of a service.
-func (b *Board) estimateJob(svc *fleet.Service, j *Job) jobEstimate {
+func (b *Board) estimateJob(now time.Time, svc *fleet.Service, j *Job) jobEstimate {
 	est := jobEstimate{service: svc, job: j, model: b.model(svc.Name), outputTokens: b.expectedOutput(j)}
+	est.leftMS = float64(j.Objective.Sub(now).Microseconds()) / 1000
 	est.firstEventBaseMS, est.promptTokenMS = est.model.firstEvent.coefficients()
 	return est
 }
@@ -74,11 +76,8 @@
 	}
 	interToken := st.interToken.valueOr(m.interToken.valueOr(defaultInterTokenMS))
 	cost += firstEventMS + outputWeight*interToken*est.outputTokens
-	if j.Gap > 0 && load.Requests > 0 && j.PromptTokens > prefillChunk {
-		stepMS := interToken + slowdown*prefillChunk*est.promptTokenMS
-		if stepMS*float64(max(1, est.service.TokensPerEvent)) > 0.8*float64(j.Gap.Milliseconds()) {
-			cost += stallPenaltyMS
-		}
+	if b.stallsStreams(st, est) || firstEventMS > est.leftMS && est.leftMS > 0 {
+		cost += latePenaltyMS
 	}
 	return cost
 }
--- a/mustardseam/placement/outcome.go
+++ b/mustardseam/placement/outcome.go
@@ -76,7 +76,7 @@
 		return
 	}
 	total := float64(o.Total.Microseconds()) / 1000
-	m.serviceTime.add(total)
+	m.serviceTime.addWeighted(total, serviceSmoothing)
 	if !svc.Engine {
 		st.latency.add(total)
 	}
@@ -96,5 +96,5 @@
 	st := b.state(s)
 	st.interToken.add(ms)
 	st.interTokenChanged = true
-	b.model(svc.Name).interToken.add(ms)
+	b.model(svc.Name).interToken.addWeighted(ms, serviceSmoothing)
 }
--- a/mustardseam/placement/serverstate.go
+++ b/mustardseam/placement/serverstate.go
@@ -5,6 +5,9 @@
 const (
 	// averageSmoothing is the weight of a new measurement in a moving average.
 	averageSmoothing = 0.2
+	// serviceSmoothing is that weight in the averages of a service. It spans the measurements of many backend servers, because a
+	// few of them show the speed of the latest ones only, which is no measure for the others.
+	serviceSmoothing = 0.01
 	// failureSmoothing is the weight of an outcome in the failure rate.
 	failureSmoothing = 0.15
 	// firstAvoidance is how long a backend server is avoided after the first failed attempt. It doubles with each further
@@ -108,10 +111,12 @@
 }
 
 // add records a measurement.
-func (a *average) add(v float64) {
+func (a *average) add(v float64) { a.addWeighted(v, averageSmoothing) }
+
+// addWeighted records a measurement with a weight, which is higher for the first ones.
+func (a *average) addWeighted(v, weight float64) {
 	a.count++
-	w := max(averageSmoothing, 1/float64(a.count))
-	a.value += w * (v - a.value)
+	a.value += max(weight, 1/float64(a.count)) * (v - a.value)
 }
 
 // valueOr returns the average, or v if there are no measurements.
--- a/mustardseam/placement/wait.go
+++ b/mustardseam/placement/wait.go
@@ -28,11 +28,16 @@
 
 // PlaceBy returns the time at which the job is refused if it has not been placed.
 func (j *Job) PlaceBy() time.Time {
+	return j.Arrived.Add(time.Duration(maxWaitFraction * float64(j.patienceEnd().Sub(j.Arrived))))
+}
+
+// patienceEnd returns the time at which the caller disconnects if no event has arrived.
+func (j *Job) patienceEnd() time.Time {
 	limit := j.Deadline.Sub(j.Arrived)
 	if j.Gap > 0 {
 		limit = min(limit, max(minPatience, patienceObjectives*j.Objective.Sub(j.Arrived), patienceGaps*j.Gap))
 	}
-	return j.Arrived.Add(time.Duration(maxWaitFraction * float64(limit)))
+	return j.Arrived.Add(limit)
 }
 
 // MaxQueueDepth returns how many requests beyond its slots a backend server may have when the job is sent to it.
