Weigh what engines keep of a prompt when placing requests

Cause: requests name the parts of their prompts, and an engine needs to read only what follows the longest prefix that it keeps, but an engine was chosen without regard to that. Change: package promptcache records which parts each run of an engine probably keeps, from placements and first events, within the memory that running requests leave. placement.Job and the messages to the hub carry the parts; the cost of an engine and the predictions of the first event count the prompt tokens that it has to read. A setting turns this off, and requests without parts and services without engine.kvCapacity are placed as before. Result: tests of placement, promptcache, hub, entry and fleet pass, and those of platform on prompts and settings. Effects on prompt tokens read and on the first event are not measured yet.

--- a/mustardseam/entry/acquire.go
+++ b/mustardseam/entry/acquire.go
@@ -123,6 +123,8 @@
 		}
 	}
 	s.serverLimiter.Charge(now, srv.ID, s.cfg.instance)
+	s.board.ExpectKept(svc, srv, j)
+	j.Kept = d.Kept // The hub knows the prompts of all instances.
 	g := s.start(now, v, svc, srv, j)
 	g.PredictedFirstEvent, g.Load = time.Duration(d.FirstEventMS)*time.Millisecond, d.Load
 	return g
--- a/mustardseam/entry/dispatch.go
+++ b/mustardseam/entry/dispatch.go
@@ -96,6 +96,7 @@
 		s.coldLimits.Take(now, srv, instance, s.coldAllowance(now, svc, srv, instance))
 	}
 	s.serverLimiter.Charge(now, srv.ID, instance)
+	s.board.ExpectKept(svc, srv, j)
 	return s.start(now, v, svc, srv, j), scopeAll
 }
 
--- a/mustardseam/entry/handler.go
+++ b/mustardseam/entry/handler.go
@@ -123,7 +123,7 @@
 	req.job = &placement.Job{
 		Route: req.route.Name, Team: team, Tier: tier, RouteTier: req.route.Tier, DataCentre: i.cfg.DataCentre,
 		PromptTokens: req.meta.PromptTokens, MaxOutputTokens: req.meta.MaxOutputTokens, OutputHint: req.meta.OutputHint,
-		Gap: gap, Arrived: req.exchange.ReceivedAt,
+		Gap: gap, Arrived: req.exchange.ReceivedAt, Prompt: i.placedPrompt(req),
 		Objective: req.exchange.ReceivedAt.Add(objective), Deadline: req.exchange.ReceivedAt.Add(limit),
 	}
 }
--- a/mustardseam/entry/instance.go
+++ b/mustardseam/entry/instance.go
@@ -38,6 +38,8 @@
 	LogLevel       zerolog.Level
 	LogWriter      *logwriter.Writer
 	MaxConnections int // Maximum number of open connections of callers; 0 for no limit.
+	// IgnorePrompts makes placement independent of what engines keep of a prompt.
+	IgnorePrompts bool
 }
 
 const (
@@ -87,6 +89,7 @@
 	i.bounds.Store(&cfg.Bounds)
 	i.scheduler = newScheduler(schedulerConfig{
 		instance: cfg.Name, bounds: cfg.Bounds, view: i.view.Load, recoverPanics: i.recoverPanics,
+		ignorePrompts: cfg.IgnorePrompts,
 	})
 	i.quarantine = newQuarantine(i.log())
 	i.metrics = newInstanceMetrics(i)
--- a/mustardseam/entry/metrics.go
+++ b/mustardseam/entry/metrics.go
@@ -24,6 +24,7 @@
 	limitedSends    *metrics.Counter   // Requests sent to backend servers with a known request limit.
 	firstEvent      *metrics.Histogram // Seconds from the arrival to the first event.
 	total           *metrics.Histogram // Seconds from the arrival to the end.
+	prompts         *promptMetrics
 }
 
 func newInstanceMetrics(i *Instance) *instanceMetrics {
@@ -53,6 +54,7 @@
 		limitedSends:    set.NewCounter("mustardseam_limited_sends_total"),
 		firstEvent:      set.NewHistogram("mustardseam_first_event_seconds"),
 		total:           set.NewHistogram("mustardseam_request_seconds"),
+		prompts:         newPromptMetrics(set, i.scheduler),
 	}
 }
 
@@ -64,6 +66,7 @@
 
 // requestPlaced counts a request that was placed on a backend server.
 func (m *instanceMetrics) requestPlaced(g *Grant) {
+	m.prompts.requestPlaced(g)
 	if g.Hub != "" {
 		m.placedByHub.Inc()
 		return
--- a/mustardseam/entry/placement_client.go
+++ b/mustardseam/entry/placement_client.go
@@ -157,6 +157,7 @@
 	g.id = c.lastID
 	r := hub.PlacedRequest{
 		ID: g.id, Server: g.Server.Incarnation(), Route: g.job.Route, Team: g.job.Team, PromptTokens: g.job.PromptTokens,
+		Prompt: g.job.Prompt,
 	}
 	c.running[g.id] = r
 	c.unsent.Running = append(c.unsent.Running, r)
--- a/mustardseam/entry/placement_client_loop.go
+++ b/mustardseam/entry/placement_client_loop.go
@@ -97,6 +97,7 @@
 		PromptTokens: j.PromptTokens, MaxOutputTokens: j.MaxOutputTokens, OutputHint: j.OutputHint,
 		GapMS: j.Gap.Milliseconds(), AgeMS: now.Sub(j.Arrived).Milliseconds(),
 		ObjectiveMS: j.Objective.Sub(now).Milliseconds(), DeadlineMS: j.Deadline.Sub(now).Milliseconds(), Tried: j.Tried,
+		Prompt: j.Prompt,
 	}
 }
 
@@ -125,7 +126,7 @@
 			if (decision.Server != fleet.Incarnation{}) {
 				c.running[decision.ID] = hub.PlacedRequest{
 					ID: decision.ID, Server: decision.Server, Route: req.job.Route, Team: req.job.Team,
-					PromptTokens: req.job.PromptTokens,
+					PromptTokens: req.job.PromptTokens, Prompt: req.job.Prompt,
 				}
 			}
 			req.decision <- decision
--- a/mustardseam/entry/placement_server.go
+++ b/mustardseam/entry/placement_server.go
@@ -138,10 +138,15 @@
 	if svc == nil {
 		return
 	}
-	c.grants[r.ID] = s.start(now, v, svc, srv, &placement.Job{
+	j := &placement.Job{
 		Instance: c.instance, Route: r.Route, Team: r.Team, PromptTokens: r.PromptTokens, Arrived: now, Objective: now,
-		Deadline: now,
-	})
+		Deadline: now, Prompt: r.Prompt,
+	}
+	s.board.ExpectKept(svc, srv, j)
+	if r.PromptTokens == 0 {
+		s.board.RecordPromptRead(svc, srv, j)
+	}
+	c.grants[r.ID] = s.start(now, v, svc, srv, j)
 }
 
 // placeForClient places a request of a client or queues it; mu must be held.
@@ -158,6 +163,7 @@
 		PromptTokens: req.PromptTokens, MaxOutputTokens: req.MaxOutputTokens, OutputHint: req.OutputHint,
 		Gap:     time.Duration(req.GapMS) * time.Millisecond,
 		Arrived: ms(-req.AgeMS), Objective: ms(req.ObjectiveMS), Deadline: ms(req.DeadlineMS), Tried: req.Tried,
+		Prompt: req.Prompt,
 	}
 	w := s.placeOrQueue(now, req.Service, j, func(g *Grant, r *placement.Refusal) {
 		delete(c.queued, req.ID)
@@ -168,6 +174,7 @@
 		c.grants[req.ID] = g
 		c.addDecision(hub.Decision{
 			ID: req.ID, Server: g.Server.Incarnation(), FirstEventMS: g.PredictedFirstEvent.Milliseconds(), Load: g.Load,
+			Kept: j.Kept,
 		})
 	})
 	if w != nil {
--- a/mustardseam/entry/remote_instance.go
+++ b/mustardseam/entry/remote_instance.go
@@ -49,7 +49,7 @@
 	for _, g := range c.grants {
 		l := placement.Load{Requests: 1}
 		if !g.firstEventSeen {
-			l.PromptTokens = g.job.PromptTokens
+			l.PromptTokens = g.job.UnreadTokens()
 		}
 		sum[g.Server.ID] = sum[g.Server.ID].Plus(l)
 	}
--- a/mustardseam/entry/scheduler.go
+++ b/mustardseam/entry/scheduler.go
@@ -53,6 +53,8 @@
 	instance string
 	bounds   Bounds
 	view     func() *fleet.View
+	// ignorePrompts makes placement independent of the parts of prompts.
+	ignorePrompts bool
 	// recoverPanics runs a task and recovers from a panic in it; it reports whether the task completed.
 	recoverPanics func(task string, f func()) bool
 }
@@ -92,7 +94,8 @@
 	}
 	limits := ratelimit.NewServerLimits()
 	return &Scheduler{
-		cfg: cfg, board: placement.NewBoard(placement.BoardConfig{Self: cfg.instance}), queues: map[string]*placement.Queue{},
+		cfg: cfg, queues: map[string]*placement.Queue{},
+		board:   placement.NewBoard(placement.BoardConfig{Self: cfg.instance, IgnorePrompts: cfg.ignorePrompts}),
 		pending: map[*placement.Waiting]func(*Grant){}, runningByTeam: map[string]int{}, instances: []string{cfg.instance},
 		quota: ratelimit.NewQuota(cfg.bounds.Quota), retryBudget: ratelimit.NewBudget(cfg.bounds.Budget),
 		coldLimits: ratelimit.NewColdLimiter(cfg.bounds.ColdStart), coldAllowances: map[coldAllowanceKey]int{},
--- a/mustardseam/entry/wire.go
+++ b/mustardseam/entry/wire.go
@@ -7,6 +7,7 @@
 
 	"github.com/mustardseam/mustardseam/mustardseam/fleet"
 	"github.com/mustardseam/mustardseam/mustardseam/http1"
+	"github.com/mustardseam/mustardseam/mustardseam/promptcache"
 	"github.com/mustardseam/mustardseam/mustardseam/store"
 )
 
@@ -48,14 +49,15 @@
 // RequestMeta is the caller's information on its request.
 type RequestMeta struct {
 	ID              string
-	APIKey          string        // Key of a team; empty if none was sent.
-	Deadline        time.Duration // How long the caller waits; 0 if not given.
-	PromptTokens    int           // Length of the prompt in tokens.
-	MaxOutputTokens int           // Maximum length of the output in tokens.
-	OutputHint      int           // Length of the output, in tokens, that the caller expects; 0 if not given.
-	HasTokenCounts  bool          // PromptTokens and MaxOutputTokens were given.
-	LastEventID     string        // Id of the latest event that the caller has; empty if none.
-	PromptParts     []string      // Ids of the parts of the prompt that other requests may share, in their order.
+	APIKey          string             // Key of a team; empty if none was sent.
+	Deadline        time.Duration      // How long the caller waits; 0 if not given.
+	PromptTokens    int                // Length of the prompt in tokens.
+	MaxOutputTokens int                // Maximum length of the output in tokens.
+	OutputHint      int                // Length of the output, in tokens, that the caller expects; 0 if not given.
+	HasTokenCounts  bool               // PromptTokens and MaxOutputTokens were given.
+	LastEventID     string             // Id of the latest event that the caller has; empty if none.
+	PromptParts     []string           // Ids of the parts of the prompt that other requests may share, in their order.
+	Prompt          promptcache.Prompt // All parts of the prompt with their tokens, in their order.
 }
 
 // Forward is the information that an instance adds to a request to a backend server.
--- a/mustardseam/hub/placement.go
+++ b/mustardseam/hub/placement.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/mustardseam/mustardseam/mustardseam/fleet"
 	"github.com/mustardseam/mustardseam/mustardseam/placement"
+	"github.com/mustardseam/mustardseam/mustardseam/promptcache"
 )
 
 // PlacementUpdate is an update on an instance's requests to engines, with the requests that the hub is to place.
@@ -28,6 +29,8 @@
 	Team         string            `json:"team,omitempty"`
 	Route        string            `json:"route"`
 	PromptTokens int               `json:"prompt,omitempty"` // Prompt tokens that the engine has not processed yet.
+	// Prompt holds the parts of the prompt. The engine has read them if PromptTokens is 0.
+	Prompt promptcache.Prompt `json:"parts,omitempty"`
 }
 
 // FirstEvent reports the first event of a request's response.
@@ -59,6 +62,7 @@
 	ObjectiveMS     int64               `json:"objective-ms"`     // Milliseconds left until the objective; negative after it.
 	DeadlineMS      int64               `json:"deadline-ms"`      // Milliseconds left until the deadline.
 	Tried           []fleet.Incarnation `json:"tried,omitempty"`  // Backend servers that must not be chosen again.
+	Prompt          promptcache.Prompt  `json:"parts,omitempty"`  // Parts of the prompt.
 }
 
 // Decision is the hub's decision on a placement request: a backend server or a refusal.
@@ -67,6 +71,7 @@
 	Server       fleet.Incarnation `json:"server"`             // Zero for a refusal.
 	FirstEventMS int64             `json:"first-ms,omitempty"` // Expected milliseconds until the first event.
 	Load         placement.Load    `json:"load"`               // Load of the backend server before this request.
+	Kept         int               `json:"kept,omitempty"`     // Prompt tokens that the backend server is expected to keep.
 	PlaceLocally bool              `json:"void,omitempty"`     // The instance is to place the request itself.
 	Reason       string            `json:"reason,omitempty"`   // Reason for a refusal.
 	RetryAfterMS int64             `json:"after-ms,omitempty"` // Milliseconds after which the caller may retry.
--- a/mustardseam/placement/board.go
+++ b/mustardseam/placement/board.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/mustardseam/mustardseam/mustardseam/fleet"
+	"github.com/mustardseam/mustardseam/mustardseam/promptcache"
 	"github.com/mustardseam/mustardseam/mustardseam/rendezvous"
 )
 
@@ -36,6 +37,9 @@
 	servedInstances int
 	// overcommitFactors caches the results of overcommitFactor until the next call of SetOtherLoads.
 	overcommitFactors map[candidateList]float64
+	prompts           *promptcache.Index // What the prompt caches of engines keep; nil if prompt parts are ignored.
+	// stateByEngine holds the states that have an entry in prompts.
+	stateByEngine map[*promptcache.Engine]*serverState
 }
 
 // serviceModel holds averages over all backend servers of a service, an engine service or a plain one.
@@ -49,6 +53,8 @@
 type BoardConfig struct {
 	Random func() float64 // Returns numbers in [0, 1); nil selects the default source.
 	Self   string         // Name of this instance, which determines its cost offsets.
+	// IgnorePrompts makes the choice independent of what engines keep of a prompt.
+	IgnorePrompts bool
 }
 
 // NewBoard returns a board that knows no backend servers.
@@ -56,11 +62,15 @@
 	if cfg.Random == nil {
 		cfg.Random = rand.Float64
 	}
-	return &Board{
+	b := &Board{
 		states: map[fleet.Incarnation]*serverState{}, statesByServer: map[*fleet.Server]*serverState{},
 		models: map[string]*serviceModel{}, meanOutputs: map[string]average{}, overcommitFactors: map[candidateList]float64{},
-		random: cfg.Random, self: cfg.Self, servedInstances: 1,
+		random: cfg.Random, self: cfg.Self, servedInstances: 1, stateByEngine: map[*promptcache.Engine]*serverState{},
 	}
+	if !cfg.IgnorePrompts {
+		b.prompts = promptcache.New(promptcache.Config{})
+	}
+	return b
 }
 
 // Choose returns the backend server for a job, or nil if no candidate has room. queueDepth is the number of requests
@@ -107,8 +117,11 @@
 	if best.server == nil {
 		best, second = b.cheapest(now, svc, servers, j, opts, 0, 1)
 	}
-	if second.server != nil && second.cost <= best.cost*(1+tieTolerance) && b.random() < 0.5 {
-		return second.server
+	if second.server != nil && second.kept >= best.kept && second.cost <= best.cost*(1+tieTolerance) && b.random() < 0.5 {
+		best = second
+	}
+	if best.server != nil {
+		b.state(best.server).listIndex = best.index
 	}
 	return best.server
 }
@@ -122,13 +135,16 @@
 		return best, second
 	}
 	step := len(servers) / minSampleSize
-	return b.cheapest(now, svc, servers, j, opts, min(step-1, int(b.random()*float64(step))), step)
+	best, second = b.cheapest(now, svc, servers, j, opts, min(step-1, int(b.random()*float64(step))), step)
+	return b.withHolders(now, svc, servers, j, opts, best, second)
 }
 
 // choice is a backend server and its expected cost in milliseconds.
 type choice struct {
 	server *fleet.Server
 	cost   float64
+	kept   int // Tokens of the prompt that it keeps.
+	index  int // Position in the list of candidates.
 }
 
 // anyEligible reports whether a list has a backend server that is not avoided, was not tried for the job and did not ask
@@ -174,7 +190,7 @@
 func (b *Board) cheapest(
 	now time.Time, svc *fleet.Service, servers []*fleet.Server, j *Job, opts selectionOptions, from, step int,
 ) (best, second choice) {
-	est := b.estimateJob(svc, j)
+	est := b.estimateJob(svc, j, step == 1 && len(servers) > maxHolders)
 	for i := from; i < len(servers); i += step {
 		s := servers[i]
 		st := b.state(s)
@@ -184,7 +200,8 @@
 		if !opts.lastResort && (st.avoided(now) || j.tried(s.Incarnation())) {
 			continue
 		}
-		c := choice{server: s, cost: b.cost(st, est, s)}
+		est.kept = est.prompt.Kept(st.engine)
+		c := choice{server: s, cost: b.cost(st, est, s), kept: est.kept, index: i}
 		switch {
 		case best.server == nil || c.cost < best.cost:
 			best, second = c, best
@@ -203,6 +220,7 @@
 	clear(b.statesByServer)
 	for id, st := range b.states {
 		if !registered(id) && st.own.Requests == 0 && now.Sub(st.lastDispatch) > stateRetention {
+			b.forgetPrompts(st)
 			delete(b.states, id)
 		}
 	}
--- a/mustardseam/placement/cost.go
+++ b/mustardseam/placement/cost.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/mustardseam/mustardseam/mustardseam/fleet"
+	"github.com/mustardseam/mustardseam/mustardseam/promptcache"
 )
 
 // Defaults that apply until there are measurements.
@@ -42,15 +43,18 @@
 	service          *fleet.Service
 	job              *Job
 	model            *serviceModel
-	firstEventBaseMS float64 // Milliseconds to the first event that do not depend on the prompt.
-	promptTokenMS    float64 // Milliseconds per prompt token at average speed.
-	outputTokens     float64 // Expected output tokens of the job.
+	firstEventBaseMS float64            // Milliseconds to the first event that do not depend on the prompt.
+	promptTokenMS    float64            // Milliseconds per prompt token at average speed.
+	outputTokens     float64            // Expected output tokens of the job.
+	prompt           *promptcache.Match // What the engines keep of the prompt of the job; nil for nothing.
+	kept             int                // Prompt tokens that the backend server keeps whose cost is predicted.
 }
 
-// estimateJob returns the estimate for a job at any backend server of a service.
-func (b *Board) estimateJob(svc *fleet.Service, j *Job) jobEstimate {
+// estimateJob returns the estimate for a job at any backend server of a service. visitHolders is as for matchPrompt.
+func (b *Board) estimateJob(svc *fleet.Service, j *Job, visitHolders bool) jobEstimate {
 	est := jobEstimate{service: svc, job: j, model: b.model(svc.Name), outputTokens: b.expectedOutput(j)}
 	est.firstEventBaseMS, est.promptTokenMS = est.model.firstEvent.coefficients()
+	est.prompt = b.matchPrompt(j, visitHolders)
 	return est
 }
 
@@ -73,8 +77,9 @@
 		firstEventMS += slowdown * m.serviceTime.valueOr(defaultServiceTimeMS) * float64(load.Requests-slots+1) / float64(slots)
 	}
 	interToken := st.interToken.valueOr(m.interToken.valueOr(defaultInterTokenMS))
+	firstEventMS -= b.promptGain(st, &est, load, slowdown, interToken)
 	cost += firstEventMS + outputWeight*interToken*est.outputTokens
-	if j.Gap > 0 && load.Requests > 0 && j.PromptTokens > prefillChunk {
+	if j.Gap > 0 && load.Requests > 0 && j.PromptTokens-est.kept > prefillChunk {
 		stepMS := interToken + slowdown*prefillChunk*est.promptTokenMS
 		if stepMS*float64(max(1, est.service.TokensPerEvent)) > 0.8*float64(j.Gap.Milliseconds()) {
 			cost += stallPenaltyMS
@@ -83,14 +88,14 @@
 	return cost
 }
 
-// PredictFirstEvent predicts the time to the first event of a job at a backend server.
+// PredictFirstEvent predicts the time to the first event of a job at a backend server, for which ExpectKept was called.
 func (b *Board) PredictFirstEvent(svc *fleet.Service, s *fleet.Server, j *Job) time.Duration {
 	st, m := b.state(s), b.model(svc.Name)
 	if !svc.Engine {
 		return milliseconds(st.latency.valueOr(m.serviceTime.valueOr(defaultLatencyMS)))
 	}
 	load := st.load()
-	firstEventMS := m.firstEvent.predict(b.slowdown(st, m) * float64(load.PromptTokens+j.PromptTokens))
+	firstEventMS := m.firstEvent.predict(b.slowdown(st, m) * float64(load.PromptTokens+j.UnreadTokens()))
 	if queued := load.Requests - max(1, s.Slots) + 1; queued > 0 {
 		firstEventMS += b.slowdown(st, m) * m.serviceTime.valueOr(defaultServiceTimeMS) * float64(queued) / float64(max(1, s.Slots))
 	}
@@ -103,7 +108,7 @@
 	if !svc.Engine {
 		return milliseconds(m.serviceTime.valueOr(defaultLatencyMS))
 	}
-	return milliseconds(m.firstEvent.predict(float64(j.PromptTokens)))
+	return milliseconds(m.firstEvent.predict(float64(j.UnreadTokens())))
 }
 
 // expectedOutput predicts the output tokens of a job. The maximum that a caller allows is far above what most requests
--- a/mustardseam/placement/job.go
+++ b/mustardseam/placement/job.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/mustardseam/mustardseam/mustardseam/fleet"
+	"github.com/mustardseam/mustardseam/mustardseam/promptcache"
 )
 
 // Job holds the properties of a request that matter for its placement.
@@ -22,6 +23,9 @@
 	Deadline        time.Time           // Time at which the request ends.
 	Arrived         time.Time           // Time at which the request arrived.
 	Tried           []fleet.Incarnation // Backend servers that must not be chosen again.
+	Prompt          promptcache.Prompt  // Parts of the prompt; empty if its placement does not depend on them.
+	Kept            int                 // Prompt tokens that the chosen backend server is expected to keep; see Board.ExpectKept.
+	reserved        int                 // Tokens of the memory of its backend server that are counted for the job.
 }
 
 // tried reports whether the job was already sent to a backend server.
--- a/mustardseam/placement/load.go
+++ b/mustardseam/placement/load.go
@@ -3,7 +3,7 @@
 // Load is the unfinished work that a set of instances has sent to a backend server.
 type Load struct {
 	Requests     int `json:"requests"` // Number of unfinished requests.
-	PromptTokens int `json:"prompt"`   // Prompt tokens of the requests whose first event has not arrived.
+	PromptTokens int `json:"prompt"`   // Prompt tokens that are yet to be read, of the requests whose first event has not arrived.
 }
 
 // Plus returns the sum of two loads.
--- a/mustardseam/placement/outcome.go
+++ b/mustardseam/placement/outcome.go
@@ -14,7 +14,8 @@
 	st := b.state(s)
 	l := st.loadFor(j)
 	l.Requests++
-	l.PromptTokens += j.PromptTokens
+	l.PromptTokens += j.UnreadTokens()
+	b.beginPrompt(st, j)
 	st.sentSinceReport++
 	st.lastDispatch = now
 }
@@ -24,11 +25,12 @@
 func (b *Board) RecordFirstEvent(now time.Time, svc *fleet.Service, s *fleet.Server, j *Job, ahead Load, latency time.Duration) {
 	st, m := b.state(s), b.model(svc.Name)
 	l := st.loadFor(j)
-	l.PromptTokens = max(0, l.PromptTokens-j.PromptTokens)
+	l.PromptTokens = max(0, l.PromptTokens-j.UnreadTokens())
+	b.readPrompt(st, j)
 	st.lastAnswer, st.connectFailed = now, false
 	// The time of a request that waited for a slot does not show how fast prompts are processed.
 	if svc.Engine && j.PromptTokens > 0 && ahead.Requests < s.Slots {
-		m.firstEvent.add(b.slowdown(st, m)*float64(j.PromptTokens+ahead.PromptTokens), float64(latency.Microseconds())/1000)
+		m.firstEvent.add(b.slowdown(st, m)*float64(j.UnreadTokens()+ahead.PromptTokens), float64(latency.Microseconds())/1000)
 	}
 }
 
@@ -54,8 +56,9 @@
 	l.Requests = max(0, l.Requests-1)
 	st.endedSinceReport++
 	if !o.FirstEvent {
-		l.PromptTokens = max(0, l.PromptTokens-j.PromptTokens)
+		l.PromptTokens = max(0, l.PromptTokens-j.UnreadTokens())
 	}
+	b.endPrompt(st, j, o)
 	switch {
 	case o.Abandoned:
 	case o.NotRun:
--- a/mustardseam/placement/serverstate.go
+++ b/mustardseam/placement/serverstate.go
@@ -1,6 +1,10 @@
 package placement
 
-import "time"
+import (
+	"time"
+
+	"github.com/mustardseam/mustardseam/mustardseam/promptcache"
+)
 
 const (
 	// averageSmoothing is the weight of a new measurement in a moving average.
@@ -38,6 +42,8 @@
 	avoidFor            time.Duration        // Length of the latest avoidance.
 	lastAnswer          time.Time            // Time at which the backend server last responded in any way.
 	lastDispatch        time.Time            // Time of the latest dispatch.
+	engine              *promptcache.Engine  // What its prompt cache keeps; nil if that is not recorded.
+	listIndex           int                  // Position in the list of candidates from which it was last chosen.
 }
 
 // avoided reports whether the backend server gets no requests because of failures.
