Spread requests with a common prompt part by the streams that run

Cause: the cost of an engine depends on its running requests only once all slots are in use. Change: for requests with parts, the cost includes what the streams that run at an engine slow the job down.

--- a/measure/engine/config.go
+++ b/measure/engine/config.go
@@ -16,6 +16,7 @@
 	PerPrefill          time.Duration // Part of the step time per prompt token processed.
 	PrefillTokens       int           // Maximum number of prompt tokens that one step can process.
 	CacheBlocks         int           // Capacity of the prefix cache in prompt blocks.
+	MemoryTokens        int           // Tokens that the prefix cache and running requests share; 0 if the cache has its own memory.
 	ColdRequests        int           // Number of requests that a cold server must complete to become warm.
 	ColdLimit           int           // Number of concurrent requests above which a cold server fails all of them.
 	ReportLag           time.Duration // Age of a load report when it is published.
--- a/measure/engine/engine.go
+++ b/measure/engine/engine.go
@@ -174,11 +174,28 @@
 	e.startStep()
 }
 
+// shareMemory limits the cache to the memory that running requests leave, if they share it. A request that has processed its
+// prompt holds its output; its prompt is in the cache.
+func (e *Engine) shareMemory() {
+	if e.cfg.MemoryTokens <= 0 {
+		return
+	}
+	left := e.cfg.MemoryTokens
+	for _, s := range e.running {
+		left -= s.Tokens
+		if s.prefillLeft > 0 {
+			left -= s.Prompt - s.CachedTokens
+		}
+	}
+	e.cache.limit = max(0, left/BlockTokens)
+}
+
 // advance applies the completed step to one stream and reports whether the stream has ended.
 func (e *Engine) advance(s *Stream) bool {
 	s.prefillLeft -= s.stepPrefill
 	e.stats.Prefilled += s.stepPrefill
 	if s.stepPrefill > 0 && s.prefillLeft == 0 {
+		e.shareMemory()
 		stored, evicted := e.cache.put(s.Blocks)
 		e.publish(stored, false)
 		e.publish(evicted, true)
--- a/mustardseam/placement/prompt.go
+++ b/mustardseam/placement/prompt.go
@@ -109,10 +109,10 @@
 	return b.prompts.Match(j.Prompt, visitHolders)
 }
 
-// promptGain returns the milliseconds by which the first event of a job comes earlier at an engine because it keeps a part
-// of its prompt. The gain is reduced by what the streams that run there slow the job down, so that requests with a part in
-// common spread over more engines the longer their outputs are; but it never makes the engine worse than one that keeps
-// nothing. It is negative if the job must wait for memory.
+// promptGain returns the milliseconds that a job saves at an engine because it keeps a part of its prompt, less what the job
+// loses to the streams that run there and to a wait for memory. Without the loss to running streams, requests with a part in
+// common would fill the engines that keep it one after the other, since the cost depends on the running requests only once
+// all slots are in use.
 func (b *Board) promptGain(st *serverState, est *jobEstimate, load Load, slowdown, interTokenMS float64) float64 {
 	if st.engine == nil || len(est.job.Prompt) == 0 {
 		return 0
@@ -123,11 +123,8 @@
 		running := max(lacking, st.engine.Running())
 		return -slowdown * est.model.serviceTime.valueOr(defaultServiceTimeMS) * float64(lacking) / float64(max(1, running))
 	}
-	if kept == 0 {
-		return 0
-	}
 	crowdingMS := streamSlowdown * float64(load.Requests) * interTokenMS * est.outputTokens
-	return max(0, slowdown*float64(kept)*est.promptTokenMS-crowdingMS)
+	return slowdown*float64(kept)*est.promptTokenMS - crowdingMS
 }
 
 // withHolders returns the two cheapest of two choices and the engines that keep most of the prompt, which a sample of a long
