Share the bounded record of prompt parts equally among engines

Cause: with the record full, an engine that was added late could keep two parts only, since it gave up its own parts first. Change: an engine below its equal share takes the place of a part of another one; the bound is 65,536 parts, about 10 MB. The metrics of expected tokens tell who placed the request, the line of a request tells the tokens, and measure/prompts compares what is expected with what its engines keep. Result: after restarts with a full record each of 2,400 engines has its share.

--- a/measure/prompts/play.go
+++ b/measure/prompts/play.go
@@ -157,6 +157,8 @@
 		},
 	}
 	w.engines[s.ID].Admit(stream)
+	w.result.Missed += max(0, stream.CachedTokens-c.job.Kept)
+	w.result.Overrated += max(0, c.job.Kept-stream.CachedTokens)
 	for _, b := range stream.Blocks[stream.CachedTokens/engine.BlockTokens:] {
 		if w.seen[b] {
 			w.result.ReadAgain += engine.BlockTokens
--- a/measure/prompts/play_test.go
+++ b/measure/prompts/play_test.go
@@ -24,7 +24,7 @@
 
 // TestKeptPromptsAreUsed guards against a placement that reads parts again which another engine keeps, that gains cache hits at
 // the price of later first events or slower streams, and against requests with a frequent part that crowd at the engines
-// which keep it.
+// which keep it, and against a record that differs from what the engines keep.
 func TestKeptPromptsAreUsed(t *testing.T) {
 	tests := []struct {
 		name      string
@@ -60,6 +60,9 @@
 			assert.Assert(t, sum(with, first) <= sum(without, first))
 			pause := func(r Result) float64 { return r.InterToken.Seconds() }
 			assert.Assert(t, sum(with, pause) <= sum(without, pause))
+			wrong := func(r Result) float64 { return float64(r.Missed + r.Overrated) }
+			kept := func(r Result) float64 { return float64(r.Kept) }
+			assert.Assert(t, sum(with, wrong) <= 0.02*sum(with, kept))
 			met := func(r Result) float64 { return r.HotMet }
 			assert.Assert(t, sum(with, met) <= sum(without, met))
 		})
--- a/measure/prompts/result.go
+++ b/measure/prompts/result.go
@@ -7,6 +7,8 @@
 	Requests    int
 	Read        int           // Prompt tokens that engines processed.
 	Kept        int           // Prompt tokens that engines had in their caches.
+	Missed      int           // Of these, tokens that were not expected to be kept.
+	Overrated   int           // Prompt tokens that were expected to be kept and were not.
 	ReadAgain   int           // Tokens processed of parts that some engine had processed before.
 	FirstEvent  time.Duration // Mean time from the arrival to the first token.
 	FirstEvent9 time.Duration // 95th percentile of that time.
--- a/mustardseam/entry/handler.go
+++ b/mustardseam/entry/handler.go
@@ -204,6 +204,7 @@
 	i.metrics.requestPlaced(g)
 	req.serverID, req.hub = g.Server.ID, g.Hub
 	req.placedAfter, req.predictedFirstEvent, req.load = time.Since(req.exchange.ReceivedAt), g.PredictedFirstEvent, g.Load
+	req.kept = g.job.Kept
 }
 
 // resumedJob returns the job for the rest of an interrupted stream. Its caller waits for the next event and takes precedence
--- a/mustardseam/entry/log.go
+++ b/mustardseam/entry/log.go
@@ -34,6 +34,7 @@
 		Str("reason", req.reason).Int("sends", req.sends).Int("runs", req.runs).Str("last-event", req.lastEventID).
 		Int64("wait-ms", req.placedAfter.Milliseconds()).Int64("expected-ms", req.predictedFirstEvent.Milliseconds()).
 		Int("load", req.load.Requests).Int("load-prompt", req.load.PromptTokens).
+		Int("kept", req.kept).
 		Int("prompt", req.meta.PromptTokens).Int("output", req.meta.MaxOutputTokens).
 		Int64("first-ms", req.timeToFirstEvent.Milliseconds()).
 		Int64("pause-ms", req.longestPause.Milliseconds()).
--- a/mustardseam/entry/prompt.go
+++ b/mustardseam/entry/prompt.go
@@ -26,19 +26,22 @@
 
 // promptMetrics counts the placements that depend on the parts of prompts.
 type promptMetrics struct {
-	requests   *metrics.Counter // Placements.
-	onPrefix   *metrics.Counter // Placements on an engine that was expected to keep the beginning of the prompt.
-	tokens     *metrics.Counter // Prompt tokens of all placements.
-	keptTokens *metrics.Counter // Prompt tokens that the chosen engines were expected to keep.
+	requests *metrics.Counter // Placements.
+	onPrefix *metrics.Counter // Placements on an engine that was expected to keep the beginning of the prompt.
+	tokens   *metrics.Counter // Prompt tokens of all placements.
+	// keptByHub and keptLocally count the prompt tokens that the chosen engines were expected to keep.
+	keptByHub   *metrics.Counter
+	keptLocally *metrics.Counter
 }
 
 func newPromptMetrics(set *metrics.Set, s *Scheduler) *promptMetrics {
 	set.NewGauge("mustardseam_prompt_parts_kept", func() float64 { return float64(s.keptParts()) })
 	return &promptMetrics{
-		requests:   set.NewCounter("mustardseam_prompt_placed_total"),
-		onPrefix:   set.NewCounter("mustardseam_prompt_placed_on_prefix_total"),
-		tokens:     set.NewCounter("mustardseam_prompt_tokens_total"),
-		keptTokens: set.NewCounter("mustardseam_prompt_tokens_kept_total"),
+		requests:    set.NewCounter("mustardseam_prompt_placed_total"),
+		onPrefix:    set.NewCounter("mustardseam_prompt_placed_on_prefix_total"),
+		tokens:      set.NewCounter("mustardseam_prompt_tokens_total"),
+		keptByHub:   set.NewCounter(`mustardseam_prompt_tokens_kept_total{by="hub"}`),
+		keptLocally: set.NewCounter(`mustardseam_prompt_tokens_kept_total{by="itself"}`),
 	}
 }
 
@@ -49,8 +52,13 @@
 	}
 	m.requests.Inc()
 	m.tokens.Add(g.job.PromptTokens)
-	if g.job.Kept > 0 {
-		m.onPrefix.Inc()
-		m.keptTokens.Add(g.job.Kept)
+	switch {
+	case g.job.Kept == 0:
+		return
+	case g.Hub != "":
+		m.keptByHub.Add(g.job.Kept)
+	default:
+		m.keptLocally.Add(g.job.Kept)
 	}
+	m.onPrefix.Inc()
 }
--- a/mustardseam/entry/prompt_test.go
+++ b/mustardseam/entry/prompt_test.go
@@ -152,18 +152,19 @@
 func TestPromptMetrics(t *testing.T) {
 	set := metrics.NewSet()
 	m := newPromptMetrics(set, newScheduler(schedulerConfig{instance: "n0", view: promptView}))
-	for _, j := range []*placement.Job{
-		{PromptTokens: 500},
-		{PromptTokens: 2400, Prompt: sharedPrompt},
-		{PromptTokens: 2400, Prompt: sharedPrompt, Kept: 2000},
+	for _, g := range []*Grant{
+		{job: &placement.Job{PromptTokens: 500}},
+		{job: &placement.Job{PromptTokens: 2400, Prompt: sharedPrompt}},
+		{job: &placement.Job{PromptTokens: 2400, Prompt: sharedPrompt, Kept: 2000}},
+		{job: &placement.Job{PromptTokens: 2400, Prompt: sharedPrompt, Kept: 2400}, Hub: "n1"},
 	} {
-		m.requestPlaced(&Grant{job: j})
+		m.requestPlaced(g)
 	}
 	var text strings.Builder
 	set.WritePrometheus(&text)
 	for _, line := range []string{
-		"mustardseam_prompt_placed_total 2", "mustardseam_prompt_placed_on_prefix_total 1", "mustardseam_prompt_tokens_total 4800",
-		"mustardseam_prompt_tokens_kept_total 2000", "mustardseam_prompt_parts_kept 0",
+		"mustardseam_prompt_placed_total 3", "mustardseam_prompt_placed_on_prefix_total 2", "mustardseam_prompt_tokens_total 7200",
+		`mustardseam_prompt_tokens_kept_total{by="hub"} 2400`, `mustardseam_prompt_tokens_kept_total{by="itself"} 2000`, "mustardseam_prompt_parts_kept 0",
 	} {
 		assert.Assert(t, strings.Contains(text.String(), line+"\n"), "%s in %s", line, text.String())
 	}
--- a/mustardseam/entry/request.go
+++ b/mustardseam/entry/request.go
@@ -36,6 +36,7 @@
 	predictedFirstEvent time.Duration      // Predicted time from the latest placement to the first event.
 	serverLimit         fleet.RequestLimit // Known limit of the latest backend server when the request was sent to it.
 	load                placement.Load     // Load of the backend server, from all instances, when it was chosen.
+	kept                int                // Prompt tokens that the backend server was expected to keep.
 	timeToFirstEvent    time.Duration      // Time from the arrival to the first event.
 	lastEventAt         time.Time          // Arrival time of the latest event.
 	longestPause        time.Duration      // Longest time between two events.
--- a/mustardseam/promptcache/engine.go
+++ b/mustardseam/promptcache/engine.go
@@ -6,6 +6,7 @@
 	capacity int   // Tokens that its memory holds.
 	running  int   // Tokens that running requests hold beyond their kept parts.
 	kept     int   // Tokens of the kept parts.
+	count    int   // Number of kept parts.
 	oldest   int32 // Entry of the least recently used part; 0 for none.
 	newest   int32
 	epoch    int64 // Epoch of the latest events; 0 before the first.
--- a/mustardseam/promptcache/index.go
+++ b/mustardseam/promptcache/index.go
@@ -1,8 +1,8 @@
 package promptcache
 
-// defaultMaxEntries bounds the parts that are recorded for all engines together, to about 14 MB. It leaves 54 parts for
-// each of 2,400 engines, and more than their memory holds for each of 140.
-const defaultMaxEntries = 1 << 17
+// defaultMaxEntries bounds the parts that are recorded for all engines together, and with them the memory of an index to about
+// 10 MB. It leaves 27 parts for each of 2,400 engines, and 468 for each of 140.
+const defaultMaxEntries = 1 << 16
 
 // Config configures an Index.
 type Config struct {
@@ -21,7 +21,7 @@
 	freeNumbers []int32
 	matches     []matchState // By number of the engine.
 	match       Match
-	hand        int // Number of the engine after the one that last gave up a part to others.
+	hand        int // Number of the engine that last gave up a part for another one.
 }
 
 // New returns an index without engines.
@@ -140,6 +140,7 @@
 		x.entries = append(x.entries, entry{})
 	}
 	x.count++
+	e.count++
 	after := x.firstHolder[part]
 	x.entries[i] = entry{part: part, engine: e.number, older: e.newest, after: after}
 	if after != 0 {
@@ -157,16 +158,17 @@
 	return i
 }
 
-// makeRoom drops the least recently used part of an engine with at least its share of the entries: of e itself, or else of
-// the next one in turn.
+// makeRoom drops the least recently used part of an engine that has its equal share of the entries or more: of e itself, or
+// else of the next one in turn.
 func (x *Index) makeRoom(e *Engine) {
-	if e.oldest != 0 && e.oldest != e.newest {
+	share := max(1, x.maxEntries/(len(x.engines)-len(x.freeNumbers)))
+	if e.count >= share {
 		x.drop(e.oldest)
 		return
 	}
 	for range x.engines {
 		x.hand = (x.hand + 1) % len(x.engines)
-		if other := x.engines[x.hand]; other != nil && other.oldest != 0 {
+		if other := x.engines[x.hand]; other != nil && other.count >= share {
 			x.drop(other.oldest)
 			return
 		}
@@ -226,4 +228,5 @@
 	x.entries[i] = entry{older: x.firstFree}
 	x.firstFree = i
 	x.count--
+	e.count--
 }
--- a/mustardseam/promptcache/index_test.go
+++ b/mustardseam/promptcache/index_test.go
@@ -156,7 +156,7 @@
 	t.Helper()
 	count := 0
 	for _, e := range engines {
-		kept, newer := 0, int32(0)
+		kept, newer, before := 0, int32(0), count
 		for i := e.newest; i != 0; i = x.entries[i].older {
 			n := x.entries[i]
 			assert.Equal(t, n.engine, e.number)
@@ -168,6 +168,7 @@
 		}
 		assert.Equal(t, e.oldest, newer)
 		assert.Equal(t, e.kept, kept)
+		assert.Equal(t, e.count, count-before)
 		assert.Assert(t, kept <= e.capacity)
 	}
 	held := 0
@@ -187,7 +188,7 @@
 }
 
 // TestMemoryIsBounded guards against an index whose memory grows with the prompts that many engines have read, or whose
-// bound leaves a part of the engines without any entry.
+// bound leaves some engines with few entries: those that read little, or that were added last.
 func TestMemoryIsBounded(t *testing.T) {
 	x := New(Config{})
 	var engines []*Engine
@@ -203,7 +204,19 @@
 	}
 	assert.Equal(t, x.Len(), defaultMaxEntries)
 	assert.Assert(t, len(x.entries) <= defaultMaxEntries+1)
+	for range 50 { // Restarts.
+		x.Remove(engines[0])
+		engines = append(engines[1:], x.Add(1_000_000))
+	}
+	for range 100 {
+		for _, e := range engines {
+			id++
+			x.Read(e, prompt(id%16, id), 0)
+		}
+	}
+	assert.Equal(t, x.Len(), defaultMaxEntries)
 	for i, e := range engines {
-		assert.Assert(t, e.newest != 0, "engine %d has no entries", i)
+		assert.Assert(t, e.count >= defaultMaxEntries/2400-1, "engine %d has %d entries", i, e.count)
 	}
+	checkConsistency(t, x, engines)
 }
