--- a/mustardseam/placement/job.go
+++ b/mustardseam/placement/job.go
@@ -25,7 +25,8 @@
 	Tried           []fleet.Incarnation // Backend servers that must not be chosen again.
 	Prompt          promptcache.Prompt  // Parts of the prompt; empty if its placement does not depend on them.
 	Kept            int                 // Prompt tokens that the chosen backend server is expected to keep; see Board.ExpectKept.
-	reserved        int                 // Tokens of the memory of its backend server that are counted for the job.
+	held            int                 // Tokens of the memory of its backend server that are counted for the job.
+	released        int                 // Of these, tokens of parts that have been recorded as kept.
 }
 
 // tried reports whether the job was already sent to a backend server.
--- a/mustardseam/placement/prompt.go
+++ b/mustardseam/placement/prompt.go
@@ -68,10 +68,10 @@
 
 // beginPrompt counts the memory of a job that is sent to an engine.
 func (b *Board) beginPrompt(st *serverState, j *Job) {
-	j.reserved = 0
+	j.held, j.released = 0, 0
 	if st.engine != nil {
-		j.reserved = j.UnreadTokens() + int(b.expectedOutput(j))
-		b.prompts.Begin(st.engine, j.Prompt, j.reserved)
+		j.held = j.UnreadTokens() + int(b.expectedOutput(j))
+		b.prompts.Begin(st.engine, j.Prompt, j.held)
 	}
 }
 
@@ -80,8 +80,8 @@
 	if st.engine == nil || len(j.Prompt) == 0 {
 		return
 	}
-	read := min(j.reserved, max(0, j.Prompt.Tokens()-j.Kept))
-	j.reserved -= read
+	read := min(j.held, max(0, j.Prompt.Tokens()-j.Kept)) - j.released
+	j.released += read
 	b.prompts.Read(st.engine, j.Prompt, read)
 }
 
@@ -96,8 +96,8 @@
 	case o.OK && !o.FirstEvent:
 		b.readPrompt(st, j)
 	}
-	b.prompts.End(st.engine, j.reserved)
-	j.reserved = 0
+	b.prompts.End(st.engine, j.held, j.released)
+	j.held, j.released = 0, 0
 }
 
 // matchPrompt looks up what engines keep of the prompt of a job. visitHolders is set if most engines are candidates; see
@@ -114,17 +114,20 @@
 // common would fill the engines that keep it one after the other, since the cost depends on the running requests only once
 // all slots are in use.
 func (b *Board) promptGain(st *serverState, est *jobEstimate, load Load, slowdown, interTokenMS float64) float64 {
-	if st.engine == nil || len(est.job.Prompt) == 0 {
+	if b.prompts == nil || len(est.job.Prompt) == 0 || est.service.KVCapacity <= 0 {
 		return 0
 	}
 	kept := min(est.kept, est.job.PromptTokens)
-	lacking := est.job.PromptTokens - kept + int(est.outputTokens) - st.engine.Free()
-	if lacking > 0 {
-		running := max(lacking, st.engine.Running())
-		return -slowdown * est.model.serviceTime.valueOr(defaultServiceTimeMS) * float64(lacking) / float64(max(1, running))
+	gain := slowdown*float64(kept)*est.promptTokenMS - streamSlowdown*float64(load.Requests)*interTokenMS*est.outputTokens
+	if st.engine == nil {
+		return gain
+	}
+	// What lacks is released over the time in which the running requests end.
+	if lacking := est.job.PromptTokens + int(est.outputTokens) - st.engine.Free(); lacking > 0 {
+		held := max(lacking, st.engine.Held())
+		gain -= slowdown * est.model.serviceTime.valueOr(defaultServiceTimeMS) * float64(lacking) / float64(held)
 	}
-	crowdingMS := streamSlowdown * float64(load.Requests) * interTokenMS * est.outputTokens
-	return slowdown*float64(kept)*est.promptTokenMS - crowdingMS
+	return gain
 }
 
 // withHolders returns the two cheapest of two choices and the engines that keep most of the prompt, which a sample of a long
--- a/mustardseam/placement/prompt_test.go
+++ b/mustardseam/placement/prompt_test.go
@@ -56,6 +56,9 @@
 		{"running streams that cost more than the part", func(b *Board, _ []*fleet.Server) {
 			b.SetOtherLoads(map[string]Load{"s2": {Requests: 3}, "s1": {Requests: 3}})
 		}, 400, 200, ""},
+		{"running streams of other instances, at an engine that keeps nothing", func(b *Board, _ []*fleet.Server) {
+			b.SetOtherLoads(map[string]Load{"s0": {Requests: 2}, "s1": {Requests: 2}})
+		}, 200, 200, "s2"},
 		{"running streams that cost less than the part", func(b *Board, _ []*fleet.Server) {
 			b.SetOtherLoads(map[string]Load{"s2": {Requests: 3}})
 		}, 8000, 100, "s2"},
@@ -201,7 +204,7 @@
 	b.Finish(start, promptService, s, j, Outcome{Answered: true, OK: true, FirstEvent: true})
 	assert.Equal(t, b.Load(s), Load{})
 	e := b.state(s).engine
-	assert.Equal(t, e.Running(), 0)
+	assert.Equal(t, e.Held(), 0)
 	assert.Equal(t, e.Kept(), 4000)
 }
 
@@ -227,14 +230,17 @@
 			s, j := server("s0"), promptJob(2000, 100)
 			b.ExpectKept(promptService, s, j)
 			b.Start(start, s, j)
-			assert.Equal(t, b.state(s).engine.Running(), 2600)
+			assert.Equal(t, b.state(s).engine.Held(), 2600)
 			if test.first {
 				b.RecordFirstEvent(start, promptService, s, j, Load{}, 40*time.Millisecond)
-				assert.Equal(t, b.state(s).engine.Running(), 100)
+				assert.Equal(t, b.state(s).engine.Held(), 2600)
 			}
 			b.Finish(start, promptService, s, j, test.outcome)
-			assert.Equal(t, b.state(s).engine.Running(), 0)
+			assert.Equal(t, b.state(s).engine.Held(), 0)
 			assert.Equal(t, b.state(s).engine.Kept(), test.kept)
+			// All memory can be used for parts again.
+			b.RecordPromptRead(promptService, s, &Job{Prompt: promptcache.Prompt{{ID: 7, Tokens: promptService.KVCapacity}}})
+			assert.Equal(t, b.state(s).engine.Kept(), promptService.KVCapacity)
 			b.Sweep(start.Add(2*stateRetention), func(fleet.Incarnation) bool { return false })
 			assert.Equal(t, b.KeptParts(), 0)
 			assert.Equal(t, len(b.stateByEngine), 0)
--- a/mustardseam/promptcache/index.go
+++ b/mustardseam/promptcache/index.go
@@ -78,6 +78,7 @@
 // of its prompt become the most recently used ones.
 func (x *Index) Begin(e *Engine, p Prompt, tokens int) {
 	e.running += tokens
+	e.held += tokens
 	for _, part := range p {
 		i := x.byHolding[holding{part.ID, e.number}]
 		if i == 0 {
@@ -98,8 +99,11 @@
 	x.evict(e)
 }
 
-// End records that a request has ended and releases its tokens.
-func (x *Index) End(e *Engine, tokens int) { e.running = max(0, e.running-tokens) }
+// End records the end of a request for which Begin counted a number of tokens, of which Read released some.
+func (x *Index) End(e *Engine, tokens, released int) {
+	e.running = max(0, e.running-tokens+released)
+	e.held = max(0, e.held-tokens)
+}
 
 // set records that an engine keeps a number of tokens of a part, which becomes its most recently used one.
 func (x *Index) set(e *Engine, part uint64, tokens int) {
--- a/mustardseam/promptcache/index_test.go
+++ b/mustardseam/promptcache/index_test.go
@@ -52,11 +52,11 @@
 		}, prompt(2, 3), 200},
 		{"released memory is used again", func(x *Index, e *Engine) {
 			x.Begin(e, nil, 400)
-			x.End(e, 400)
+			x.End(e, 400, 0)
 			x.Read(e, prompt(1, 2, 3), 0)
 		}, prompt(1, 2, 3), 300},
 		{"more released than held", func(x *Index, e *Engine) {
-			x.End(e, 1000)
+			x.End(e, 1000, 0)
 			x.Begin(e, nil, 400)
 			x.Read(e, prompt(1, 2), 0)
 		}, prompt(2), 100},
@@ -139,7 +139,7 @@
 				case 2:
 					x.Begin(e, p, rnd.IntN(500))
 				case 3:
-					x.End(e, rnd.IntN(500))
+					x.End(e, rnd.IntN(500), 0)
 				default:
 					x.Read(e, p, rnd.IntN(100))
 				}
