--- a/mustardseam/placement/prompt_test.go
+++ b/mustardseam/placement/prompt_test.go
@@ -73,7 +73,7 @@
 		{"evicted by another prompt", func(b *Board, s []*fleet.Server) {
 			b.RecordPromptRead(promptService, s[2], &Job{Prompt: promptcache.Prompt{{ID: 9, Tokens: 20_000}}})
 		}, 2000, 100, ""},
-		{"restarted", func(b *Board, s []*fleet.Server) {
+		{"restarted", func(_ *Board, s []*fleet.Server) {
 			next := *s[2]
 			next.StartMS = 5
 			s[2] = &next
