--- a/mustardseam/entry/handler.go
+++ b/mustardseam/entry/handler.go
@@ -123,7 +123,7 @@
 	req.job = &placement.Job{
 		Route: req.route.Name, Team: team, Tier: tier, RouteTier: req.route.Tier, DataCentre: i.cfg.DataCentre,
 		PromptTokens: req.meta.PromptTokens, MaxOutputTokens: req.meta.MaxOutputTokens, OutputHint: req.meta.OutputHint,
-		Gap: gap, Arrived: req.exchange.ReceivedAt,
+		Gap: gap, Arrived: req.exchange.ReceivedAt, Prompt: i.placedPrompt(req),
 		Objective: req.exchange.ReceivedAt.Add(objective), Deadline: req.exchange.ReceivedAt.Add(limit),
 	}
 }
@@ -204,6 +204,7 @@
 	i.metrics.requestPlaced(g)
 	req.serverID, req.hub = g.Server.ID, g.Hub
 	req.placedAfter, req.predictedFirstEvent, req.load = time.Since(req.exchange.ReceivedAt), g.PredictedFirstEvent, g.Load
+	req.kept = g.job.Kept
 }
 
 // resumedJob returns the job for the rest of an interrupted stream. Its caller waits for the next event and takes precedence
--- a/mustardseam/entry/instance.go
+++ b/mustardseam/entry/instance.go
@@ -39,6 +39,8 @@
 	LogWriter      *logwriter.Writer
 	MaxConnections int // Maximum number of open connections of callers; 0 for no limit.
 	Duties         DutiesConfig
+	// IgnorePrompts makes placement independent of what engines keep of a prompt.
+	IgnorePrompts bool
 }
 
 const (
@@ -89,6 +91,7 @@
 	i.bounds.Store(&cfg.Bounds)
 	i.scheduler = newScheduler(schedulerConfig{
 		instance: cfg.Name, bounds: cfg.Bounds, view: i.view.Load, recoverPanics: i.recoverPanics,
+		ignorePrompts: cfg.IgnorePrompts,
 	})
 	i.quarantine = newQuarantine(i.log())
 	i.metrics = newInstanceMetrics(i)
--- a/mustardseam/placement/cost.go
+++ b/mustardseam/placement/cost.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/mustardseam/mustardseam/mustardseam/fleet"
+	"github.com/mustardseam/mustardseam/mustardseam/promptcache"
 )
 
 // Defaults that apply until there are measurements.
@@ -42,17 +43,20 @@
 	service          *fleet.Service
 	job              *Job
 	model            *serviceModel
-	firstEventBaseMS float64 // Milliseconds to the first event that do not depend on the prompt.
-	promptTokenMS    float64 // Milliseconds per prompt token at average speed.
-	outputTokens     float64 // Expected output tokens of the job.
-	leftMS           float64 // Milliseconds until the objective; negative after it.
+	firstEventBaseMS float64            // Milliseconds to the first event that do not depend on the prompt.
+	promptTokenMS    float64            // Milliseconds per prompt token at average speed.
+	outputTokens     float64            // Expected output tokens of the job.
+	leftMS           float64            // Milliseconds until the objective; negative after it.
+	prompt           *promptcache.Match // What the engines keep of the prompt of the job; nil for nothing.
+	kept             int                // Prompt tokens that the backend server keeps whose cost is predicted.
 }
 
-// estimateJob returns the estimate for a job at any backend server of a service.
-func (b *Board) estimateJob(now time.Time, svc *fleet.Service, j *Job) jobEstimate {
+// estimateJob returns the estimate for a job at any backend server of a service. visitHolders is as for matchPrompt.
+func (b *Board) estimateJob(now time.Time, svc *fleet.Service, j *Job, visitHolders bool) jobEstimate {
 	est := jobEstimate{service: svc, job: j, model: b.model(svc.Name), outputTokens: b.expectedOutput(j)}
 	est.leftMS = float64(j.Objective.Sub(now).Microseconds()) / 1000
 	est.firstEventBaseMS, est.promptTokenMS = est.model.firstEvent.coefficients()
+	est.prompt = b.matchPrompt(j, visitHolders)
 	return est
 }
 
@@ -75,21 +79,21 @@
 		firstEventMS += slowdown * m.serviceTime.valueOr(defaultServiceTimeMS) * float64(load.Requests-slots+1) / float64(slots)
 	}
 	interToken := st.interToken.valueOr(m.interToken.valueOr(defaultInterTokenMS))
-	cost += firstEventMS + outputWeight*interToken*est.outputTokens
-	if b.stallsStreams(st, est) || firstEventMS > est.leftMS && est.leftMS > 0 {
+	cost += firstEventMS - b.promptGain(st, &est, load, slowdown, interToken) + outputWeight*interToken*est.outputTokens
+	if late := est.leftMS > 0 && firstEventMS-slowdown*float64(est.kept)*est.promptTokenMS > est.leftMS; late || b.stallsStreams(st, est) {
 		cost += latePenaltyMS
 	}
 	return cost
 }
 
-// PredictFirstEvent predicts the time to the first event of a job at a backend server.
+// PredictFirstEvent predicts the time to the first event of a job at a backend server, for which ExpectKept was called.
 func (b *Board) PredictFirstEvent(svc *fleet.Service, s *fleet.Server, j *Job) time.Duration {
 	st, m := b.state(s), b.model(svc.Name)
 	if !svc.Engine {
 		return milliseconds(st.latency.valueOr(m.serviceTime.valueOr(defaultLatencyMS)))
 	}
 	load := st.load()
-	firstEventMS := m.firstEvent.predict(b.slowdown(st, m) * float64(load.PromptTokens+j.PromptTokens))
+	firstEventMS := m.firstEvent.predict(b.slowdown(st, m) * float64(load.PromptTokens+j.UnreadTokens()))
 	if queued := load.Requests - max(1, s.Slots) + 1; queued > 0 {
 		firstEventMS += b.slowdown(st, m) * m.serviceTime.valueOr(defaultServiceTimeMS) * float64(queued) / float64(max(1, s.Slots))
 	}
@@ -102,7 +106,7 @@
 	if !svc.Engine {
 		return milliseconds(m.serviceTime.valueOr(defaultLatencyMS))
 	}
-	return milliseconds(m.firstEvent.predict(float64(j.PromptTokens)))
+	return milliseconds(m.firstEvent.predict(float64(j.UnreadTokens())))
 }
 
 // expectedOutput predicts the output tokens of a job. The maximum that a caller allows is far above what most requests
@@ -118,10 +122,10 @@
 // slowdown returns the ratio of a backend server's inter-token latency to the average of its service, or 1 if it is
 // unknown.
 func (b *Board) slowdown(st *serverState, m *serviceModel) float64 {
-	if st.interToken.count == 0 || m.interToken.count == 0 || m.interToken.value <= 0 {
+	if st.interToken.count == 0 || m.usualToken.count == 0 || m.usualToken.value <= 0 {
 		return 1
 	}
-	return st.interToken.value / m.interToken.value
+	return st.interToken.value / m.usualToken.value
 }
 
 // milliseconds converts a number of milliseconds to a duration.
--- a/mustardseam/placement/lateness.go
+++ b/mustardseam/placement/lateness.go
@@ -20,7 +20,7 @@
 	}
 	tokens := float64(max(1, est.service.TokensPerEvent))
 	interToken := st.interToken.valueOr(est.model.interToken.valueOr(defaultInterTokenMS))
-	prompt := min(float64(load.PromptTokens+j.PromptTokens), tokens*prefillChunk)
+	prompt := min(float64(load.PromptTokens+j.PromptTokens-est.kept), tokens*prefillChunk)
 	stall := b.slowdown(st, est.model) * prompt * est.promptTokenMS
 	return tokens*interToken+stall > maxGapShare*float64(j.Gap.Microseconds())/1000
 }
@@ -33,9 +33,11 @@
 	if !svc.Engine || j.Gap <= 0 {
 		return false
 	}
-	est, st := b.estimateJob(now, svc, j), b.state(s)
+	est, st := b.estimateJob(now, svc, j, false), b.state(s)
+	est.kept = est.prompt.Kept(st.engine)
 	usualMS := est.firstEventBaseMS + float64(j.PromptTokens)*est.promptTokenMS
-	firstEventMS := est.firstEventBaseMS + b.slowdown(st, est.model)*float64(st.load().PromptTokens+j.PromptTokens)*est.promptTokenMS
+	unread := float64(st.load().PromptTokens + j.PromptTokens - est.kept)
+	firstEventMS := est.firstEventBaseMS + b.slowdown(st, est.model)*unread*est.promptTokenMS
 	if usualMS <= est.leftMS {
 		return firstEventMS > est.leftMS || b.stallsStreams(st, est)
 	}
