Add the decision on the number of backend servers

Cause: services may have more or fewer backend servers by order, and the orders need a decision that can be tested without a network. Change: package autoscale maps what is known of a service now and of the last two minutes to a number for each data centre, and tells which orders are due; its clock is passed in.

--- /dev/null
+++ b/mustardseam/autoscale/decide.go
@@ -0,0 +1,196 @@
+package autoscale
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	// sustainWindow is the time over which a load counts as lasting. It holds two of the periods seen (10 s) and twice the
+	// lead time of the services seen (11 s).
+	sustainWindow = 24 * time.Second
+	// sustainQuantile is the share of sustainWindow in which the load is at most the one that is provided for. The rest is
+	// 6 s: a burst of 5 s does not fill it even when smoothed, and a wave is near its peak for about as much of its period.
+	sustainQuantile = 0.75
+	// minSustainSamples is the number of samples from which on a load counts as lasting.
+	minSustainSamples = 5
+	// smoothing is the number of samples over which a load is averaged.
+	smoothing = 2
+	// surgeSamples is the number of latest samples over which a load above the capacity is looked for.
+	surgeSamples = 3
+	// surgeNoise is the margin by which a load must exceed the capacity, in standard deviations of the load.
+	surgeNoise = 2.0
+	// workVariance is the variance of the work of arrivals in a sample relative to independent arrivals of equal work. It
+	// is that of work with an exponential distribution.
+	workVariance = 2.0
+	// deadBand is the relative difference below which the number in force is not raised, so that noise gives no orders.
+	deadBand = 0.03
+	// fallMargin is the factor on the number needed at the highest load of the hold time, to which the number in force
+	// falls. It leaves room for the loss of a fifth of the backend servers: a backend server costs about a twentieth of what
+	// it earns when it is needed, so that a reserve is cheaper than refused requests.
+	fallMargin = 1.25
+	// fallStep is the largest share of the number in force that is removed at a time, and minFall the smallest reduction
+	// worth an order.
+	fallStep = 0.1
+	minFall  = 0.1
+	// maxHoldFactor bounds the factor on the hold time. It doubles whenever a rise follows a fall, so that a load that
+	// swings over a longer time than the hold time does not move the numbers up and down.
+	maxHoldFactor = 8
+)
+
+// Decide adds an observation to the history and returns the number of backend servers that each data centre should have.
+// The result depends on the arguments only.
+func Decide(cfg Config, now time.Time, o Observation, h *History) Decision {
+	h.observe(cfg, now, o)
+	c := newCapacity(o.Servers)
+	d := Decision{Desired: h.inForce()}
+	d.InForce = sum(d.Desired)
+	hold := func(r Reason) Decision {
+		d.Hold = true
+		return d.withReason(r, d.Desired)
+	}
+	switch {
+	case !o.ListKnown:
+		h.surge = surge{}
+		return hold(HoldList)
+	case o.OutOfService:
+		h.surge = surge{}
+		return hold(HoldOutOfService)
+	case h.listedFrom.IsZero() || now.Sub(h.listedFrom) < cfg.Boot+listingDelay:
+		// Crashed backend servers may be missing from the list, and come back within this time.
+		return hold(HoldStart)
+	case len(h.samples) == 0:
+		return hold(HoldNoTraffic)
+	case c.perServer == 0:
+		return hold(HoldSpeed)
+	case now.Sub(h.samples[len(h.samples)-1].at) > maxGap:
+		return hold(HoldDemand)
+	}
+	l := newLoads(cfg, h.samples)
+	d.Load, d.Period = l.latest(), l.period
+	d.Full = float64(d.InForce) * c.perServer
+	h.updateSurge(cfg, now, c, l, d.Desired)
+	d.Needed = c.serversFor(max(h.sustained(now, l), l.forecast))
+	next := h.raise(cfg, now, c, l, d)
+	if next.Reason == Enough {
+		next = h.lower(cfg, now, o, c, l, next)
+	}
+	h.noteChange(now, d.InForce, next)
+	return next
+}
+
+// updateSurge begins or ends a surge. The capacity compared is that before an order for the surge.
+func (h *History) updateSurge(cfg Config, now time.Time, c capacity, l loads, inForce map[string]int) {
+	full := float64(sum(inForce)) * c.perServer
+	if h.surge.before != nil {
+		full = float64(sum(h.surge.before)) * c.perServer
+	}
+	switch {
+	case h.surge.active():
+		if l.mean(smoothing) < full {
+			// Kept until the next decision if it has orders, which may be withdrawn.
+			if h.surge.orderedAt.IsZero() || now.Sub(h.surge.orderedAt) >= cfg.Boot {
+				h.endSurge(now, cfg)
+			}
+		}
+	default:
+		for n := 1; n <= min(surgeSamples, len(l.work)); n++ {
+			if l.mean(n) > full*(1+surgeNoise*l.deviation(n)) {
+				h.surge = surge{since: l.start(n)}
+				return
+			}
+		}
+	}
+}
+
+// raise returns the decision with higher numbers if the load needs them.
+func (h *History) raise(cfg Config, now time.Time, c capacity, l loads, d Decision) Decision {
+	band := int(math.Ceil(deadBand * float64(d.InForce)))
+	reason, needed := Sustain, d.Needed
+	if l.forecast > h.sustained(now, l) {
+		reason = Periodic
+	}
+	if h.surge.active() {
+		full := d.Full
+		if h.surge.before != nil {
+			full = float64(sum(h.surge.before)) * c.perServer
+		}
+		over := l.mean(smoothing) >= full || h.surge.orderedAt.IsZero()
+		switch {
+		case !over:
+			// The load is back before the backend servers that were ordered for it have started.
+			before := sum(h.surge.before)
+			h.endSurge(now, cfg)
+			total := max(before, c.serversFor(h.sustained(now, l)))
+			if total < d.InForce {
+				return d.withReason(Withdraw, spread(cfg, d.Desired, total))
+			}
+		case now.Sub(h.surge.since) >= h.confirmAfter(cfg):
+			if n := c.serversFor(l.meanSince(h.surge.since)); n > needed {
+				reason, needed = Surge, n
+			}
+		}
+	}
+	if needed < d.InForce+max(1, band) {
+		return d.withReason(Enough, d.Desired)
+	}
+	next := spread(cfg, d.Desired, needed)
+	if sum(next) <= d.InForce {
+		return d.withReason(Enough, d.Desired)
+	}
+	if reason == Surge && h.surge.orderedAt.IsZero() {
+		h.surge.orderedAt, h.surge.before = now, d.Desired
+	}
+	d.Needed = needed
+	return d.withReason(reason, next)
+}
+
+// lower returns the decision with lower numbers if the load has been lower for the whole hold time and nothing else explains
+// it.
+func (h *History) lower(cfg Config, now time.Time, o Observation, c capacity, l loads, d Decision) Decision {
+	hold := max(sustainWindow, cfg.leadTime(), time.Duration(1.2*float64(l.period))*time.Second) * time.Duration(max(1, h.holdFactor))
+	for _, from := range []time.Time{h.trafficFrom, h.calmFrom, h.raisedAt} {
+		if now.Sub(from) < hold {
+			return d
+		}
+	}
+	if now.Sub(h.changedAt) < cfg.Boot || h.surge.active() || o.replacing() {
+		return d
+	}
+	peak := l.peak(h.since(now.Add(-hold)))
+	floor := int(math.Ceil(float64(c.running+o.Waiting) / c.slots))
+	target := max(int(math.Ceil(fallMargin*float64(c.serversFor(peak)))), floor, cfg.Min*len(d.Desired))
+	if float64(d.InForce-target) < max(1, minFall*float64(d.InForce)) {
+		return d
+	}
+	step := min(d.InForce-target, max(1, int(fallStep*float64(d.InForce))))
+	if step = c.removable(step, peak); step == 0 {
+		return d
+	}
+	return d.withReason(Fall, spread(cfg, d.Desired, d.InForce-step))
+}
+
+// noteChange records when the desired numbers changed.
+func (h *History) noteChange(now time.Time, inForce int, d Decision) {
+	total := d.Total()
+	if total == inForce {
+		return
+	}
+	h.changedAt = now
+	if d.Reason == Fall {
+		h.fell = true
+	}
+	if total < inForce {
+		return
+	}
+	h.raisedAt = now
+	if h.fell {
+		h.fell, h.holdFactor = false, min(maxHoldFactor, 2*max(1, h.holdFactor))
+	}
+}
+
+// replacing reports whether backend servers are leaving.
+func (o Observation) replacing() bool {
+	return slices.ContainsFunc(o.Servers, func(s Server) bool { return s.Draining })
+}
