Decide on numbers of backend servers at the holder of the duty

Cause: the decision needs the demand over all instances and must reach the platform only from the holder of the duty. Change: instances count the demand for services with autoscale in the configuration and report it to the hub, which passes on the sum; each instance decides once a second, and the holder sends the orders that are due. New: fields autoscale of a service, metrics, the log events 8101 and 8102, and the decisions in the state dump.

--- a/mustardseam/autoscale/decide.go
+++ b/mustardseam/autoscale/decide.go
@@ -40,7 +40,7 @@
 )
 
 // Decide adds an observation to the history and returns the number of backend servers that each data centre should have.
-// The result depends on the arguments only.
+// The result depends on the arguments only. History.Orders tells what to send for it.
 func Decide(cfg Config, now time.Time, o Observation, h *History) Decision {
 	h.observe(cfg, now, o)
 	c := newCapacity(o.Servers)
@@ -54,7 +54,7 @@
 	case !o.ListKnown:
 		h.surge = surge{}
 		return hold(HoldList)
-	case o.OutOfService:
+	case h.affected(o):
 		h.surge = surge{}
 		return hold(HoldOutOfService)
 	case h.listedFrom.IsZero() || now.Sub(h.listedFrom) < cfg.Boot+listingDelay:
@@ -76,7 +76,6 @@
 	if next.Reason == Enough {
 		next = h.lower(cfg, now, o, c, l, next)
 	}
-	h.noteChange(now, d.InForce, next)
 	return next
 }
 
@@ -139,9 +138,6 @@
 	if sum(next) <= d.InForce {
 		return d.withReason(Enough, d.Desired)
 	}
-	if reason == Surge && h.surge.orderedAt.IsZero() {
-		h.surge.orderedAt, h.surge.before = now, d.Desired
-	}
 	d.Needed = needed
 	return d.withReason(reason, next)
 }
@@ -171,20 +167,23 @@
 	return d.withReason(Fall, spread(cfg, d.Desired, d.InForce-step))
 }
 
-// noteChange records when the desired numbers changed.
-func (h *History) noteChange(now time.Time, inForce int, d Decision) {
+// noteChange records that the instance acts on a decision that changes the numbers.
+func (h *History) noteChange(now time.Time, d Decision) {
 	total := d.Total()
-	if total == inForce {
+	if total == d.InForce {
 		return
 	}
 	h.changedAt = now
 	if d.Reason == Fall {
 		h.fell = true
 	}
-	if total < inForce {
+	if total < d.InForce {
 		return
 	}
 	h.raisedAt = now
+	if d.Reason == Surge && h.surge.active() && h.surge.orderedAt.IsZero() {
+		h.surge.orderedAt, h.surge.before = now, h.inForce()
+	}
 	if h.fell {
 		h.fell, h.holdFactor = false, min(maxHoldFactor, 2*max(1, h.holdFactor))
 	}
--- a/mustardseam/autoscale/decide_test.go
+++ b/mustardseam/autoscale/decide_test.go
@@ -54,8 +54,11 @@
 			}
 		}},
 		{name: "data centre out of service under a doubled load", rate: between(30, 44, 2), change: func(s int, o *Observation) {
-			o.OutOfService = s >= 30 && s < 52
+			if s >= 30 && s < 52 {
+				o.OutOfService = []string{"b"}
+			}
 		}},
+		{name: "other data centre out of service", rate: usual, change: func(_ int, o *Observation) { o.OutOfService = []string{"d"} }},
 		{name: "quarter crashed", rate: usual, change: func(s int, o *Observation) {
 			if s >= 30 && s < 45 {
 				for i := range o.Servers {
--- a/mustardseam/autoscale/fake_test.go
+++ b/mustardseam/autoscale/fake_test.go
@@ -112,7 +112,7 @@
 	}
 	d := Decide(f.cfg, f.now, o, f.history)
 	f.reasons = append(f.reasons, d.Reason)
-	for _, order := range f.history.Due(f.cfg, f.now, d) {
+	for _, order := range f.history.Orders(f.cfg, f.now, d) {
 		f.orders = append(f.orders, sentOrder{second, order})
 		f.history.Sent(f.now, order)
 		if f.answered {
--- a/mustardseam/autoscale/history.go
+++ b/mustardseam/autoscale/history.go
@@ -1,6 +1,9 @@
 package autoscale
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// historyLength bounds the samples that are kept. At one a second they show two periods of up to a minute.
@@ -68,7 +71,7 @@
 
 // observeServers adds the backend servers of an observation. It reports whether the list is current and none is missing.
 func (h *History) observeServers(cfg Config, now time.Time, o Observation) bool {
-	if !o.ListKnown || o.OutOfService {
+	if !o.ListKnown || h.affected(o) {
 		return false
 	}
 	complete := true
@@ -92,6 +95,13 @@
 	return complete
 }
 
+// affected reports whether a data centre is out of service in which the service has or had backend servers.
+func (h *History) affected(o Observation) bool {
+	return slices.ContainsFunc(o.OutOfService, func(name string) bool {
+		return h.zones[name] != nil || slices.ContainsFunc(o.Servers, func(s Server) bool { return s.DataCentre == name })
+	})
+}
+
 // addSample adds a sample and drops the oldest one beyond historyLength.
 func (h *History) addSample(s sample) {
 	if h.trafficFrom.IsZero() {
--- a/mustardseam/autoscale/observation.go
+++ b/mustardseam/autoscale/observation.go
@@ -4,7 +4,7 @@
 type Observation struct {
 	Servers      []Server // Listed backend servers of the service.
 	ListKnown    bool     // The list is current: neither the store is out of reach nor did entries lapse in an outage.
-	OutOfService bool     // A data centre with backend servers of the service is out of service.
+	OutOfService []string // Data centres that are out of service.
 	DemandKnown  bool     // The four fields below are known.
 	Arrived      int64    // Attempts to place requests, including those of callers that retry.
 	Refused      int64    // Attempts that were refused.
--- a/mustardseam/autoscale/order.go
+++ b/mustardseam/autoscale/order.go
@@ -23,11 +23,13 @@
 	Cause      Cause
 }
 
-// Due returns the orders that are to be sent after a decision, in the order of the data centres' names.
-func (h *History) Due(cfg Config, now time.Time, d Decision) []Order {
+// Orders returns the orders that are to be sent for a decision, in the order of the data centres' names. It is called by the
+// holder of the duty only, which sends them; the decision counts as carried out.
+func (h *History) Orders(cfg Config, now time.Time, d Decision) []Order {
 	if d.Hold {
 		return nil
 	}
+	h.noteChange(now, d)
 	var orders []Order
 	for _, name := range slices.Sorted(maps.Keys(d.Desired)) {
 		z := h.zones[name]
--- a/mustardseam/autoscale/sample.go
+++ b/mustardseam/autoscale/sample.go
@@ -16,7 +16,7 @@
 
 // newSample returns the sample for an observation that is made a time after the previous one.
 func newSample(now time.Time, span time.Duration, o Observation, waitedBefore int) sample {
-	s := sample{at: now, seconds: span.Seconds(), undamaged: len(o.Servers) > 0 && o.ListKnown && !o.OutOfService}
+	s := sample{at: now, seconds: span.Seconds(), undamaged: len(o.Servers) > 0}
 	for _, srv := range o.Servers {
 		s.workRate += srv.workRate()
 		s.undamaged = s.undamaged && !srv.Crashed && !srv.Draining
--- a/mustardseam/entry/dump.go
+++ b/mustardseam/entry/dump.go
@@ -28,6 +28,8 @@
 	Limits map[string]float64 `json:"limits,omitempty"`
 	// Quarantine holds the prompt parts on which backend servers crash.
 	Quarantine []quarantine.Pattern `json:"quarantine,omitempty"`
+	// Autoscale holds the decisions on the numbers of backend servers by service.
+	Autoscale map[string]ScaleState `json:"autoscale,omitempty"`
 	// OutOfService holds the data centres that are out of service.
 	OutOfService []string `json:"out-of-service,omitempty"`
 }
@@ -46,6 +48,7 @@
 	i.reporter.mu.Lock()
 	d.Hub = i.reporter.hubName
 	i.reporter.mu.Unlock()
+	d.Autoscale = i.autoscaler.state()
 	d.OutOfService = slices.Sorted(maps.Keys(v.OutOfService))
 	d.Quarantine = i.quarantine.Patterns(time.Now())
 	i.scheduler.mu.Lock()
--- a/mustardseam/entry/handler.go
+++ b/mustardseam/entry/handler.go
@@ -183,7 +183,7 @@
 	if !req.pending.beginWait() {
 		return nil, errStopping
 	}
-	g, err := i.scheduler.Acquire(ctx, req.service, req.job)
+	g, err := i.acquireCounted(ctx, req)
 	if err != nil {
 		req.pending.beginSend() // It no longer waits; a failed retry may leave the first answer to be sent.
 		return nil, err
--- a/mustardseam/entry/instance.go
+++ b/mustardseam/entry/instance.go
@@ -66,6 +66,8 @@
 	rollouts        *rollouts
 	quarantine      *quarantine.Table
 	metrics         *instanceMetrics
+	demand          *demandCounter
+	autoscaler      *autoscaler // Nil if the duty is not to be performed.
 	active          atomic.Int64
 	bounds          atomic.Pointer[Bounds]
 	pending         *pendingRequests
@@ -81,7 +83,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	i := &Instance{
 		cfg: cfg, ctx: ctx, cancel: cancel, client: http1.NewClient(), random: rand.Float64, runID: rand.Int64(),
-		pending: newPendingRequests(), durations: newRouteDurations(),
+		pending: newPendingRequests(), durations: newRouteDurations(), demand: newDemandCounter(),
 		logger: zerolog.New(cfg.LogWriter).Level(cfg.LogLevel).With().Timestamp().Str("instance", cfg.Name).Logger(),
 	}
 	i.view.Store(fleet.NewView())
@@ -91,6 +93,7 @@
 	})
 	i.quarantine = newQuarantine(i.log())
 	i.metrics = newInstanceMetrics(i)
+	i.autoscaler = newAutoscaler(i)
 	i.reporter = newReporter(i)
 	i.placementClient = newPlacementClient(placementClientConfig{
 		instance: cfg.Name, run: i.runID, scheduler: i.scheduler, reachableHub: i.reporter.reachableHub,
@@ -122,6 +125,9 @@
 	i.tasks.Go(func() { i.placementClient.run(i.ctx) })
 	i.tasks.Go(i.rollouts.run)
 	i.tasks.Go(i.register)
+	if i.autoscaler != nil {
+		i.tasks.Go(i.autoscaler.run)
+	}
 	i.tasks.Go(i.saveQuotas)
 	i.tasks.Go(i.saveCrashes)
 	i.tasks.Go(i.sweep)
--- a/mustardseam/entry/report_exchange.go
+++ b/mustardseam/entry/report_exchange.go
@@ -45,7 +45,8 @@
 	report := hub.Report{
 		Instance: r.i.cfg.Name, Registration: r.i.registration(), Run: r.i.runID, Sequence: r.sequence,
 		Revision: at.Revision, Era: at.Era,
-		AgeMS: r.i.storeAge(), Used: r.pendingUsage, Loads: own, InterTokenMS: interTokenMS, Samples: r.samples,
+		Demand: r.i.demand.snapshot(),
+		AgeMS:  r.i.storeAge(), Used: r.pendingUsage, Loads: own, InterTokenMS: interTokenMS, Samples: r.samples,
 		Unreachable: r.i.scheduler.unreachableServers(time.Now()), Stopping: r.i.stopping.Load() != nil,
 		RequestsKnown: placed, Leaving: r.i.leavingServers(), UsageUnknown: !r.i.scheduler.quotasSettled(time.Now()),
 	}
@@ -138,6 +139,7 @@
 		event.HubChosen.Log(r.i.log()).Str("hub", response.Hub).Send()
 	}
 	r.hubName, r.hubRunID, r.hubUsage = target.Name, response.Run, response.Usage
+	r.hubDemand = response.Demand
 	r.hubPosition = store.Position{Era: response.Era, Revision: response.Revision}
 	r.lastHubReply, r.hubStoreAge = now, time.Duration(response.DirectMS)*time.Millisecond
 	if response.DirectMS < 0 {
@@ -206,7 +208,7 @@
 	}
 	response := hub.ReportResponse{
 		Hub: r.i.cfg.Name, Run: r.i.runID, Instances: r.aggregator.ActiveInstances(now), Usage: r.aggregator.Usage(),
-		Unreachable: sum.Unreachable, From: report.Revision, Leaving: r.i.leavingServers(),
+		Demand: r.aggregator.Demand(now), Unreachable: sum.Unreachable, From: report.Revision, Leaving: r.i.leavingServers(),
 	}
 	response.Limits, response.LimitRound = r.i.scheduler.limitsToRelay(now)
 	var crashesKnown int64
--- a/mustardseam/entry/reporter.go
+++ b/mustardseam/entry/reporter.go
@@ -48,6 +48,7 @@
 	hubName         string
 	hubRunID        int64                      // Random id of the hub's run of its process.
 	hubUsage        map[string]ratelimit.Usage // Total quota usage in the hub's latest answer, keyed by team.
+	hubDemand       map[string]hub.Demand      // Demand in the hub's latest answer, keyed by service.
 	hubPosition     store.Position             // Store position of the hub's copy.
 	lastHubReply    time.Time                  // When the hub last answered.
 	hubStoreAge     time.Duration              // Time since the store answered the hub itself, as of lastHubReply.
@@ -217,6 +218,7 @@
 	}
 	clear(r.pendingUsage)
 	r.aggregator.AddUsage(used)
+	r.aggregator.AddOwnDemand(r.i.demand.snapshot())
 	instances := r.aggregator.ActiveInstances(now)
 	possibleInstances := max(len(instances), r.partition.count(now))
 	r.instanceCount = len(instances)
--- a/mustardseam/event/catalogue.go
+++ b/mustardseam/event/catalogue.go
@@ -84,6 +84,12 @@
 	PromptReleased       = Event{7019, "prompt-released", zerolog.InfoLevel, "prompt parts are no longer refused in this combination"}
 )
 
+// Events of orders of backend servers, which the holder of the duty sends.
+var (
+	ScaleDecision = Event{8101, "scale-decision", zerolog.InfoLevel, "reason of the decision on the number of backend servers changed"}
+	ScaleOrdered  = Event{8102, "scale-ordered", zerolog.InfoLevel, "number of backend servers ordered from the platform"}
+)
+
 // All returns all events in ascending order of their numbers.
 func All() []Event {
 	return []Event{
@@ -98,5 +104,6 @@
 		HubChosen, HubLost, InstanceRegistered, StoreWriteFailed, ShutdownProgress,
 		HubPlacementStarted, HubPlacementStopped, PanicContained, ServerLimitChanged, ServerLimitInvalid, AnswerCut,
 		PromptQuarantined, PromptReleased,
+		ScaleDecision, ScaleOrdered,
 	}
 }
--- a/mustardseam/fleet/service.go
+++ b/mustardseam/fleet/service.go
@@ -10,4 +10,5 @@
 	ColdRate       float64       // Maximum requests per second to a cold backend server from all instances together; 0 for no bound.
 	Engine         bool          // The backend servers are inference engines, which batch requests.
 	TokensPerEvent int           // Number of tokens per stream event; 0 when unknown.
+	Autoscale      Autoscale
 }
--- a/mustardseam/hub/aggregator.go
+++ b/mustardseam/hub/aggregator.go
@@ -22,8 +22,9 @@
 	reports    map[string]*reportEntry       // Latest report by name of the instance.
 	usage      map[string]ratelimit.Usage    // Total usage by team.
 	interToken map[string]smoothedInterToken // Inter-token latency by ID of the backend server.
-	sum        Sum                           // Latest sum.
-	sumTime    time.Time                     // Time at which sum was computed; zero before the first.
+	demand     *demandSum
+	sum        Sum       // Latest sum.
+	sumTime    time.Time // Time at which sum was computed; zero before the first.
 }
 
 // smoothedInterToken is the exponentially smoothed inter-token latency of a backend server.
@@ -59,7 +60,7 @@
 func NewAggregator(self string) *Aggregator {
 	return &Aggregator{
 		self: self, reports: map[string]*reportEntry{}, usage: map[string]ratelimit.Usage{},
-		interToken: map[string]smoothedInterToken{},
+		interToken: map[string]smoothedInterToken{}, demand: newDemandSum(),
 	}
 }
 
@@ -78,6 +79,7 @@
 		}
 		a.interToken[id] = smoothedInterToken{ms: smoothed.ms + interTokenSmoothing*(ms-smoothed.ms), at: now}
 	}
+	a.demand.add(r.Instance, r.Run, r.Demand)
 	a.AddUsage(r.Used)
 	return r.Used
 }
@@ -170,6 +172,7 @@
 	for name, e := range a.reports {
 		if now.Sub(e.at) > 10*reportLifetime {
 			delete(a.reports, name)
+			a.demand.remove(name)
 		}
 	}
 	for id, p := range a.interToken {
--- a/mustardseam/hub/report.go
+++ b/mustardseam/hub/report.go
@@ -22,6 +22,8 @@
 	Items        []store.Item               `json:"items,omitempty"`
 	Used         map[string]ratelimit.Usage `json:"used,omitempty"`  // Usage by team since the latest report that got a response.
 	Loads        map[string]placement.Load  `json:"loads,omitempty"` // Load by ID of the backend server.
+	// Demand holds the demand for services whose numbers of backend servers are ordered, counted in this run, by service.
+	Demand map[string]Demand `json:"demand,omitempty"`
 	// InterTokenMS is the inter-token latency in milliseconds by ID of the backend server, measured since the latest report.
 	InterTokenMS map[string]float64  `json:"paces,omitempty"`
 	Unreachable  []string            `json:"sick,omitempty"`    // IDs of backend servers that the instance failed to reach.
@@ -62,6 +64,7 @@
 	Levels       map[string]float64         `json:"levels,omitempty"`    // Quota level by team, for an instance with UsageUnknown.
 	// Loads is a map of placement.Load by ID of the backend server, over all instances; some responses omit it.
 	Loads         json.RawMessage           `json:"loads,omitempty"`
+	Demand        map[string]Demand         `json:"demand,omitempty"`  // As in Report, over all instances in this run of the hub.
 	InterTokenMS  map[string]float64        `json:"paces,omitempty"`   // As in Report, smoothed over all instances.
 	ReporterLoads map[string]placement.Load `json:"own,omitempty"`     // Part of Loads that comes from the reporting instance.
 	Unreachable   map[string]int            `json:"sick,omitempty"`    // Number of instances that failed to reach a backend server, by ID.
