--- a/mustardseam/entry/autoscale.go
+++ b/mustardseam/entry/autoscale.go
@@ -173,13 +173,9 @@
 
 // sendScaleOrder sends an order while this instance may act on the duty.
 func (i *Instance) sendScaleOrder(service string, o autoscale.Order) error {
-	right, ok := i.dutyRight(time.Now(), AutoscaleDuty)
-	if !ok {
-		return errors.New("instance does not hold the duty")
-	}
-	ctx, cancel := context.WithTimeout(i.ctx, time.Second)
-	defer cancel()
-	return i.cfg.Duties.ScaleOrderer.OrderScale(ctx, right.Holder, right.Token, service, o.DataCentre, o.Desired)
+	return i.callDuty(AutoscaleDuty, func(ctx context.Context, right duty.Right) error {
+		return i.cfg.Duties.ScaleOrderer.OrderScale(ctx, right.Holder, right.Token, service, o.DataCentre, o.Desired)
+	})
 }
 
 // logDecision logs that the reason of the decision on a service changed.
--- a/mustardseam/entry/dump.go
+++ b/mustardseam/entry/dump.go
@@ -32,6 +32,8 @@
 	Autoscale map[string]ScaleState `json:"autoscale,omitempty"`
 	// OutOfService holds the data centres that are out of service.
 	OutOfService []string `json:"out-of-service,omitempty"`
+	// Duties shows who performs the duties; nil if there are none.
+	Duties *DutiesState `json:"duties,omitempty"`
 }
 
 // State returns the state of the instance as a State.
@@ -50,6 +52,7 @@
 	i.reporter.mu.Unlock()
 	d.Autoscale = i.autoscaler.state()
 	d.OutOfService = slices.Sorted(maps.Keys(v.OutOfService))
+	d.Duties = i.duties.state()
 	d.Quarantine = i.quarantine.Patterns(time.Now())
 	i.scheduler.mu.Lock()
 	defer i.scheduler.mu.Unlock()
--- a/mustardseam/entry/instance.go
+++ b/mustardseam/entry/instance.go
@@ -66,6 +66,7 @@
 	rollouts        *rollouts
 	quarantine      *quarantine.Table
 	metrics         *instanceMetrics
+	duties          *duties // Nil if there are none.
 	demand          *demandCounter
 	autoscaler      *autoscaler // Nil if the duty is not to be performed.
 	active          atomic.Int64
@@ -93,6 +94,7 @@
 	})
 	i.quarantine = newQuarantine(i.log())
 	i.metrics = newInstanceMetrics(i)
+	i.duties = newDuties(i)
 	i.autoscaler = newAutoscaler(i)
 	i.reporter = newReporter(i)
 	i.placementClient = newPlacementClient(placementClientConfig{
@@ -131,6 +133,9 @@
 	i.tasks.Go(i.saveQuotas)
 	i.tasks.Go(i.saveCrashes)
 	i.tasks.Go(i.sweep)
+	if i.duties != nil {
+		i.tasks.Go(i.duties.run)
+	}
 	event.InstanceStarted.Log(i.log()).Str("data-centre", cfg.DataCentre).Send()
 	return i
 }
