Take orders back with care and raise only busy services

Cause: the platform chooses which backend servers it removes, so that taking back an order for a burst could remove running ones; wrong expectations of the work of requests could order backend servers for idle ones.

--- a/mustardseam/autoscale/decide.go
+++ b/mustardseam/autoscale/decide.go
@@ -24,6 +24,9 @@
 	// workVariance is the variance of the work of arrivals in a sample relative to independent arrivals of equal work. It
 	// is that of work with an exponential distribution.
 	workVariance = 2.0
+	// minBusy is the least share of what the backend servers can do that they must do lately before their number is raised.
+	// Without it, wrong expectations of the work of requests would order backend servers for idle ones.
+	minBusy = 0.75
 	// deadBand is the relative difference below which the number in force is not raised, so that noise gives no orders.
 	deadBand = 0.03
 	// fallMargin is the factor on the number needed at the highest load of the hold time, to which the number in force
@@ -72,7 +75,7 @@
 	d.Full = float64(d.InForce) * c.perServer
 	h.updateSurge(cfg, now, c, l, d.Desired)
 	d.Needed = c.serversFor(max(h.sustained(now, l), l.forecast))
-	next := h.raise(cfg, now, c, l, d)
+	next := h.raise(cfg, now, o, c, l, d)
 	if next.Reason == Enough {
 		next = h.lower(cfg, now, o, c, l, next)
 	}
@@ -87,9 +90,9 @@
 	}
 	switch {
 	case h.surge.active():
-		if l.mean(smoothing) < full {
-			// Kept until the next decision if it has orders, which may be withdrawn.
-			if h.surge.orderedAt.IsZero() || now.Sub(h.surge.orderedAt) >= cfg.Boot {
+		if l.below(full) {
+			// An order that is still being carried out is taken back by the following decisions, which need the surge.
+			if h.surge.orderedAt.IsZero() || h.surge.probedAt.IsZero() && now.Sub(h.surge.orderedAt) >= cfg.Boot {
 				h.endSurge(now, cfg)
 			}
 		}
@@ -104,33 +107,26 @@
 }
 
 // raise returns the decision with higher numbers if the load needs them.
-func (h *History) raise(cfg Config, now time.Time, c capacity, l loads, d Decision) Decision {
+func (h *History) raise(cfg Config, now time.Time, o Observation, c capacity, l loads, d Decision) Decision {
 	band := int(math.Ceil(deadBand * float64(d.InForce)))
 	reason, needed := Sustain, d.Needed
 	if l.forecast > h.sustained(now, l) {
 		reason = Periodic
 	}
 	if h.surge.active() {
-		full := d.Full
-		if h.surge.before != nil {
-			full = float64(sum(h.surge.before)) * c.perServer
+		if !h.surge.orderedAt.IsZero() && l.below(float64(sum(h.surge.before))*c.perServer) {
+			return h.withdraw(cfg, now, o, c, l, d)
 		}
-		over := l.mean(smoothing) >= full || h.surge.orderedAt.IsZero()
-		switch {
-		case !over:
-			// The load is back before the backend servers that were ordered for it have started.
-			before := sum(h.surge.before)
-			h.endSurge(now, cfg)
-			total := max(before, c.serversFor(h.sustained(now, l)))
-			if total < d.InForce {
-				return d.withReason(Withdraw, spread(cfg, d.Desired, total))
-			}
-		case now.Sub(h.surge.since) >= h.confirmAfter(cfg):
+		h.surge.probedAt = time.Time{}
+		if now.Sub(h.surge.since) >= h.confirmAfter(cfg) {
 			if n := c.serversFor(l.meanSince(h.surge.since)); n > needed {
 				reason, needed = Surge, n
 			}
 		}
 	}
+	if l.busiest(minSustainSamples) < minBusy {
+		return d.withReason(Enough, d.Desired)
+	}
 	if needed < d.InForce+max(1, band) {
 		return d.withReason(Enough, d.Desired)
 	}
@@ -174,8 +170,11 @@
 		return
 	}
 	h.changedAt = now
-	if d.Reason == Fall {
+	switch {
+	case d.Reason == Fall:
 		h.fell = true
+	case d.Reason == Withdraw && h.surge.active():
+		h.surge.probedAt, h.surge.probed = now, h.listed()
 	}
 	if total < d.InForce {
 		return
--- a/mustardseam/autoscale/loads.go
+++ b/mustardseam/autoscale/loads.go
@@ -51,6 +51,15 @@
 	return l.mean(max(1, n))
 }
 
+// busiest returns the highest share of their capacity that the backend servers used in the latest n samples.
+func (l loads) busiest(n int) float64 {
+	highest := 0.0
+	for _, s := range l.samples[max(0, len(l.samples)-n):] {
+		highest = max(highest, s.busy)
+	}
+	return highest
+}
+
 // deviation returns the relative standard deviation of the mean load of the latest n samples that independent arrivals give.
 func (l loads) deviation(n int) float64 {
 	arrived := 0.0
@@ -60,6 +69,11 @@
 	return math.Sqrt(workVariance / max(1, arrived))
 }
 
+// below reports whether the load is lower than a capacity again.
+func (l loads) below(full float64) bool {
+	return l.mean(smoothing) < full || l.mean(1) < full*(1-l.deviation(1))
+}
+
 // start returns the start of the latest n samples.
 func (l loads) start(n int) time.Time {
 	s := l.samples[max(0, len(l.samples)-n)]
@@ -67,23 +81,9 @@
 }
 
 // sustained returns the load that lasts: the sustainQuantile of the smoothed loads in sustainWindow, but at most what was
-// reached in the latest minSustainSamples; 0 if there are too few samples. A single short surge is left out.
+// reached in the latest minSustainSamples; 0 if there are too few samples.
 func (h *History) sustained(now time.Time, l loads) float64 {
-	samples := h.since(now.Add(-sustainWindow))
-	offset := len(l.smoothed) - len(samples)
-	var surges []span
-	for _, s := range h.shortSurges {
-		if now.Sub(s.to) < sustainWindow {
-			surges = append(surges, s)
-		}
-	}
-	var recent []float64
-	for i, s := range samples {
-		if len(surges) == 1 && s.at.After(surges[0].from) && !s.at.After(surges[0].to) {
-			continue
-		}
-		recent = append(recent, l.smoothed[offset+i])
-	}
+	recent := slices.Clone(l.smoothed[len(l.smoothed)-len(h.since(now.Add(-sustainWindow))):])
 	if len(recent) < minSustainSamples {
 		return 0
 	}
--- a/mustardseam/autoscale/sample.go
+++ b/mustardseam/autoscale/sample.go
@@ -11,16 +11,25 @@
 	backlog   float64 // Expected units of work of the waiting requests.
 	started   float64 // Expected units of work of the requests that were sent to backend servers.
 	workRate  float64 // Units of work per second that the backend servers did.
+	busy      float64 // Share of their capacity that the backend servers used that could be reached.
 	undamaged bool    // No backend server is missing or leaving, so that started and workRate can be compared.
 }
 
 // newSample returns the sample for an observation that is made a time after the previous one.
 func newSample(now time.Time, span time.Duration, o Observation, waitedBefore int) sample {
 	s := sample{at: now, seconds: span.Seconds(), undamaged: len(o.Servers) > 0}
+	var reachable, used float64
 	for _, srv := range o.Servers {
 		s.workRate += srv.workRate()
+		if !srv.Crashed && !srv.Draining {
+			reachable += srv.capacity()
+			used += srv.workRate()
+		}
 		s.undamaged = s.undamaged && !srv.Crashed && !srv.Draining
 	}
+	if reachable > 0 {
+		s.busy = used / reachable
+	}
 	if o.Arrived == 0 {
 		return s
 	}
