Test the states of backend servers that decisions use

Cause: no test showed that cold, leaving, unreachable and lapsed backend servers reach the decision as such.

--- a/mustardseam/entry/autoscale_test.go
+++ b/mustardseam/entry/autoscale_test.go
@@ -177,3 +177,39 @@
 	c.begin("pool", 100)
 	assert.DeepEqual(t, c.snapshot(), map[string]hub.Demand{"pool": {Arrived: 4, Refused: 1, Work: 400, Waiting: 1}})
 }
+
+// TestServerStates guards against a decision that takes backend servers for usable that are cold, leaving or out of reach, or
+// a list for current whose entries lapsed in an outage.
+func TestServerStates(t *testing.T) {
+	now := time.Unix(1000, 0)
+	svc := &fleet.Service{Name: "pool", Engine: true}
+	servers := []*fleet.Server{
+		{ID: "cold", ColdUntil: now.Add(time.Second)}, {ID: "crashed"}, {ID: "draining", Draining: true}, {ID: "running"},
+	}
+	v := fleet.NewView()
+	for _, s := range servers {
+		s.Service, s.DataCentre, s.Slots = "pool", s.ID, 4
+		v = v.With(fleet.Change{Server: s})
+	}
+	sched := newScheduler(schedulerConfig{instance: "self", view: func() *fleet.View { return v }})
+	crashed, running := v.Servers["crashed"], v.Servers["running"]
+	sched.board.Start(now, crashed, &placement.Job{})
+	sched.board.Finish(now, svc, crashed, &placement.Job{}, placement.Outcome{Unreachable: true})
+	sched.board.Start(now, running, &placement.Job{})
+	sched.board.RecordInterToken(svc, running, 5*time.Millisecond)
+	states, lapsed := sched.serverStates(now, v, svc)
+	assert.Assert(t, !lapsed)
+	byName := map[string]autoscale.Server{}
+	for _, s := range states {
+		byName[s.DataCentre] = s
+	}
+	assert.DeepEqual(t, byName, map[string]autoscale.Server{
+		"cold":     {DataCentre: "cold", Slots: 4, Cold: true},
+		"crashed":  {DataCentre: "crashed", Slots: 4, Crashed: true},
+		"draining": {DataCentre: "draining", Slots: 4, Draining: true},
+		"running":  {DataCentre: "running", Slots: 4, Running: 1, UnitMS: 5},
+	})
+	v = v.With(fleet.Change{RemovedServer: "running", MayReturn: true, Time: now})
+	_, lapsed = sched.serverStates(now, v, svc)
+	assert.Assert(t, lapsed)
+}
