--- a/mustardseam/entry/instance.go
+++ b/mustardseam/entry/instance.go
@@ -69,6 +69,8 @@
 	quarantine      *quarantine.Table
 	metrics         *instanceMetrics
 	duties          *duties // Nil if there are none.
+	demand          *demandCounter
+	autoscaler      *autoscaler // Nil if the duty is not to be performed.
 	active          atomic.Int64
 	bounds          atomic.Pointer[Bounds]
 	pending         *pendingRequests
@@ -84,7 +86,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	i := &Instance{
 		cfg: cfg, ctx: ctx, cancel: cancel, client: http1.NewClient(), random: rand.Float64, runID: rand.Int64(),
-		pending: newPendingRequests(), durations: newRouteDurations(),
+		pending: newPendingRequests(), durations: newRouteDurations(), demand: newDemandCounter(),
 		logger: zerolog.New(cfg.LogWriter).Level(cfg.LogLevel).With().Timestamp().Str("instance", cfg.Name).Logger(),
 	}
 	i.view.Store(fleet.NewView())
@@ -96,6 +98,7 @@
 	i.quarantine = newQuarantine(i.log())
 	i.metrics = newInstanceMetrics(i)
 	i.duties = newDuties(i)
+	i.autoscaler = newAutoscaler(i)
 	i.reporter = newReporter(i)
 	i.placementClient = newPlacementClient(placementClientConfig{
 		instance: cfg.Name, run: i.runID, scheduler: i.scheduler, reachableHub: i.reporter.reachableHub,
@@ -127,6 +130,9 @@
 	i.tasks.Go(func() { i.placementClient.run(i.ctx) })
 	i.tasks.Go(i.rollouts.run)
 	i.tasks.Go(i.register)
+	if i.autoscaler != nil {
+		i.tasks.Go(i.autoscaler.run)
+	}
 	i.tasks.Go(i.saveQuotas)
 	i.tasks.Go(i.saveCrashes)
 	i.tasks.Go(i.sweep)
--- a/mustardseam/event/catalogue.go
+++ b/mustardseam/event/catalogue.go
@@ -95,6 +95,12 @@
 	UsageReportedLate   = Event{8007, "usage-reported-late", zerolog.WarnLevel, "platform accepted the report of a usage window after it was due"}
 )
 
+// Events of orders of backend servers, which the holder of the duty sends.
+var (
+	ScaleDecision = Event{8101, "scale-decision", zerolog.InfoLevel, "reason of the decision on the number of backend servers changed"}
+	ScaleOrdered  = Event{8102, "scale-ordered", zerolog.InfoLevel, "number of backend servers ordered from the platform"}
+)
+
 // All returns all events in ascending order of their numbers.
 func All() []Event {
 	return []Event{
@@ -110,5 +116,6 @@
 		HubPlacementStarted, HubPlacementStopped, PanicContained, ServerLimitChanged, ServerLimitInvalid, AnswerCut,
 		PromptQuarantined, PromptReleased,
 		DutyAcquired, DutyLost, DutyCallFailed, DutyStoreCallFailed, UsageSealed, UsageReported, UsageReportedLate,
+		ScaleDecision, ScaleOrdered,
 	}
 }
--- a/mustardseam/fleet/service.go
+++ b/mustardseam/fleet/service.go
@@ -11,4 +11,5 @@
 	Engine         bool          // The backend servers are inference engines, which batch requests.
 	TokensPerEvent int           // Number of tokens per stream event; 0 when unknown.
 	KVCapacity     int           // Tokens that the memory of an engine holds for prompts and outputs; 0 when unknown.
+	Autoscale      Autoscale
 }
