Share quotas between instances that are cut off from each other

Cause: instances that a partition separates from the hub form a group with a hub of its own, and both groups used the whole quota of a team. Change: a hub counts instances that fell silent within 15 s and those of a partition, tells the number in its responses, and each group uses the part of a quota that its instances make up.

--- a/mustardseam/entry/cluster_state.go
+++ b/mustardseam/entry/cluster_state.go
@@ -31,7 +31,9 @@
 	// possibleInstances is the number of instances that may send to the backend servers. It exceeds the number of instances
 	// while others are unresponsive.
 	possibleInstances int
-	quotaUsage        map[string]ratelimit.Usage // Quota usage at the other instances since the last report, keyed by team.
+	// servingInstances is the number of instances that may be serving callers, including silent ones that may be cut off.
+	servingInstances int
+	quotaUsage       map[string]ratelimit.Usage // Quota usage at the other instances since the last report, keyed by team.
 }
 
 // runningInstances returns the names of the running instances, including this one, as of the latest report.
@@ -85,6 +87,7 @@
 	if state.isHub {
 		s.serverLimiter.AdvanceRound(now)
 	}
+	s.quota.SetReachable(float64(len(state.instances)) / float64(max(1, len(state.instances), state.servingInstances)))
 	if state.quotaUsage != nil {
 		s.quota.AddOtherUsage(now, state.quotaUsage)
 	}
--- a/mustardseam/entry/report_exchange.go
+++ b/mustardseam/entry/report_exchange.go
@@ -159,7 +159,7 @@
 	}
 	r.i.scheduler.applyClusterState(now, clusterState{
 		loads: others, interTokenMS: response.InterTokenMS, instances: response.Instances,
-		possibleInstances: len(response.Instances), quotaUsage: used,
+		possibleInstances: len(response.Instances), servingInstances: response.Possible, quotaUsage: used,
 		unreachable: response.Unreachable, unreachableUntil: now.Add(unreachableTimeout),
 	})
 }
@@ -212,6 +212,9 @@
 		Hub: r.i.cfg.Name, Run: r.i.runID, Instances: r.aggregator.ActiveInstances(now), Usage: r.aggregator.Usage(),
 		Demand: r.aggregator.Demand(now), Unreachable: sum.Unreachable, From: report.Revision, Leaving: r.i.leavingServers(),
 	}
+	if serving := r.servingInstances(now, len(response.Instances)); serving > len(response.Instances) {
+		response.Possible = serving
+	}
 	response.Limits, response.LimitRound = r.i.scheduler.limitsToRelay(now)
 	var crashesKnown int64
 	if report.CrashRun == r.i.runID {
--- a/mustardseam/entry/reporter.go
+++ b/mustardseam/entry/reporter.go
@@ -207,6 +207,12 @@
 	return fleet.Instance{Cores: r.i.cfg.Cores}, false
 }
 
+// servingInstances returns the number of instances that may be serving callers: those that report to this hub, and those that
+// fell silent or were lost in a partition, which may be cut off. mu must be held.
+func (r *reporter) servingInstances(now time.Time, active int) int {
+	return max(active+r.aggregator.SilentInstances(now), r.partition.count(now))
+}
+
 // updateAsHub does for the hub itself what a report does for the other instances.
 func (r *reporter) updateAsHub(now time.Time) {
 	_, _, used := r.i.scheduler.takeReport()
@@ -233,7 +239,7 @@
 	}
 	r.i.scheduler.applyClusterState(now, clusterState{
 		loads: others, isHub: true, loadsByInstance: sum.ByInstance, interTokenMS: r.aggregator.InterTokenMS(),
-		instances: instances, possibleInstances: possibleInstances,
+		instances: instances, possibleInstances: possibleInstances, servingInstances: r.servingInstances(now, len(instances)),
 		unreachable: sum.Unreachable, unreachableUntil: now.Add(unreachableTimeout),
 		stopping: r.aggregator.StoppingInstances(now),
 	})
--- a/mustardseam/hub/aggregator.go
+++ b/mustardseam/hub/aggregator.go
@@ -16,6 +16,10 @@
 // only after the loss of several reports.
 const reportLifetime = 2 * time.Second
 
+// silenceTimeout is how long an instance without reports is assumed to be cut off. One that lost power has been replaced or is
+// gone by then.
+const silenceTimeout = 15 * time.Second
+
 // Aggregator aggregates the reports that a hub receives; it is not safe for concurrent use.
 type Aggregator struct {
 	self       string                        // Name of this instance.
@@ -107,6 +111,18 @@
 	return instances
 }
 
+// SilentInstances returns the number of instances that have sent no valid report for a while, but did so within silenceTimeout
+// and were not stopping. They may be cut off and still serve callers.
+func (a *Aggregator) SilentInstances(now time.Time) int {
+	n := 0
+	for _, e := range a.reports {
+		if silence := now.Sub(e.at); silence >= reportLifetime && silence < silenceTimeout && !e.report.Stopping {
+			n++
+		}
+	}
+	return n
+}
+
 // StoppingInstances returns the names of the instances whose valid report says that they are stopping. Their requests at
 // backend servers still count as load.
 func (a *Aggregator) StoppingInstances(now time.Time) []string {
--- a/mustardseam/hub/hub_test.go
+++ b/mustardseam/hub/hub_test.go
@@ -166,3 +166,27 @@
 	assert.Equal(t, sum.Loads["s"].Requests, 1+5+2)
 	assert.Equal(t, sum.ByInstance["n1"]["s"].Requests, 5)
 }
+
+// TestSilentInstances guards against quotas that are used in full on both sides of a partition because the instances on the
+// other side are forgotten, and against shares that are kept for instances that have stopped or are gone.
+func TestSilentInstances(t *testing.T) {
+	now := time.Unix(1000, 0)
+	tests := []struct {
+		name     string
+		silence  time.Duration
+		stopping bool
+		want     int
+	}{
+		{"reports", time.Second, false, 0},
+		{"silent", 3 * time.Second, false, 1},
+		{"stopped", 3 * time.Second, true, 0},
+		{"gone", 16 * time.Second, false, 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			a := NewAggregator("hub")
+			a.Add(now, Report{Instance: "n1", Run: 1, Sequence: 1, Stopping: test.stopping})
+			assert.Equal(t, a.SilentInstances(now.Add(test.silence)), test.want)
+		})
+	}
+}
--- a/mustardseam/hub/report.go
+++ b/mustardseam/hub/report.go
@@ -64,9 +64,12 @@
 
 // ReportResponse is the hub's response to a Report.
 type ReportResponse struct {
-	Hub          string                     `json:"hub"`
-	Run          int64                      `json:"run"`
-	Instances    []string                   `json:"nodes"`               // Names of the hub and the instances that reported recently.
+	Hub       string   `json:"hub"`
+	Run       int64    `json:"run"`
+	Instances []string `json:"nodes"` // Names of the hub and the instances that reported recently.
+	// Possible is the number of instances that may be serving callers, including those that are silent; 0 for as many as in
+	// Instances.
+	Possible     int                        `json:"possible,omitempty"`
 	Usage        map[string]ratelimit.Usage `json:"known"`               // Usage by team over all instances since the hub's start.
 	UsageUnknown bool                       `json:"unsettled,omitempty"` // The hub has just started; as in Report.
 	Levels       map[string]float64         `json:"levels,omitempty"`    // Quota level by team, for an instance with UsageUnknown.
--- a/mustardseam/ratelimit/quota.go
+++ b/mustardseam/ratelimit/quota.go
@@ -75,6 +75,7 @@
 	// adoptedShares is the divisor of the adopted levels until this instance is settled: the instances that share them.
 	adoptedShares  float64
 	reportInterval time.Duration // Smoothed time between reports.
+	reachable      float64       // Share of the limits that the instances in contact with this one may use; 0 counts as 1.
 }
 
 // teamQuota is the state of the quota of one team.
@@ -135,22 +136,26 @@
 	if t.bucket.rate == 0 {
 		q.initBuckets(now, t, team.Name, burst, startTolerance*tolerance, n)
 	}
-	t.bucket.resize(now, rate, burst)
+	reachable := 1.0
+	if q.reachable > 0 {
+		reachable = q.reachable
+	}
+	t.bucket.resize(now, rate*reachable, burst*reachable)
 	t.localShare.resize(now, rate/n, burst/n)
 	if !q.Settled(now) {
 		return q.admitUnsettled(now, t, units)
 	}
-	bucket := &t.bucket
+	bucket, limit := &t.bucket, burst*reachable
 	if now.Sub(q.lastReport) > reportValidity {
-		bucket, expected, burst = &t.localShare, 0, burst/n
+		bucket, expected, limit = &t.localShare, 0, burst/n
 	}
 	// A request larger than the bucket would never be admitted, so it takes the whole bucket when that is full.
-	units = min(units, burst)
+	units = min(units, limit)
 	if wait := bucket.waitFor(now, units); wait > 0 {
 		return false, wait
 	}
 	if need := expected + units; bucket.level < need && q.cfg.Random() > bucket.level/need {
-		return false, bucket.waitFor(now, min(need, burst))
+		return false, bucket.waitFor(now, min(need, limit))
 	}
 	t.localShare.deduct(now, units)
 	t.charge(now, units)
@@ -203,6 +208,10 @@
 	return adopted || q.cfg.Start.IsZero() || now.Sub(q.cfg.Start) >= settleTime
 }
 
+// SetReachable sets the share of the limits, from 0 to 1, that the instances in contact with this one use together. The others
+// may be cut off and use the rest, which this instance does not learn of in time.
+func (q *Quota) SetReachable(share float64) { q.reachable = share }
+
 // Configure replaces the tolerance (Window, Excess and Slack) and keeps the state of the teams.
 func (q *Quota) Configure(cfg QuotaConfig) {
 	q.cfg.Window, q.cfg.Excess, q.cfg.Slack = cfg.Window, cfg.Excess, cfg.Slack
