Bound the memory that all requests of callers take together

Cause: a request was bounded alone, and its buffers were allocated for what was announced, not for what had arrived. Change: package http1 counts the memory of requests in one account, reserved before bytes are read and released after the answer. A body's buffer grows as bytes arrive, a header is parsed only once it is complete and its cost is reserved, and connections at rest hold a read buffer of 4 KB and no write buffer. When the account is full, requests that are still being read are refused with 503, those first that hold the most memory without progress at the address that holds the most; a request that was passed on never is.

--- a/mustardseam/entry/instance.go
+++ b/mustardseam/entry/instance.go
@@ -38,6 +38,7 @@
 	LogLevel       zerolog.Level
 	LogWriter      *logwriter.Writer
 	MaxConnections int // Maximum number of open connections of callers; 0 for no limit.
+	Memory         MemoryLimits
 }
 
 const (
@@ -116,6 +117,7 @@
 	})
 	i.server = http1.NewServer(http1.ServerConfig{
 		Listener: cfg.CallerListener, MaxConns: cfg.MaxConnections, Limits: i.limits, Handle: i.handle, Log: i.logger,
+		RequestMemory: cfg.Memory.Requests,
 	})
 	i.tasks.Go(i.reporter.run)
 	i.tasks.Go(func() { i.placementClient.run(i.ctx) })
--- a/mustardseam/http1/exchange.go
+++ b/mustardseam/http1/exchange.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"strconv"
+	"sync"
 	"time"
 )
 
@@ -23,6 +24,23 @@
 	failed         bool // A write failed or the response was aborted.
 }
 
+// writers holds writers of exchanges that have ended, so that connections without a request need none.
+var writers = sync.Pool{New: func() any { return bufio.NewWriter(nil) }}
+
+// newExchange returns the exchange for a request that was read just now.
+func newExchange(c *serverConn, r Request) *Exchange {
+	w := writers.Get().(*bufio.Writer)
+	w.Reset(c.conn)
+	return &Exchange{Request: r, ReceivedAt: time.Now(), conn: c, bw: w}
+}
+
+// releaseWriter ends the use of the writer. Nothing can be sent after it.
+func (e *Exchange) releaseWriter() {
+	e.bw.Reset(nil)
+	writers.Put(e.bw)
+	e.bw = nil
+}
+
 // HeaderSent reports whether the response header was written.
 func (e *Exchange) HeaderSent() bool { return e.headerSent }
 
--- a/mustardseam/http1/server.go
+++ b/mustardseam/http1/server.go
@@ -4,6 +4,7 @@
 	"errors"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -33,6 +34,8 @@
 	Limits   func() fleet.Limits // Returns the limits that apply now.
 	Handle   func(e *Exchange)   // Handles a request; called on the goroutine of the connection.
 	Log      zerolog.Logger
+	// RequestMemory limits the bytes that requests which are being read or handled occupy together; 0 means a default.
+	RequestMemory int64
 }
 
 // Server accepts connections of callers and passes their requests to ServerConfig.Handle. Callers are the HTTP clients of
@@ -50,16 +53,24 @@
 	// idleClosed is true after CloseIdle was called. A connection that then becomes idle is closed. Guarded by mu.
 	idleClosed bool
 	done       chan struct{} // Closed after Close, when no connection is left.
+
+	memory          *memoryAccount
+	started         time.Time
+	refusedRequests atomic.Int64 // Requests refused because the memory for requests was full.
 }
 
 // NewServer returns a server that is accepting connections.
 func NewServer(cfg ServerConfig) *Server {
+	if cfg.RequestMemory <= 0 {
+		cfg.RequestMemory = defaultRequestMemory
+	}
 	s := &Server{
-		cfg: cfg, conns: map[*serverConn]struct{}{}, done: make(chan struct{}),
+		cfg: cfg, conns: map[*serverConn]struct{}{}, done: make(chan struct{}), started: time.Now(),
 		listener: tcp.NewListener(cfg.Listener, tcp.ListenerConfig{
 			MaxConns: cfg.MaxConns, WriteTimeout: writeTimeout, MaxUnsentBytes: maxUnsentBytes,
 		}),
 	}
+	s.memory = newMemoryAccount(cfg.RequestMemory, s.evictRequests)
 	go s.accept()
 	return s
 }
--- a/mustardseam/http1/serverconn.go
+++ b/mustardseam/http1/serverconn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -9,6 +10,7 @@
 	"os"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sourcegraph/conc/panics"
@@ -17,40 +19,56 @@
 	"github.com/mustardseam/mustardseam/mustardseam/tcp"
 )
 
-// headerBufferSlack is the size in bytes of the read buffer beyond the header size limit. fasthttp reports that a header
-// is too large when it does not fit into the buffer, so headers may exceed the limit by this size.
+// headerBufferSlack is the size in bytes of the large read buffer beyond the header size limit. Headers may exceed the limit
+// by this size.
 const headerBufferSlack = 512
 
 // finalReadTimeout is how long an idle connection is read once more before it is closed, in case a request has just
 // arrived.
 const finalReadTimeout = time.Millisecond
 
+// smallReaderBytes is the size of the read buffer of a connection whose request header is not longer. Nearly all are shorter.
+const smallReaderBytes = 4 << 10
+
+// connPhase is what a connection is doing.
+type connPhase int
+
+const (
+	phaseIdle     connPhase = iota // It waits for a request.
+	phaseReading                   // It reads a request, which may still be refused.
+	phaseHandling                  // The request was passed on, so it gets an answer.
+)
+
 // serverConn is a connection from a caller.
 type serverConn struct {
 	server *Server
 	conn   net.Conn
-	br     *bufio.Reader
-	bw     *bufio.Writer
-	mu     sync.Mutex
-	idle   bool // The connection waits for a request; guarded by mu.
+	// br reads from the connection. It is replaced by a larger one while a request needs it.
+	br    *bufio.Reader
+	small *bufio.Reader
+	large int64 // Bytes reserved for br if it is not small.
+	// interrupted receives a value when the request that is being read is evicted.
+	interrupted chan struct{}
+	held        atomic.Int64 // Bytes reserved for the current request.
+	progressAt  atomic.Int64 // Time of the last byte of the current request, as returned by Server.now.
+	mu          sync.Mutex
+	phase       connPhase // Guarded by mu.
+	evicted     bool      // The request that is being read must be refused; guarded by mu.
 	// closeWhenIdle is true if the connection must be closed when it is idle after Server.CloseIdle. It is set when the
 	// first wait for a request ends, with or without a request. Used by the goroutine of the connection only.
 	closeWhenIdle bool
 }
 
 func newServerConn(s *Server, raw net.Conn) *serverConn {
-	size := s.cfg.Limits().HeaderBytes
-	if size <= 0 {
-		size = defaultHeaderBytes
-	}
-	return &serverConn{
-		server: s, conn: raw, br: bufio.NewReaderSize(raw, size+headerBufferSlack), bw: bufio.NewWriter(raw),
-	}
+	c := &serverConn{server: s, conn: raw, small: bufio.NewReaderSize(raw, smallReaderBytes), interrupted: make(chan struct{}, 1)}
+	c.br = c.small
+	return c
 }
 
 func (c *serverConn) serve() {
 	defer c.server.removeConn(c)
 	defer func() { _ = c.conn.Close() }()
+	defer c.releaseAll()
 	c.logPanic(panics.Try(c.serveRequests))
 }
 
@@ -59,10 +77,14 @@
 	for c.awaitRequest() {
 		e, status := c.readRequest()
 		if e == nil {
+			c.releaseAll()
 			c.reject(status)
 			return
 		}
-		if !c.handle(e) || !e.completed() {
+		handled := c.handle(e)
+		e.releaseWriter()
+		c.releaseRequest()
+		if !handled || !e.completed() {
 			c.resetOnClose(e)
 			return
 		}
@@ -138,7 +160,10 @@
 func (c *serverConn) setIdle(idle bool, until time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.idle = idle
+	c.phase = phaseReading
+	if idle {
+		c.phase = phaseIdle
+	}
 	_ = c.conn.SetReadDeadline(until)
 }
 
@@ -146,7 +171,7 @@
 func (c *serverConn) interruptIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.idle {
+	if c.phase == phaseIdle {
 		_ = c.conn.SetReadDeadline(time.Unix(1, 0))
 	}
 }
@@ -158,47 +183,89 @@
 	if limits.HeaderTimeout <= 0 {
 		limits.HeaderTimeout = defaultHeaderTimeout
 	}
+	if limits.HeaderBytes <= 0 {
+		limits.HeaderBytes = defaultHeaderBytes
+	}
 	if limits.BodyBytes <= 0 {
 		limits.BodyBytes = defaultBodyBytes
 	}
-	_ = c.conn.SetReadDeadline(time.Now().Add(limits.HeaderTimeout))
-	var req fasthttp.Request
-	if err := req.Header.Read(c.br); err != nil {
-		var bufferErr *fasthttp.ErrSmallBuffer
-		switch {
-		case errors.As(err, &bufferErr):
-			return nil, fasthttp.StatusRequestHeaderFieldsTooLarge
-		case errors.Is(err, os.ErrDeadlineExceeded):
-			return nil, fasthttp.StatusRequestTimeout
-		case isConnClosed(err):
-			return nil, 0
-		}
-		return nil, fasthttp.StatusBadRequest
+	c.beginReading()
+	c.setReadDeadline(time.Now().Add(limits.HeaderTimeout))
+	h, err := c.readHeader(limits.HeaderBytes)
+	if err != nil {
+		return nil, c.refusalStatus(err)
 	}
-	if checkFraming(&req.Header) != nil {
+	if checkFraming(h) != nil {
 		return nil, fasthttp.StatusBadRequest
 	}
-	if req.MayContinue() {
-		_, _ = c.bw.WriteString("HTTP/1.1 100 Continue\r\n\r\n")
-		if c.bw.Flush() != nil {
+	if string(h.Peek(fasthttp.HeaderExpect)) == "100-continue" && h.ContentLength() <= limits.BodyBytes {
+		if _, err := c.conn.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n")); err != nil {
 			return nil, 0
 		}
 	}
 	// The body gets the same timeout as the header. A caller that stalls for longer would only occupy memory.
-	_ = c.conn.SetReadDeadline(time.Now().Add(limits.HeaderTimeout))
-	if err := req.ContinueReadBody(c.br, limits.BodyBytes, false); err != nil {
-		switch {
-		case errors.Is(err, fasthttp.ErrBodyTooLarge):
-			return nil, fasthttp.StatusRequestEntityTooLarge
-		case errors.Is(err, os.ErrDeadlineExceeded):
-			return nil, fasthttp.StatusRequestTimeout
-		case isConnClosed(err):
-			return nil, 0
+	c.setReadDeadline(time.Now().Add(limits.HeaderTimeout))
+	body, err := c.readBody(h, limits)
+	if err != nil {
+		return nil, c.refusalStatus(err)
+	}
+	c.setReadDeadline(time.Time{})
+	if !c.endReading() {
+		return nil, c.refusalStatus(errMemoryFull)
+	}
+	return newExchange(c, Request{Header: h, Body: body}), 0
+}
+
+// readHeader reads a header of up to about limit bytes. It is parsed only when it has arrived as a whole and the memory that
+// it takes when parsed, many times its length for short lines, is reserved.
+func (c *serverConn) readHeader(limit int) (*fasthttp.RequestHeader, error) {
+	for searched := 0; ; {
+		b, _ := c.br.Peek(c.br.Buffered())
+		if end := headerEnd(b, searched); end > limit+headerBufferSlack {
+			return nil, &fasthttp.ErrSmallBuffer{}
+		} else if end > 0 {
+			if !c.reserve(headerCost(b[:end])) {
+				return nil, errMemoryFull
+			}
+			h := &fasthttp.RequestHeader{}
+			return h, h.Read(c.br)
 		}
-		return nil, fasthttp.StatusBadRequest
+		searched = len(b)
+		if searched >= limit+headerBufferSlack {
+			return nil, &fasthttp.ErrSmallBuffer{}
+		}
+		if searched == c.br.Size() {
+			if err := c.enlargeReader(limit); err != nil {
+				return nil, err
+			}
+		}
+		if _, err := c.br.Peek(searched + 1); err != nil {
+			if len(bytes.Trim(b, "\r\n")) == 0 {
+				return nil, io.EOF // Only empty lines, which some callers send after a body.
+			}
+			return nil, err
+		}
+		c.recordProgress()
+	}
+}
+
+// refusalStatus returns the status of the response to a request that could not be read; 0 means that none is sent.
+func (c *serverConn) refusalStatus(err error) int {
+	var bufferErr *fasthttp.ErrSmallBuffer
+	switch {
+	case errors.Is(err, errMemoryFull) || c.isEvicted():
+		c.server.refusedRequests.Add(1)
+		return fasthttp.StatusServiceUnavailable
+	case errors.As(err, &bufferErr):
+		return fasthttp.StatusRequestHeaderFieldsTooLarge
+	case errors.Is(err, fasthttp.ErrBodyTooLarge):
+		return fasthttp.StatusRequestEntityTooLarge
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return fasthttp.StatusRequestTimeout
+	case isConnClosed(err):
+		return 0
 	}
-	_ = c.conn.SetReadDeadline(time.Time{})
-	return &Exchange{Request: Request{Header: &req.Header, Body: req.Body()}, ReceivedAt: time.Now(), conn: c, bw: c.bw}, 0
+	return fasthttp.StatusBadRequest
 }
 
 // handle handles a request and cancels its context with ErrCallerGone if the caller closes the connection meanwhile. It
@@ -243,10 +310,11 @@
 	if status == 0 {
 		return
 	}
-	if _, err := c.bw.Write(ResponseHeader{Status: status}.encode(0, true)); err != nil {
-		return
+	h := ResponseHeader{Status: status}
+	if status == fasthttp.StatusServiceUnavailable {
+		h = h.WithField(fasthttp.HeaderRetryAfter, memoryRetryAfter)
 	}
-	if c.bw.Flush() != nil {
+	if _, err := c.conn.Write(h.encode(0, true)); err != nil {
 		return
 	}
 	// Closing with unread bytes would reset the connection, and the caller might lose the response.
