Close unused connections for new ones at the limit of connections

Cause: connections that send nothing kept new callers out until the idle timeout, 15 s. Change: at the limit, the connection is closed that has been idle longest of those that no caller within the limits uses (idle for more than four fifths of the idle timeout, or without any request for the header timeout), or one of an address with more than half of the connections for another address. It is read once more before it is closed, so a request that has arrived is served. Metrics and the events 7061 and 7062 show when a limit on callers takes effect.

--- a/mustardseam/entry/instance.go
+++ b/mustardseam/entry/instance.go
@@ -179,6 +179,7 @@
 	ticker := time.NewTicker(lapseInterval)
 	defer ticker.Stop()
 	swept := time.Now()
+	var stats http1.ServerStats
 	for {
 		select {
 		case <-i.ctx.Done():
@@ -194,6 +195,7 @@
 				i.scheduler.sweep(now, i.listed)
 				i.quarantine.Sweep(now)
 				i.durations.sweep(now)
+				stats = i.logCallerLimits(stats)
 			}
 		})
 	}
--- a/mustardseam/entry/metrics.go
+++ b/mustardseam/entry/metrics.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/mustardseam/mustardseam/mustardseam/http1"
 )
 
 // instanceMetrics holds the counters and histograms of an instance.
@@ -39,6 +41,15 @@
 	set.NewGauge("mustardseam_servers_limited", func() float64 { return float64(i.scheduler.LimitedServers()) })
 	set.NewGauge("mustardseam_prompt_patterns_quarantined", func() float64 { return float64(len(i.quarantine.Patterns(time.Now()))) })
 	set.NewGauge("mustardseam_crashes_known", func() float64 { return float64(i.quarantine.Len()) })
+	stat := func(name string, value func(s http1.ServerStats) int64) {
+		set.NewGauge(name, func() float64 { return float64(value(i.server.Stats())) })
+	}
+	stat("mustardseam_caller_connections", func(s http1.ServerStats) int64 { return int64(s.OpenConns) })
+	stat("mustardseam_request_memory_bytes", func(s http1.ServerStats) int64 { return s.RequestMemory })
+	stat("mustardseam_request_memory_limit_bytes", func(s http1.ServerStats) int64 { return s.MemoryLimit })
+	stat("mustardseam_memory_refusals_total", func(s http1.ServerStats) int64 { return s.RefusedRequests })
+	stat("mustardseam_connections_replaced_total", func(s http1.ServerStats) int64 { return s.ReplacedConns })
+	stat("mustardseam_connections_refused_total", func(s http1.ServerStats) int64 { return s.RefusedConns })
 	return &instanceMetrics{
 		set:             set,
 		requests:        set.NewCounter("mustardseam_requests_total"),
--- a/mustardseam/http1/server.go
+++ b/mustardseam/http1/server.go
@@ -57,6 +57,8 @@
 	memory          *memoryAccount
 	started         time.Time
 	refusedRequests atomic.Int64 // Requests refused because the memory for requests was full.
+	replacedConns   atomic.Int64 // Idle connections closed to make room for others.
+	nextReplacement time.Time    // Time before which no idle connection is searched to make room; guarded by mu.
 }
 
 // NewServer returns a server that is accepting connections.
@@ -66,10 +68,10 @@
 	}
 	s := &Server{
 		cfg: cfg, conns: map[*serverConn]struct{}{}, done: make(chan struct{}), started: time.Now(),
-		listener: tcp.NewListener(cfg.Listener, tcp.ListenerConfig{
-			MaxConns: cfg.MaxConns, WriteTimeout: writeTimeout, MaxUnsentBytes: maxUnsentBytes,
-		}),
 	}
+	s.listener = tcp.NewListener(cfg.Listener, tcp.ListenerConfig{
+		MaxConns: cfg.MaxConns, WriteTimeout: writeTimeout, MaxUnsentBytes: maxUnsentBytes, MakeRoom: s.makeRoom,
+	})
 	s.memory = newMemoryAccount(cfg.RequestMemory, s.evictRequests)
 	go s.accept()
 	return s
--- a/mustardseam/http1/serverconn.go
+++ b/mustardseam/http1/serverconn.go
@@ -54,6 +54,9 @@
 	mu          sync.Mutex
 	phase       connPhase // Guarded by mu.
 	evicted     bool      // The request that is being read must be refused; guarded by mu.
+	idleSince   time.Time // Start of the current or latest wait for a request; guarded by mu.
+	served      bool      // A request was passed on; guarded by mu.
+	replaced    bool      // The idle connection must be closed to make room for another; guarded by mu.
 	// closeWhenIdle is true if the connection must be closed when it is idle after Server.CloseIdle. It is set when the
 	// first wait for a request ends, with or without a request. Used by the goroutine of the connection only.
 	closeWhenIdle bool
@@ -130,12 +133,12 @@
 		if idle <= 0 {
 			idle = defaultIdleTimeout
 		}
-		if c.server.mustCloseIdle(c.closeWhenIdle) || time.Since(since) >= idle {
+		if c.server.mustCloseIdle(c.closeWhenIdle) || time.Since(since) >= idle || c.isReplaced() {
 			return c.requestArrived()
 		}
-		c.setIdle(true, since.Add(idle))
+		c.beginIdle(since, since.Add(idle))
 		_, err := c.br.Peek(1)
-		c.setIdle(false, time.Time{})
+		c.endIdle()
 		if err == nil {
 			c.closeWhenIdle = true
 			return true
@@ -156,17 +159,22 @@
 	return err == nil
 }
 
-// setIdle records whether the connection waits for a request and sets the read deadline.
-func (c *serverConn) setIdle(idle bool, until time.Time) {
+// beginIdle records since when the connection has waited for a request and until when it does.
+func (c *serverConn) beginIdle(since, until time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.phase = phaseReading
-	if idle {
-		c.phase = phaseIdle
-	}
+	c.phase, c.idleSince = phaseIdle, since
 	_ = c.conn.SetReadDeadline(until)
 }
 
+// endIdle records that the connection no longer waits for a request.
+func (c *serverConn) endIdle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.phase = phaseReading
+	_ = c.conn.SetReadDeadline(time.Time{})
+}
+
 // interruptIdle ends the wait for a request if the connection is idle.
 func (c *serverConn) interruptIdle() {
 	c.mu.Lock()
--- a/mustardseam/http1/serverconn_memory.go
+++ b/mustardseam/http1/serverconn_memory.go
@@ -14,7 +14,7 @@
 	c.recordProgress()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.phase = phaseReading
+	c.phase, c.replaced = phaseReading, false
 }
 
 // endReading records that the request was read as a whole and is passed on. It returns false if the request was evicted
@@ -25,7 +25,7 @@
 	if c.evicted {
 		return false
 	}
-	c.phase = phaseHandling
+	c.phase, c.served = phaseHandling, true
 	return true
 }
 
--- a/mustardseam/tcp/listener.go
+++ b/mustardseam/tcp/listener.go
@@ -12,6 +12,8 @@
 	// maxConcurrentRefusals is the maximum number of refusals in progress. Connections beyond it are closed without a
 	// refusal.
 	maxConcurrentRefusals = 64
+	// maxReplacedConns is how far the limit of connections may be exceeded while connections are being closed for others.
+	maxReplacedConns = 64
 )
 
 // ListenerConfig configures a Listener.
@@ -22,6 +24,9 @@
 	// of them must end within WriteTimeout; with 0 that is always so.
 	MaxUnsentBytes int64
 	Refusal        []byte // Sent to a connection beyond the limit before it is closed; empty means nothing is sent.
+	// MakeRoom is called with a connection beyond MaxConns. It returns true if another one is about to be closed for it; nil means
+	// that none ever is.
+	MakeRoom func(raw net.Conn) bool
 }
 
 // Listener accepts connections up to a limit and sets a timeout for writes on them.
@@ -30,6 +35,7 @@
 	cfg         ListenerConfig
 	openConns   atomic.Int64 // Number of accepted connections that are open.
 	refusals    atomic.Int64 // Number of refusals in progress.
+	refused     atomic.Int64 // Number of connections refused because of the limit.
 	unsentBytes atomic.Int64 // Length of all long writes in progress.
 }
 
@@ -45,14 +51,24 @@
 		if err != nil {
 			return nil, err
 		}
-		if n := l.openConns.Add(1); l.cfg.MaxConns == 0 || n <= int64(l.cfg.MaxConns) {
+		if l.admit(raw, l.openConns.Add(1)) {
 			return &acceptedConn{Conn: raw, listener: l}, nil
 		}
 		l.openConns.Add(-1)
+		l.refused.Add(1)
 		go l.refuse(raw)
 	}
 }
 
+// admit reports whether a connection may be accepted with which n are open.
+func (l *Listener) admit(raw net.Conn, n int64) bool {
+	limit := int64(l.cfg.MaxConns)
+	return limit == 0 || n <= limit || n <= limit+maxReplacedConns && l.cfg.MakeRoom != nil && l.cfg.MakeRoom(raw)
+}
+
+// Refused returns the number of connections that were refused because of the limit.
+func (l *Listener) Refused() int64 { return l.refused.Load() }
+
 // refuse sends the refusal and closes the connection. It reads until the peer closes its side or the timeout ends, because
 // closing with unread bytes would reset the connection and the peer might lose the refusal.
 func (l *Listener) refuse(c net.Conn) {
