Bound the memory of answers until they are sent

Cause: the memory of an answer counted only while it was read, so callers that do not read it could hold any number of answers of 8 MB, together with the bodies of their requests. Change: answers are counted in an account of their own until the response is closed, with the lines of long headers. When it is full, the answers that callers have been reading longest (for a second at least) are given up by a reset, and an answer that still does not fit after 2 s fails with 502, as it may have run. A request's body is released before a complete answer is sent, and bodies above 64 KB are sent without a copy.

--- a/mustardseam/entry/attempt.go
+++ b/mustardseam/entry/attempt.go
@@ -139,7 +139,7 @@
 func (i *Instance) forwardAnswer(
 	ctx context.Context, req *request, g *Grant, resp *http1.Response, sent time.Time,
 ) attemptResult {
-	body, err := resp.ReadBody(maxAnswerBytes)
+	body, err := resp.ReadBody(ctx, maxAnswerBytes)
 	if err == nil && !resp.SelfDelimited() {
 		err = i.checkEnd(ctx, g)
 	}
@@ -169,6 +169,7 @@
 	}
 	req.status = status
 	req.reason = "answered"
+	req.exchange.ReleaseBody()
 	if h := i.cfg.HeaderCodec.Answer(&resp.Header); resp.SelfDelimited() {
 		req.exchange.Reply(h, body)
 	} else {
--- a/mustardseam/entry/instance.go
+++ b/mustardseam/entry/instance.go
@@ -80,10 +80,13 @@
 func New(cfg Config) *Instance {
 	ctx, cancel := context.WithCancel(context.Background())
 	i := &Instance{
-		cfg: cfg, ctx: ctx, cancel: cancel, client: http1.NewClient(), random: rand.Float64, runID: rand.Int64(),
+		cfg: cfg, ctx: ctx, cancel: cancel, random: rand.Float64, runID: rand.Int64(),
 		pending: newPendingRequests(), durations: newRouteDurations(),
 		logger: zerolog.New(cfg.LogWriter).Level(cfg.LogLevel).With().Timestamp().Str("instance", cfg.Name).Logger(),
 	}
+	i.client = http1.NewClient(http1.ClientConfig{
+		AnswerMemory: cfg.Memory.Answers, ReclaimAnswers: func(bytes int64) { i.server.AbandonSlowReaders(bytes) },
+	})
 	i.view.Store(fleet.NewView())
 	i.bounds.Store(&cfg.Bounds)
 	i.scheduler = newScheduler(schedulerConfig{
@@ -179,7 +182,7 @@
 	ticker := time.NewTicker(lapseInterval)
 	defer ticker.Stop()
 	swept := time.Now()
-	var stats http1.ServerStats
+	var limits callerLimits
 	for {
 		select {
 		case <-i.ctx.Done():
@@ -195,7 +198,7 @@
 				i.scheduler.sweep(now, i.listed)
 				i.quarantine.Sweep(now)
 				i.durations.sweep(now)
-				stats = i.logCallerLimits(stats)
+				limits = i.logCallerLimits(limits)
 			}
 		})
 	}
--- a/mustardseam/entry/memory_limits.go
+++ b/mustardseam/entry/memory_limits.go
@@ -10,8 +10,9 @@
 	unmanagedMemory = 24 << 20
 	// minRequestMemory admits the largest request within the limits of the configuration.
 	minRequestMemory = 16 << 20
-	// minAnswerMemory admits the largest answer.
-	minAnswerMemory = 12 << 20
+	// minAnswerMemory admits the largest answer with the buffer from which it was copied when it grew, both in the part that
+	// large answers may use.
+	minAnswerMemory = 24 << 20
 )
 
 // MemoryLimits holds the limits of the memory of an instance in bytes; 0 means a default.
--- a/mustardseam/entry/metrics.go
+++ b/mustardseam/entry/metrics.go
@@ -50,6 +50,10 @@
 	stat("mustardseam_memory_refusals_total", func(s http1.ServerStats) int64 { return s.RefusedRequests })
 	stat("mustardseam_connections_replaced_total", func(s http1.ServerStats) int64 { return s.ReplacedConns })
 	stat("mustardseam_connections_refused_total", func(s http1.ServerStats) int64 { return s.RefusedConns })
+	stat("mustardseam_answers_abandoned_total", func(s http1.ServerStats) int64 { return s.AbandonedAnswers })
+	set.NewGauge("mustardseam_answer_memory_bytes", func() float64 { return float64(i.client.Stats().AnswerMemory) })
+	set.NewGauge("mustardseam_answer_memory_limit_bytes", func() float64 { return float64(i.client.Stats().MemoryLimit) })
+	set.NewGauge("mustardseam_answers_refused_memory_total", func() float64 { return float64(i.client.Stats().RefusedAnswers) })
 	return &instanceMetrics{
 		set:             set,
 		requests:        set.NewCounter("mustardseam_requests_total"),
--- a/mustardseam/event/catalogue.go
+++ b/mustardseam/event/catalogue.go
@@ -85,6 +85,7 @@
 
 	RequestMemoryFull      = Event{7061, "request-memory-full", zerolog.WarnLevel, "memory for requests of callers is full; requests that stall or do not fit are refused"}
 	ConnectionLimitReached = Event{7062, "connection-limit-reached", zerolog.WarnLevel, "connections of callers are at their limit; unused ones are closed or new ones refused"}
+	AnswerMemoryFull       = Event{7063, "answer-memory-full", zerolog.WarnLevel, "memory for answers is full; answers to callers that read slowly are given up, or answers fail"}
 )
 
 // All returns all events in ascending order of their numbers.
@@ -101,5 +102,6 @@
 		HubChosen, HubLost, InstanceRegistered, StoreWriteFailed, ShutdownProgress,
 		HubPlacementStarted, HubPlacementStopped, PanicContained, ServerLimitChanged, ServerLimitInvalid, AnswerCut,
 		PromptQuarantined, PromptReleased, RequestMemoryFull, ConnectionLimitReached,
+		AnswerMemoryFull,
 	}
 }
--- a/mustardseam/http1/client.go
+++ b/mustardseam/http1/client.go
@@ -39,15 +39,26 @@
 	resetTimeout = 50 * time.Millisecond
 	// maxIdleConns is the maximum number of idle connections to one backend server.
 	maxIdleConns = 32
-	// maxBufferedBytes limits the total size of the response bodies that Response.ReadBody buffers at the same time, not
-	// counting the first uncountedBytes of each. Without it, a few backend servers that send endless responses would
-	// exhaust the memory of the instance.
-	maxBufferedBytes = 32 << 20
-	// uncountedBytes is the part of each buffered body that does not count towards maxBufferedBytes; nearly all bodies
-	// are shorter.
-	uncountedBytes = 64 << 10
+	// defaultAnswerMemory limits the memory for answers where ClientConfig sets none. Without a limit, a few backend servers that
+	// send endless responses, or callers that read slowly, would exhaust the memory of the instance.
+	defaultAnswerMemory = 32 << 20
+	// answerMemoryWait is how long an answer that does not fit waits until others are sent or given up.
+	answerMemoryWait = 2 * time.Second
+	// uncountedBytes is the part of each answer that does not count. Most answers are shorter, or little longer.
+	uncountedBytes = 16 << 10
+	// uncountedLines is the number of header lines of an answer that do not count.
+	uncountedLines = 64
 )
 
+// ClientConfig configures a Client.
+type ClientConfig struct {
+	// AnswerMemory limits the bytes that the answers which are being read or sent occupy together; 0 means a default.
+	AnswerMemory int64
+	// ReclaimAnswers asks for the end of answers that occupy about the given number of bytes, because others do not fit; nil means
+	// that none is ended early. It must not wait.
+	ReclaimAnswers func(bytes int64)
+}
+
 // Client sends requests to backend servers and keeps idle connections for reuse. Its methods are safe for concurrent use.
 type Client struct {
 	dialer net.Dialer
@@ -55,14 +66,23 @@
 	idle   map[fleet.Incarnation][]*clientConn // Idle connections, the most recently used last; guarded by mu.
 	// staleAfter is the shortest idle time after which a connection was found reset, initially defaultStaleAfter. Requests
 	// that may run at most once do not reuse connections that were idle for more than half of it. Guarded by mu.
-	staleAfter    time.Duration
-	dialCount     int          // Number of attempts to open a connection; guarded by mu.
-	bufferedBytes atomic.Int64 // Bytes that count towards maxBufferedBytes.
+	staleAfter time.Duration
+	dialCount  int // Number of attempts to open a connection; guarded by mu.
+	answers    *memoryAccount
+	// refusedAnswers is the number of answers that were given up because the memory for answers was full.
+	refusedAnswers atomic.Int64
 }
 
 // NewClient returns a client without connections.
-func NewClient() *Client {
+func NewClient(cfg ClientConfig) *Client {
+	if cfg.AnswerMemory <= 0 {
+		cfg.AnswerMemory = defaultAnswerMemory
+	}
+	if cfg.ReclaimAnswers == nil {
+		cfg.ReclaimAnswers = func(int64) {}
+	}
 	return &Client{
+		answers:    newMemoryAccount(cfg.AnswerMemory, answerMemoryWait, cfg.ReclaimAnswers),
 		staleAfter: defaultStaleAfter,
 		idle:       map[fleet.Incarnation][]*clientConn{},
 		dialer: net.Dialer{
@@ -106,6 +126,12 @@
 		return nil, err
 	}
 	r.client, r.server, r.stopInterrupt, r.exclusive = c, call.Server.Incarnation(), stopInterrupt, call.Exclusive
+	if lines := r.Header.Len() - uncountedLines; lines > 0 {
+		if err := r.reserve(ctx, int64(lines)*bytesPerLine); err != nil {
+			r.Close()
+			return nil, err
+		}
+	}
 	return r, nil
 }
 
--- a/mustardseam/http1/client_test.go
+++ b/mustardseam/http1/client_test.go
@@ -73,10 +73,10 @@
 					_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: r\r\n"+test.response)
 				}
 			})
-			r, err := NewClient().Do(context.Background(), newCall(s, "r", false))
+			r, err := NewClient(ClientConfig{}).Do(context.Background(), newCall(s, "r", false))
 			assert.NilError(t, err)
 			defer r.Close()
-			b, err := r.ReadBody(1 << 20)
+			b, err := r.ReadBody(context.Background(), 1<<20)
 			if test.err != nil {
 				assert.Assert(t, errors.Is(err, test.err), "%v", err)
 				return
@@ -99,13 +99,13 @@
 			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=60\r\nContent-Length: 0\r\nId: "+id+"\r\n\r\n")
 		}
 	})
-	client := NewClient()
+	client := NewClient(ClientConfig{})
 	send := func(id string, once bool) error {
 		r, err := client.Do(context.Background(), newCall(s, id, once))
 		if err != nil {
 			return err
 		}
-		_, err = r.ReadBody(1)
+		_, err = r.ReadBody(context.Background(), 1)
 		r.Close()
 		return err
 	}
@@ -128,10 +128,10 @@
 	assert.NilError(t, err)
 	s := &fleet.Server{ID: "s", Address: ln.Addr().String()}
 	assert.NilError(t, ln.Close())
-	_, err = NewClient().Do(context.Background(), newCall(s, "r", true))
+	_, err = NewClient(ClientConfig{}).Do(context.Background(), newCall(s, "r", true))
 	assert.Assert(t, errors.Is(err, ErrNotSent))
 	readOnlyServer := startScriptedServer(t, func(_ int, _ net.Conn, br *bufio.Reader) { _, _ = readRequest(br) })
-	_, err = NewClient().Do(context.Background(), newCall(readOnlyServer, "r", true))
+	_, err = NewClient(ClientConfig{}).Do(context.Background(), newCall(readOnlyServer, "r", true))
 	assert.Assert(t, errors.Is(err, ErrIncompleteResponse))
 }
 
@@ -144,14 +144,14 @@
 		}
 	})
 	ctx, cancel := context.WithCancel(context.Background())
-	r, err := NewClient().Do(ctx, newCall(s, "r", false))
+	r, err := NewClient(ClientConfig{}).Do(ctx, newCall(s, "r", false))
 	assert.NilError(t, err)
 	defer r.Close()
 	cancel()
 	time.Sleep(50 * time.Millisecond)
 	cancelled := time.Now()
 	r.SetReadDeadline(cancelled.Add(2 * time.Second))
-	_, err = r.ReadBody(1 << 20)
+	_, err = r.ReadBody(context.Background(), 1<<20)
 	assert.Assert(t, errors.Is(err, ErrIncompleteResponse), "%v", err)
 	assert.Assert(t, time.Since(cancelled) < time.Second)
 }
@@ -175,7 +175,7 @@
 				}
 				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nId: "+id+"\r\n\r\n")
 			})
-			r, err := NewClient().Do(context.Background(), newCall(s, "r", false))
+			r, err := NewClient(ClientConfig{}).Do(context.Background(), newCall(s, "r", false))
 			if test.err != nil {
 				assert.Assert(t, errors.Is(err, test.err), "%v", err)
 				return
@@ -225,12 +225,12 @@
 				_ = c.Close()
 			}()
 			server := &fleet.Server{ID: "b", Address: ln.Addr().String()}
-			resp, err := NewClient().Do(t.Context(), Call{
+			resp, err := NewClient(ClientConfig{}).Do(t.Context(), Call{
 				Server: server, Header: RequestHeader{Method: "GET", Path: "/", Host: "h"}, Deadline: time.Now().Add(10 * time.Second),
 				Matches: func(*fasthttp.ResponseHeader) bool { return true },
 			})
 			if err == nil {
-				_, err = resp.ReadBody(64)
+				_, err = resp.ReadBody(context.Background(), 64)
 				resp.Close()
 			}
 			assert.Assert(t, errors.Is(err, ErrIncompleteResponse), "%v", err)
@@ -269,7 +269,7 @@
 					}
 				}()
 			}
-			assert.Equal(t, NewClient().IsDown(t.Context(), &fleet.Server{Address: ln.Addr().String()}), test.want)
+			assert.Equal(t, NewClient(ClientConfig{}).IsDown(t.Context(), &fleet.Server{Address: ln.Addr().String()}), test.want)
 		})
 	}
 }
--- a/mustardseam/http1/clientconn.go
+++ b/mustardseam/http1/clientconn.go
@@ -22,6 +22,8 @@
 	maxSkippedResponses = 3
 	// maxInterimResponses limits the interim responses (status 1xx) to a request.
 	maxInterimResponses = 100
+	// maxCopiedBodyBytes is the length up to which a body is sent in one piece with its header.
+	maxCopiedBodyBytes = 64 << 10
 	// maxSkippedBodyBytes is the maximum body size of a skipped response.
 	maxSkippedBodyBytes = 1 << 20
 )
@@ -101,7 +103,8 @@
 func (c *clientConn) send(call Call) error {
 	c.setDeadline(c.conn.SetDeadline, call.Deadline)
 	w := &countingWriter{w: c.conn}
-	bw := bufio.NewWriterSize(w, len(call.Body)+maxResponseHeaderBytes)
+	// A body that does not fit is written without a copy.
+	bw := bufio.NewWriterSize(w, min(len(call.Body), maxCopiedBodyBytes)+maxResponseHeaderBytes)
 	_, err := bw.Write(call.Header.encode(len(call.Body)))
 	if err == nil {
 		_, err = bw.Write(call.Body)
--- a/mustardseam/http1/cut_head_test.go
+++ b/mustardseam/http1/cut_head_test.go
@@ -51,7 +51,7 @@
 							end.send(c, test.head[:n])
 						}
 					})
-					r, err := NewClient().Do(context.Background(), newCall(s, "r", false))
+					r, err := NewClient(ClientConfig{}).Do(context.Background(), newCall(s, "r", false))
 					if err == nil {
 						r.Close()
 					}
--- a/mustardseam/http1/exchange.go
+++ b/mustardseam/http1/exchange.go
@@ -44,8 +44,15 @@
 // HeaderSent reports whether the response header was written.
 func (e *Exchange) HeaderSent() bool { return e.headerSent }
 
+// ReleaseBody ends the use of the request body, so that its memory is free while the response is sent.
+func (e *Exchange) ReleaseBody() {
+	e.conn.release(int64(cap(e.Body)))
+	e.Body = nil
+}
+
 // Reply sends a complete response with a Content-Length.
 func (e *Exchange) Reply(h ResponseHeader, body []byte) {
+	defer e.conn.beginSending(len(body))()
 	e.writeHeader(h, len(body))
 	if !e.Request.Header.IsHead() {
 		e.write(body)
@@ -57,6 +64,7 @@
 // ReplyUntilClose sends a complete response without a Content-Length and closes the connection after it. It is for a body
 // that was itself received without a length: that body may have been cut off, and a length would declare it complete.
 func (e *Exchange) ReplyUntilClose(h ResponseHeader, body []byte) {
+	defer e.conn.beginSending(len(body))()
 	e.beginUntilClose(h)
 	if !e.Request.Header.IsHead() {
 		e.write(body)
--- a/mustardseam/http1/memory_account.go
+++ b/mustardseam/http1/memory_account.go
@@ -10,22 +10,28 @@
 const (
 	// defaultRequestMemory limits the memory for requests where ServerConfig sets none.
 	defaultRequestMemory = 128 << 20
-	// memoryWait is how long a reservation that does not fit waits for others to be released.
-	memoryWait = 250 * time.Millisecond
-	// largeRequestBytes is the size from which a request may not use the last quarter of the account. Nearly all requests of
-	// ordinary callers are smaller, and they are served beside large ones that fill the rest.
+	// requestMemoryWait is how long a request that does not fit waits for others to be released.
+	requestMemoryWait = 250 * time.Millisecond
+	// reclaimsPerWait is how often a reservation that waits asks for the release of others.
+	reclaimsPerWait = 8
+	// largeRequestBytes is the size from which a request or an answer may not use the last quarter of the account. Nearly all of ordinary
+	// callers are smaller, and they are served beside large ones that fill the rest.
 	largeRequestBytes = 256 << 10
 )
 
-// memoryAccount limits the bytes that all requests of callers occupy together. Bytes are reserved before they are occupied.
+// memoryAccount limits the bytes that all requests of callers, or all answers, occupy together. Bytes are reserved before they
+// are occupied.
 type memoryAccount struct {
 	limit   int64
+	wait    time.Duration // How long a reservation that does not fit waits for others to be released.
 	reclaim func(n int64) // Asks for the release of n bytes. Called with mu held.
 
 	used    atomic.Int64
 	waiting atomic.Int64 // Length of waiters.
 	mu      sync.Mutex
 	waiters []*memoryWaiter // Reservations that did not fit, in the order of arrival; guarded by mu.
+	// reclaimedAt is when reclaim was called last. Guarded by mu.
+	reclaimedAt time.Time
 }
 
 // memoryWaiter is a reservation that waits until it fits.
@@ -36,11 +42,11 @@
 }
 
 // newMemoryAccount returns an account of the given size in bytes.
-func newMemoryAccount(limit int64, reclaim func(n int64)) *memoryAccount {
-	return &memoryAccount{limit: limit, reclaim: reclaim}
+func newMemoryAccount(limit int64, wait time.Duration, reclaim func(n int64)) *memoryAccount {
+	return &memoryAccount{limit: limit, wait: wait, reclaim: reclaim}
 }
 
-// reserve reserves bytes. If they do not fit, it waits for up to memoryWait or until cancel receives a value; it returns false
+// reserve reserves bytes. If they do not fit, it waits for up to the wait time or until cancel receives a value; it returns false
 // if nothing was reserved. A large reservation may not use the last quarter of the account.
 func (a *memoryAccount) reserve(bytes int64, large bool, cancel <-chan struct{}) bool {
 	if a.tryReserve(bytes, large) {
@@ -51,13 +57,17 @@
 	}
 	w := &memoryWaiter{bytes: bytes, large: large, granted: make(chan struct{})}
 	a.addWaiter(w)
-	timer := time.NewTimer(memoryWait)
-	defer timer.Stop()
-	select {
-	case <-w.granted:
-		return true
-	case <-cancel:
-	case <-timer.C:
+	ticker := time.NewTicker(a.wait / reclaimsPerWait)
+	defer ticker.Stop()
+	for range reclaimsPerWait {
+		select {
+		case <-w.granted:
+			return true
+		case <-cancel:
+			return !a.removeWaiter(w)
+		case now := <-ticker.C:
+			a.reclaimAgain(now)
+		}
 	}
 	return !a.removeWaiter(w)
 }
@@ -96,13 +106,31 @@
 	a.waiting.Add(1)
 	// Bytes may have been released before the waiter was counted.
 	a.grant()
-	missing := int64(0)
+	a.reclaimMissing(time.Now())
+}
+
+// reclaimAgain asks again for the bytes that are missing, since more may be reclaimable than before. The waiters together ask at
+// the interval at which one does.
+func (a *memoryAccount) reclaimAgain(now time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if now.Sub(a.reclaimedAt) >= a.wait/reclaimsPerWait/2 {
+		a.reclaimMissing(now)
+	}
+}
+
+// reclaimMissing asks for the bytes that are missing for all that wait. mu must be held.
+func (a *memoryAccount) reclaimMissing(now time.Time) {
+	if len(a.waiters) == 0 {
+		return
+	}
+	missing, large := int64(0), true
 	for _, w := range a.waiters {
 		missing += w.bytes
+		large = large && w.large
 	}
-	if missing > 0 {
-		a.reclaim(missing - max(0, a.limitFor(w.large)-a.used.Load()))
-	}
+	a.reclaimedAt = now
+	a.reclaim(missing - max(0, a.limitFor(large)-a.used.Load()))
 }
 
 // removeWaiter removes a reservation that was not granted; it returns false if it was granted.
--- a/mustardseam/http1/response.go
+++ b/mustardseam/http1/response.go
@@ -2,9 +2,9 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net/http/httputil"
-	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -25,6 +25,7 @@
 	server        fleet.Incarnation
 	stopInterrupt func() bool // Stops the interruption of the connection when the context of the call ends.
 	exclusive     bool        // The connection must not be reused for another request.
+	reserved      int64       // Bytes reserved in the account of the client, until Close.
 }
 
 const (
@@ -68,25 +69,32 @@
 	return n, nil
 }
 
-// ReadBody reads the whole body, which may have at most limit bytes. It also returns ErrIncompleteResponse if the bodies
-// that are buffered at the same time would take too much memory.
-func (r *Response) ReadBody(limit int) ([]byte, error) {
-	if n := r.Header.ContentLength(); n > limit {
+// ReadBody reads the whole body, which may have at most limit bytes. It also returns ErrIncompleteResponse if the answers
+// that are held at the same time would take too much memory. The memory of the body is counted until Close.
+func (r *Response) ReadBody(ctx context.Context, limit int) ([]byte, error) {
+	n := r.Header.ContentLength()
+	if n > limit {
 		return nil, eris.Wrapf(ErrIncompleteResponse, "response body of backend server %s has %d bytes, limit is %d",
 			r.server.ID, n, limit)
 	}
 	var reserved int64
-	defer func() { r.client.bufferedBytes.Add(-reserved) }()
 	b := make([]byte, 0, minReadBytes)
 	for {
 		if cap(b)-len(b) < minReadBytes {
-			b = slices.Grow(b, len(b)+minReadBytes)
-			if excess := int64(max(0, cap(b)-uncountedBytes)) - reserved; excess > 0 {
-				reserved += excess
-				if r.client.bufferedBytes.Add(excess) > maxBufferedBytes {
-					return nil, eris.Wrapf(ErrIncompleteResponse,
-						"response body of backend server %s: buffered responses exceed the memory limit", r.server.ID)
+			size := len(b) + max(len(b), minReadBytes)
+			if n >= 0 && 4*len(b) >= n {
+				// The rest is allocated at once, so that the two buffers together exceed the body by no more than half.
+				size = max(n, len(b)) + minReadBytes
+			}
+			if excess := int64(max(0, size-uncountedBytes)); excess > 0 {
+				if err := r.reserve(ctx, excess); err != nil {
+					return nil, err
 				}
+				b = append(make([]byte, 0, size), b...)
+				r.release(reserved)
+				reserved = excess
+			} else {
+				b = append(make([]byte, 0, size), b...)
 			}
 		}
 		n, err := r.Read(b[len(b):cap(b)])
@@ -102,6 +110,21 @@
 	}
 }
 
+// reserve reserves memory for the answer.
+func (r *Response) reserve(ctx context.Context, bytes int64) error {
+	if !r.client.answers.reserve(bytes, r.reserved+bytes > largeRequestBytes, ctx.Done()) {
+		r.client.refusedAnswers.Add(1)
+		return eris.Wrapf(ErrIncompleteResponse, "answer of backend server %s: answers exceed the memory limit", r.server.ID)
+	}
+	r.reserved += bytes
+	return nil
+}
+
+func (r *Response) release(bytes int64) {
+	r.reserved -= bytes
+	r.client.answers.release(bytes)
+}
+
 // DiscardBody reads and discards the rest of a short body, so that the connection can be reused.
 func (r *Response) DiscardBody() {
 	r.SetReadDeadline(time.Now().Add(discardTimeout))
@@ -114,9 +137,10 @@
 	r.upstream.setDeadline(r.upstream.conn.SetReadDeadline, t)
 }
 
-// Close returns the connection to the idle pool if the response was read completely and the connection can be reused.
+// Close releases the memory of the answer and returns the connection to the idle pool if the response was read completely and the connection can be reused.
 // Otherwise it closes the connection, which makes the backend server drop the request.
 func (r *Response) Close() {
+	r.release(r.reserved)
 	interrupted := !r.stopInterrupt()
 	if interrupted || r.exclusive || !r.complete || !r.selfDelimited || r.Header.ConnectionClose() ||
 		r.upstream.br.Buffered() > 0 || r.upstream.keepAliveTimeout <= 0 {
--- a/mustardseam/http1/response_limits_test.go
+++ b/mustardseam/http1/response_limits_test.go
@@ -79,18 +79,18 @@
 				if slow {
 					c.Deadline = time.Now().Add(300 * time.Millisecond)
 				}
-				client := NewClient()
+				client := NewClient(ClientConfig{})
 				r, err := client.Do(context.Background(), c)
 				if err == nil {
 					var b []byte
-					b, err = r.ReadBody(1 << 20)
+					b, err = r.ReadBody(context.Background(), 1<<20)
 					assert.Assert(t, len(b) == 0)
 					r.Close()
 				}
 				assert.Assert(t, errors.Is(err, ErrIncompleteResponse) || errors.Is(err, ErrUnexpectedResponse), "%v", err)
 				<-closed
 				assert.Assert(t, sent.Load() <= maxSentBytes, "%d bytes", sent.Load())
-				assert.Equal(t, client.bufferedBytes.Load(), int64(0))
+				assert.Equal(t, client.answers.used.Load(), int64(0))
 			})
 		}
 	}
@@ -109,7 +109,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			t.Parallel()
 			s, sent, closed := startEndlessServer(t, "HTTP/1.1 200 OK\r\nId: r\r\n\r\n"+test.prefix, test.repeat, 0)
-			r, err := NewClient().Do(context.Background(), newCall(s, "r", false))
+			r, err := NewClient(ClientConfig{}).Do(context.Background(), newCall(s, "r", false))
 			assert.NilError(t, err)
 			_, err = NewEventReader(r).Next()
 			assert.Assert(t, errors.Is(err, ErrIncompleteResponse), "%v", err)
@@ -124,7 +124,7 @@
 // instance.
 func TestConcurrentResponsesShareMemoryLimit(t *testing.T) {
 	const responseCount, limit = 64, 8 << 20
-	client := NewClient()
+	client := NewClient(ClientConfig{})
 	var peak atomic.Int64
 	stop := make(chan struct{})
 	go func() {
@@ -133,7 +133,7 @@
 			case <-stop:
 				return
 			case <-time.After(time.Millisecond):
-				peak.Store(max(peak.Load(), client.bufferedBytes.Load()))
+				peak.Store(max(peak.Load(), client.answers.used.Load()))
 			}
 		}
 	}()
@@ -160,7 +160,7 @@
 	close(startSending)
 	for _, r := range responses {
 		go func() {
-			_, err := r.ReadBody(limit)
+			_, err := r.ReadBody(context.Background(), limit)
 			r.Close()
 			done <- err
 		}()
@@ -170,16 +170,16 @@
 		assert.Assert(t, errors.Is(err, ErrIncompleteResponse), "%v", err)
 	}
 	close(stop)
-	assert.Equal(t, client.bufferedBytes.Load(), int64(0))
+	assert.Equal(t, client.answers.used.Load(), int64(0))
 	// The buffer that exceeds the limit is counted until its response fails.
-	assert.Assert(t, peak.Load() <= maxBufferedBytes+responseCount*limit/4, "%d bytes", peak.Load())
+	assert.Assert(t, peak.Load() <= defaultAnswerMemory+responseCount*limit/4, "%d bytes", peak.Load())
 }
 
 // TestDiscardOfEndlessBodyReturns guards against a retry that is held up by reading an endless body of the first response.
 func TestDiscardOfEndlessBodyReturns(t *testing.T) {
 	for _, repeat := range []string{"x", strings.Repeat("x", 4096)} {
 		s, _, closed := startEndlessServer(t, "HTTP/1.1 503 Service Unavailable\r\nId: r\r\n\r\n", repeat, time.Millisecond)
-		r, err := NewClient().Do(context.Background(), newCall(s, "r", false))
+		r, err := NewClient(ClientConfig{}).Do(context.Background(), newCall(s, "r", false))
 		assert.NilError(t, err)
 		r.DiscardBody()
 		r.Close()
@@ -204,7 +204,7 @@
 			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nId: "+id+"\r\n\r\n")
 		}
 	})
-	client := NewClient()
+	client := NewClient(ClientConfig{})
 	for range 3 {
 		request := newCall(s, "", true)
 		request.Exclusive = true
--- a/mustardseam/http1/server.go
+++ b/mustardseam/http1/server.go
@@ -57,8 +57,10 @@
 	memory          *memoryAccount
 	started         time.Time
 	refusedRequests atomic.Int64 // Requests refused because the memory for requests was full.
-	replacedConns   atomic.Int64 // Idle connections closed to make room for others.
-	nextReplacement time.Time    // Time before which no idle connection is searched to make room; guarded by mu.
+	// abandonedAnswers is the number of answers that were given up because their callers read slowly.
+	abandonedAnswers atomic.Int64
+	replacedConns    atomic.Int64 // Idle connections closed to make room for others.
+	nextReplacement  time.Time    // Time before which no idle connection is searched to make room; guarded by mu.
 }
 
 // NewServer returns a server that is accepting connections.
@@ -72,7 +74,7 @@
 	s.listener = tcp.NewListener(cfg.Listener, tcp.ListenerConfig{
 		MaxConns: cfg.MaxConns, WriteTimeout: writeTimeout, MaxUnsentBytes: maxUnsentBytes, MakeRoom: s.makeRoom,
 	})
-	s.memory = newMemoryAccount(cfg.RequestMemory, s.evictRequests)
+	s.memory = newMemoryAccount(cfg.RequestMemory, requestMemoryWait, s.evictRequests)
 	go s.accept()
 	return s
 }
--- a/mustardseam/http1/server_memory_test.go
+++ b/mustardseam/http1/server_memory_test.go
@@ -196,7 +196,7 @@
 // TestMemoryAccount guards against a reservation that is lost, counted twice, or granted beyond the limit.
 func TestMemoryAccount(t *testing.T) {
 	reclaimed := int64(0)
-	a := newMemoryAccount(1000, func(n int64) { reclaimed = n })
+	a := newMemoryAccount(1000, requestMemoryWait, func(n int64) { reclaimed = n })
 	cancelled := make(chan struct{}, 1)
 	cancelled <- struct{}{}
 	assert.Assert(t, a.reserve(700, true, nil))
--- a/mustardseam/http1/server_stats.go
+++ b/mustardseam/http1/server_stats.go
@@ -6,14 +6,16 @@
 	RequestMemory   int64 // Bytes reserved for requests.
 	MemoryLimit     int64 // Limit of RequestMemory.
 	RefusedRequests int64 // Requests refused because the memory for requests was full.
-	ReplacedConns   int64 // Idle connections closed to make room for others.
-	RefusedConns    int64 // Connections refused because of the limit.
+	// AbandonedAnswers is the number of answers that were given up because their callers read slowly.
+	AbandonedAnswers int64
+	ReplacedConns    int64 // Idle connections closed to make room for others.
+	RefusedConns     int64 // Connections refused because of the limit.
 }
 
 // Stats returns the state of the limits.
 func (s *Server) Stats() ServerStats {
 	return ServerStats{
 		OpenConns: s.OpenConns(), RequestMemory: s.memory.used.Load(), MemoryLimit: s.memory.limit,
-		RefusedRequests: s.refusedRequests.Load(), ReplacedConns: s.replacedConns.Load(), RefusedConns: s.listener.Refused(),
+		AbandonedAnswers: s.abandonedAnswers.Load(), RefusedRequests: s.refusedRequests.Load(), ReplacedConns: s.replacedConns.Load(), RefusedConns: s.listener.Refused(),
 	}
 }
--- a/mustardseam/http1/serverconn.go
+++ b/mustardseam/http1/serverconn.go
@@ -48,15 +48,18 @@
 	small *bufio.Reader
 	large int64 // Bytes reserved for br if it is not small.
 	// interrupted receives a value when the request that is being read is evicted.
-	interrupted chan struct{}
-	held        atomic.Int64 // Bytes reserved for the current request.
-	progressAt  atomic.Int64 // Time of the last byte of the current request, as returned by Server.now.
-	mu          sync.Mutex
-	phase       connPhase // Guarded by mu.
-	evicted     bool      // The request that is being read must be refused; guarded by mu.
-	idleSince   time.Time // Start of the current or latest wait for a request; guarded by mu.
-	served      bool      // A request was passed on; guarded by mu.
-	replaced    bool      // The idle connection must be closed to make room for another; guarded by mu.
+	interrupted  chan struct{}
+	held         atomic.Int64 // Bytes reserved for the current request.
+	progressAt   atomic.Int64 // Time of the last byte of the current request, as returned by Server.now.
+	mu           sync.Mutex
+	phase        connPhase // Guarded by mu.
+	evicted      bool      // The request that is being read must be refused; guarded by mu.
+	idleSince    time.Time // Start of the current or latest wait for a request; guarded by mu.
+	served       bool      // A request was passed on; guarded by mu.
+	replaced     bool      // The idle connection must be closed to make room for another; guarded by mu.
+	sending      int64     // Length of the answer body that is being sent; guarded by mu.
+	sendingSince time.Time // Time from which it has been sent; guarded by mu.
+	abandoned    bool      // The answer was given up; guarded by mu.
 	// closeWhenIdle is true if the connection must be closed when it is idle after Server.CloseIdle. It is set when the
 	// first wait for a request ends, with or without a request. Used by the goroutine of the connection only.
 	closeWhenIdle bool
