--- a/mustardseam/http1/memory_account.go
+++ b/mustardseam/http1/memory_account.go
@@ -91,11 +91,15 @@
 }
 
 func (a *memoryAccount) tryReserve(bytes int64, large bool) bool {
-	if a.used.Add(bytes) <= a.limitFor(large) {
-		return true
+	for limit := a.limitFor(large); ; {
+		used := a.used.Load()
+		if used+bytes > limit {
+			return false
+		}
+		if a.used.CompareAndSwap(used, used+bytes) {
+			return true
+		}
 	}
-	a.used.Add(-bytes)
-	return false
 }
 
 // addWaiter queues a reservation and asks for the bytes that are missing for all that wait.
