--- a/mustardseam/entry/instance.go
+++ b/mustardseam/entry/instance.go
@@ -41,6 +41,7 @@
 	Duties         DutiesConfig
 	// IgnorePrompts makes placement independent of what engines keep of a prompt.
 	IgnorePrompts bool
+	Memory        MemoryLimits
 }
 
 const (
@@ -85,10 +86,13 @@
 func New(cfg Config) *Instance {
 	ctx, cancel := context.WithCancel(context.Background())
 	i := &Instance{
-		cfg: cfg, ctx: ctx, cancel: cancel, client: http1.NewClient(), random: rand.Float64, runID: rand.Int64(),
+		cfg: cfg, ctx: ctx, cancel: cancel, random: rand.Float64, runID: rand.Int64(),
 		pending: newPendingRequests(), durations: newRouteDurations(), demand: newDemandCounter(),
 		logger: zerolog.New(cfg.LogWriter).Level(cfg.LogLevel).With().Timestamp().Str("instance", cfg.Name).Logger(),
 	}
+	i.client = http1.NewClient(http1.ClientConfig{
+		AnswerMemory: cfg.Memory.Answers, ReclaimAnswers: func(bytes int64) { i.server.AbandonSlowReaders(bytes) },
+	})
 	i.view.Store(fleet.NewView())
 	i.bounds.Store(&cfg.Bounds)
 	i.scheduler = newScheduler(schedulerConfig{
@@ -125,6 +129,7 @@
 	})
 	i.server = http1.NewServer(http1.ServerConfig{
 		Listener: cfg.CallerListener, MaxConns: cfg.MaxConnections, Limits: i.limits, Handle: i.handle, Log: i.logger,
+		RequestMemory: cfg.Memory.Requests,
 	})
 	i.tasks.Go(i.reporter.run)
 	i.tasks.Go(func() { i.placementClient.run(i.ctx) })
@@ -192,6 +197,7 @@
 	ticker := time.NewTicker(lapseInterval)
 	defer ticker.Stop()
 	swept := time.Now()
+	var limits callerLimits
 	for {
 		select {
 		case <-i.ctx.Done():
@@ -207,6 +213,7 @@
 				i.scheduler.sweep(now, i.listed)
 				i.quarantine.Sweep(now)
 				i.durations.sweep(now)
+				limits = i.logCallerLimits(limits)
 			}
 		})
 	}
--- a/mustardseam/http1/exchange.go
+++ b/mustardseam/http1/exchange.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"strconv"
+	"sync"
 	"time"
 )
 
@@ -23,11 +24,35 @@
 	failed         bool // A write failed or the response was aborted.
 }
 
+// writers holds writers of exchanges that have ended, so that connections without a request need none.
+var writers = sync.Pool{New: func() any { return bufio.NewWriter(nil) }}
+
+// newExchange returns the exchange for a request that was read just now.
+func newExchange(c *serverConn, r Request) *Exchange {
+	w := writers.Get().(*bufio.Writer)
+	w.Reset(c.conn)
+	return &Exchange{Request: r, ReceivedAt: time.Now(), conn: c, bw: w}
+}
+
+// releaseWriter ends the use of the writer. Nothing can be sent after it.
+func (e *Exchange) releaseWriter() {
+	e.bw.Reset(nil)
+	writers.Put(e.bw)
+	e.bw = nil
+}
+
 // HeaderSent reports whether the response header was written.
 func (e *Exchange) HeaderSent() bool { return e.headerSent }
 
+// ReleaseBody ends the use of the request body, so that its memory is free while the response is sent.
+func (e *Exchange) ReleaseBody() {
+	e.conn.release(int64(cap(e.Body)))
+	e.Body = nil
+}
+
 // Reply sends a complete response with a Content-Length.
 func (e *Exchange) Reply(h ResponseHeader, body []byte) {
+	defer e.conn.beginSending(len(body))()
 	e.writeHeader(h, len(body))
 	if !e.Request.Header.IsHead() {
 		e.write(body)
@@ -39,6 +64,7 @@
 // ReplyUntilClose sends a complete response without a Content-Length and closes the connection after it. It is for a body
 // that was itself received without a length: that body may have been cut off, and a length would declare it complete.
 func (e *Exchange) ReplyUntilClose(h ResponseHeader, body []byte) {
+	defer e.conn.beginSending(len(body))()
 	e.beginUntilClose(h)
 	if !e.Request.Header.IsHead() {
 		e.write(body)
