Leave more memory between the limit of the runtime and the machine

Change: the byte after the largest body is read apart; the limit of the runtime is 0.9 of memoryMb less 25 MB (0.95 before).

--- a/mustardseam/entry/memory_limits.go
+++ b/mustardseam/entry/memory_limits.go
@@ -23,7 +23,8 @@
 }
 
 // NewMemoryLimits divides the memory of a process, in bytes, that has at most maxConns connections. A third of what the
-// program and the connections leave is for requests and a third for answers; the rest is for garbage not yet collected.
+// program and the connections leave is for requests and a third for answers; the rest is for garbage not yet collected. A tenth
+// is left above the limit of the runtime, which large buffers that are allocated during a collection exceed.
 func NewMemoryLimits(memory int64, maxConns int) MemoryLimits {
 	if memory <= 0 {
 		return MemoryLimits{}
@@ -31,6 +32,6 @@
 	part := (memory - fixedMemory - int64(maxConns)*connMemory) / 3
 	return MemoryLimits{
 		Requests: max(minRequestMemory, part), Answers: max(minAnswerMemory, part),
-		Runtime: max(memory/2, memory-memory/20-unmanagedMemory),
+		Runtime: max(memory/2, memory-memory/10-unmanagedMemory),
 	}
 }
--- a/mustardseam/http1/body_reader.go
+++ b/mustardseam/http1/body_reader.go
@@ -67,21 +67,26 @@
 		return err
 	}
 	chunks := httputil.NewChunkedReader(r.conn.br)
-	for {
-		// One byte more than the limit shows that a body is too large.
-		if err := r.grow(firstChunkedBytes, limits.BodyBytes+1); err != nil {
+	for len(r.b) < limits.BodyBytes {
+		if err := r.grow(firstChunkedBytes, limits.BodyBytes); err != nil {
 			return err
 		}
-		err := r.read(chunks)
-		switch {
-		case len(r.b) > limits.BodyBytes:
-			return fasthttp.ErrBodyTooLarge
+		switch err := r.read(chunks); {
 		case err == io.EOF:
 			return r.conn.discardTrailer()
 		case err != nil:
 			return err
 		}
 	}
+	// A body of the largest size must end here. The next byte is not read into the buffer, which would have to grow for it.
+	switch n, err := chunks.Read(make([]byte, 1)); {
+	case n > 0:
+		return fasthttp.ErrBodyTooLarge
+	case err == io.EOF:
+		return r.conn.discardTrailer()
+	default:
+		return err
+	}
 }
 
 // read appends what one read returns.
--- a/mustardseam/http1/server_memory_test.go
+++ b/mustardseam/http1/server_memory_test.go
@@ -76,6 +76,8 @@
 		{"body too large", start + "Content-Length: 4097\r\n\r\n", 413, ""},
 		{"body too large after continue", start + "Expect: 100-continue\r\nContent-Length: 4097\r\n\r\n", 413, ""},
 		{"chunks too large", start + "Transfer-Encoding: chunked\r\n\r\n" + strings.Repeat("400\r\n"+strings.Repeat("x", 1024)+"\r\n", 5), 413, ""},
+		{"chunks of the largest size", start + "Transfer-Encoding: chunked\r\n\r\n1000\r\n" + strings.Repeat("x", 4096) + "\r\n0\r\n\r\n", 200, strings.Repeat("x", 4096)},
+		{"one byte too many", start + "Transfer-Encoding: chunked\r\n\r\n1001\r\n" + strings.Repeat("x", 4097) + "\r\n0\r\n\r\n", 413, ""},
 		{"broken chunk", start + "Transfer-Encoding: chunked\r\n\r\n3\r\nabcd\r\n0\r\n\r\n", 400, ""},
 		{"bad chunk size", start + "Transfer-Encoding: chunked\r\n\r\nxyz\r\n", 400, ""},
 		{"forbidden trailer", start + "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\nContent-Length: 3\r\n\r\n", 400, ""},
