Keep the place of refused requests that return and admit by work

Cause: a first attempt waited for half of its caller's patience only, and a request that returned after a refusal was treated as new and refused again by prediction. Change: a table of returning requests at the refusing instance and at the hub; order within a tier by class (resumed, in time, late), with returned ones first; waits as long as the caller stays and could still be served; prediction and shares of teams by predicted engine time; Retry-After by the work that waits, spread, and long enough for the second attempt to wait to its end. The effect under load is not measured yet.

--- a/mustardseam/entry/acquire.go
+++ b/mustardseam/entry/acquire.go
@@ -51,6 +51,9 @@
 	now time.Time, service string, j *placement.Job, decided func(*Grant, *placement.Refusal),
 ) *placement.Waiting {
 	q := s.queue(service)
+	if svc := s.cfg.view().Config.Service(service); svc != nil && (q.Len() > 0 || j.Returned()) {
+		j = s.board.WithEstimate(svc, j)
+	}
 	// Queued jobs go first, unless this job precedes all of them.
 	if wait, known := q.PredictWait(now, j); known && wait == 0 {
 		if g, _ := s.place(now, service, j, false, false); g != nil {
@@ -58,6 +61,9 @@
 			return nil
 		}
 	}
+	if svc := s.cfg.view().Config.Service(service); svc != nil {
+		j = s.board.WithEstimate(svc, j)
+	}
 	r := q.RefuseLate(now, j)
 	if r == nil {
 		r = placement.RefuseBackoff(now, j, s.backoff(now, service, j))
--- a/mustardseam/entry/dispatch.go
+++ b/mustardseam/entry/dispatch.go
@@ -138,13 +138,14 @@
 func (s *Scheduler) start(now time.Time, v *fleet.View, svc *fleet.Service, srv *fleet.Server, j *placement.Job) *Grant {
 	g := &Grant{
 		Server: srv, Service: svc, PredictedFirstEvent: s.board.PredictFirstEvent(svc, srv, j), Load: s.board.Load(srv), job: j,
+		work: max(1, int(s.board.PredictServiceTime(svc, j).Milliseconds())),
 	}
 	s.board.Start(now, srv, j)
 	if svc.Engine {
 		s.engineRequestRate.Add(now)
 	}
 	s.countForRollout(v, srv)
-	s.runningByTeam[j.Team]++
+	s.runningByTeam[j.Team] += g.work
 	return g
 }
 
--- a/mustardseam/entry/handler.go
+++ b/mustardseam/entry/handler.go
@@ -46,7 +46,9 @@
 func (i *Instance) serve(req *request) {
 	v := req.view
 	if v.Config == nil {
-		i.refuse(req, fasthttp.StatusServiceUnavailable, unconfiguredRetryAfter, "no configuration yet")
+		i.refuse(req, fasthttp.StatusServiceUnavailable, &placement.Refusal{
+			Cause: placement.CauseOther, Reason: "no configuration yet", RetryAfter: unconfiguredRetryAfter,
+		})
 		return
 	}
 	if req.route = v.Config.Route(req.exchange.Host(), req.exchange.RequestURI()); req.route == nil {
@@ -60,19 +62,20 @@
 		}
 	}
 	i.prepare(req)
+	i.recognizeReturn(req)
 	if r := i.refuseStopping(req); r != nil {
-		i.refuse(req, fasthttp.StatusServiceUnavailable, r.RetryAfter, r.Reason)
+		i.refuse(req, fasthttp.StatusServiceUnavailable, r)
 		return
 	}
 	if r := i.refuseQuarantined(req); r != nil {
-		i.refuse(req, fasthttp.StatusServiceUnavailable, r.RetryAfter, r.Reason)
+		i.refuse(req, fasthttp.StatusServiceUnavailable, r)
 		return
 	}
 	if req.team != nil {
 		req.units = quotaUnits(req.team, req.meta)
 		var r *placement.Refusal
 		if err := i.scheduler.Admit(req.team, req.units); errors.As(err, &r) {
-			i.refuse(req, fasthttp.StatusTooManyRequests, r.RetryAfter, r.Reason)
+			i.refuse(req, fasthttp.StatusTooManyRequests, r)
 			return
 		}
 	}
@@ -210,7 +213,7 @@
 // over callers that wait for their first one.
 func resumedJob(j *placement.Job, r *fleet.Route) *placement.Job {
 	next := *j
-	next.Tier = 0
+	next.Tier, next.Resumed, next.FirstArrival, next.Fingerprint = 0, true, time.Time{}, 0
 	next.Arrived = time.Now()
 	next.Objective = next.Arrived.Add(r.Gap)
 	return &next
@@ -227,7 +230,7 @@
 		req.reason = r.Reason
 	default:
 		req.reason = err.Error()
-		r = &placement.Refusal{}
+		r = &placement.Refusal{Cause: placement.CauseOther, Reason: req.reason}
 	}
 	if req.exchange.HeaderSent() {
 		req.exchange.Abort()
@@ -237,7 +240,7 @@
 		i.replyFailed(ctx, req)
 		return
 	}
-	i.refuse(req, fasthttp.StatusServiceUnavailable, r.RetryAfter, req.reason)
+	i.refuse(req, fasthttp.StatusServiceUnavailable, r)
 }
 
 // replyFailed gives the final answer to a request that failed at backend servers.
@@ -248,7 +251,9 @@
 	case req.exchange.HeaderSent():
 		req.exchange.Abort()
 	case req.runs == 0:
-		i.refuse(req, fasthttp.StatusServiceUnavailable, i.scheduler.refuseUnplaced(req.service, req.job).RetryAfter, req.reason)
+		r := i.scheduler.refuseUnplaced(req.service, req.job)
+		r.Reason = req.reason
+		i.refuse(req, fasthttp.StatusServiceUnavailable, r)
 	case errors.Is(context.Cause(ctx), errStopping), !time.Now().Before(req.job.Deadline):
 		i.reply(req, fasthttp.StatusGatewayTimeout, req.reason)
 	default:
@@ -257,9 +262,11 @@
 }
 
 // refuse answers that the request was not run and when to retry.
-func (i *Instance) refuse(req *request, status int, after time.Duration, reason string) {
-	seconds := math.Ceil(after.Seconds()*1000) / 1000
-	req.status, req.reason = status, reason
+func (i *Instance) refuse(req *request, status int, r *placement.Refusal) {
+	seconds := math.Ceil(r.RetryAfter.Seconds()*1000) / 1000
+	r.Returned = r.Returned || req.job != nil && req.job.Returned()
+	req.status, req.reason, req.refusal = status, r.Reason, r
+	i.keepPlace(req, r)
 	h := http1.ResponseHeader{Status: status}
 	req.exchange.Reply(h.WithField(fasthttp.HeaderRetryAfter, strconv.FormatFloat(seconds, 'f', -1, 64)), nil)
 }
--- a/mustardseam/entry/placement_client.go
+++ b/mustardseam/entry/placement_client.go
@@ -46,6 +46,9 @@
 	polling       bool                        // A goroutine is polling the hub for decisions.
 	generation    int                         // Incremented by forgetHub, which makes pending answers void.
 	closed        bool                        // Nothing is sent any more.
+	// refused holds the requests that this instance refused and that are expected to return.
+	refused         placement.ReturnTable
+	returnsExpected bool // The hub expects requests to return, as of its latest answer.
 }
 
 // placementClientConfig holds the settings and dependencies of a placementClient.
@@ -92,7 +95,9 @@
 		case d.PlaceLocally:
 			return nil, false, nil
 		case d.Server == fleet.Incarnation{}:
-			return nil, true, &placement.Refusal{Reason: d.Reason, RetryAfter: time.Duration(d.RetryAfterMS) * time.Millisecond}
+			return nil, true, &placement.Refusal{
+				Cause: d.Cause, Reason: d.Reason, RetryAfter: time.Duration(d.RetryAfterMS) * time.Millisecond, Returned: d.Returned,
+			}
 		}
 		if g := c.cfg.scheduler.accept(svc, j, d); g != nil {
 			g.id, g.Hub = id, req.hub
@@ -189,6 +194,23 @@
 	c.recordEnd(g.id, o)
 }
 
+// ReportReturn reports to the hub a request that was refused here and is expected to return at any instance.
+func (c *placementClient) ReportReturn(fingerprint uint64, r placement.Return) {
+	now := time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.refused.Add(now, fingerprint, r)
+	c.unsent.Returning = append(c.unsent.Returning, encodeReturn(now, fingerprint, r))
+	c.signalSend()
+}
+
+// ReturnsExpected reports whether the hub expects requests to return.
+func (c *placementClient) ReturnsExpected() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.returnsExpected
+}
+
 // recordEnd adds the end of a request to the next update; mu must be held.
 func (c *placementClient) recordEnd(id int64, o placement.Outcome) {
 	delete(c.running, id)
--- a/mustardseam/entry/placement_client_loop.go
+++ b/mustardseam/entry/placement_client_loop.go
@@ -76,6 +76,10 @@
 		for _, r := range c.running {
 			update.Running = append(update.Running, r)
 		}
+		now := time.Now()
+		for fingerprint, r := range c.refused.All(now) {
+			update.Returning = append(update.Returning, encodeReturn(now, fingerprint, r))
+		}
 	}
 	c.sequence++
 	update.Instance, update.Run, update.Sequence = c.cfg.instance, c.cfg.run, c.sequence
@@ -92,12 +96,17 @@
 // encodeRequest returns the message form of an undecided request, with times relative to now.
 func encodeRequest(now time.Time, id int64, req *undecidedRequest) hub.PlacementRequest {
 	j := req.job
-	return hub.PlacementRequest{
+	encoded := hub.PlacementRequest{
 		ID: id, Service: req.service, Route: j.Route, Team: j.Team, Tier: j.Tier, Rank: j.RouteTier, DataCentre: j.DataCentre,
 		PromptTokens: j.PromptTokens, MaxOutputTokens: j.MaxOutputTokens, OutputHint: j.OutputHint,
 		GapMS: j.Gap.Milliseconds(), AgeMS: now.Sub(j.Arrived).Milliseconds(),
 		ObjectiveMS: j.Objective.Sub(now).Milliseconds(), DeadlineMS: j.Deadline.Sub(now).Milliseconds(), Tried: j.Tried,
+		Fingerprint: j.Fingerprint, Resumed: j.Resumed,
+	}
+	if j.Returned() {
+		encoded.Returned, encoded.FirstAgeMS = true, now.Sub(j.FirstArrival).Milliseconds()
 	}
+	return encoded
 }
 
 // applyDecisions handles the answer of a hub and reports whether it places for this instance; mu must be held.
@@ -113,6 +122,7 @@
 		c.forgetHub()
 		return false
 	}
+	c.returnsExpected = response.Returning
 	if c.placingHub != hubName {
 		c.placingHub = hubName
 		event.HubPlacementStarted.Log(c.cfg.log).Str("hub", hubName).Int("running", len(c.running)).Send()
@@ -149,7 +159,7 @@
 // forgetHub discards the client's record of the hub and its unsent changes, and releases the undecided requests to be placed
 // by this instance. The hub is not told; the next update is complete. mu must be held.
 func (c *placementClient) forgetHub() {
-	c.placingHub, c.unsent = "", hub.PlacementUpdate{}
+	c.placingHub, c.unsent, c.returnsExpected = "", hub.PlacementUpdate{}, false
 	c.generation++
 	for id, req := range c.undecided {
 		delete(c.undecided, id)
--- a/mustardseam/entry/placement_server.go
+++ b/mustardseam/entry/placement_server.go
@@ -42,7 +42,9 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	response := hub.PlacementResponse{Accepted: s.placementServer.clients[update.Instance] == c, Decisions: c.decisions}
+	response := hub.PlacementResponse{
+		Accepted: s.placementServer.clients[update.Instance] == c, Decisions: c.decisions, Returning: s.returning.Any(time.Now()),
+	}
 	c.decisions = nil
 	return response
 }
@@ -122,6 +124,9 @@
 			s.queue(w.service).Remove(w.entry)
 		}
 	}
+	for _, r := range update.Returning {
+		s.returning.Add(now, r.Fingerprint, decodeReturn(now, r))
+	}
 	for _, req := range update.Requests {
 		s.placeForClient(now, c, req)
 	}
@@ -158,11 +163,19 @@
 		PromptTokens: req.PromptTokens, MaxOutputTokens: req.MaxOutputTokens, OutputHint: req.OutputHint,
 		Gap:     time.Duration(req.GapMS) * time.Millisecond,
 		Arrived: ms(-req.AgeMS), Objective: ms(req.ObjectiveMS), Deadline: ms(req.DeadlineMS), Tried: req.Tried,
+		Resumed: req.Resumed,
+	}
+	if req.Returned {
+		j.FirstArrival = ms(-req.FirstAgeMS)
+	} else if r, ok := s.returning.Take(now, req.Fingerprint); ok {
+		j = j.WithReturn(r.FirstArrival)
 	}
 	w := s.placeOrQueue(now, req.Service, j, func(g *Grant, r *placement.Refusal) {
 		delete(c.queued, req.ID)
 		if r != nil {
-			c.addDecision(hub.Decision{ID: req.ID, Reason: r.Reason, RetryAfterMS: r.RetryAfter.Milliseconds()})
+			c.addDecision(hub.Decision{
+				ID: req.ID, Reason: r.Reason, RetryAfterMS: r.RetryAfter.Milliseconds(), Cause: r.Cause, Returned: r.Returned,
+			})
 			return
 		}
 		c.grants[req.ID] = g
--- a/mustardseam/entry/quarantine.go
+++ b/mustardseam/entry/quarantine.go
@@ -51,6 +51,7 @@
 	}
 	i.metrics.quarantined.Inc()
 	return &placement.Refusal{
+		Cause:      placement.CauseOther,
 		RetryAfter: quarantine.RefusalTime, Reason: "request crashes backend servers: " + strings.Join(p.Parts, ","),
 	}
 }
--- a/mustardseam/entry/request.go
+++ b/mustardseam/entry/request.go
@@ -24,25 +24,27 @@
 	sends    int // Number of attempts, including refused ones.
 	// retryCovered says that the next retry needs no further charge: it was already taken from the budget, or is free because
 	// the latest attempt reached no backend server. Whether the request may be repeated at all is decided by mayRepeat.
-	retryCovered        bool
-	pending             *pendingRequest    // Entry in the set of requests without a final answer; nil before it is run.
-	sentAt              time.Time          // Time of the latest send to a backend server.
-	fingerprintCache    string             // Result of fingerprint; empty before the first call.
-	crashed             bool               // An attempt was cut off at the beginning of its answer.
-	lastEventID         string             // Id of the latest event that the caller has.
-	serverID            string             // Id of the latest backend server.
-	hub                 string             // Hub that placed the latest attempt; empty when this instance did.
-	placedAfter         time.Duration      // Time from the arrival to the latest placement.
-	predictedFirstEvent time.Duration      // Predicted time from the latest placement to the first event.
-	serverLimit         fleet.RequestLimit // Known limit of the latest backend server when the request was sent to it.
-	load                placement.Load     // Load of the backend server, from all instances, when it was chosen.
-	timeToFirstEvent    time.Duration      // Time from the arrival to the first event.
-	lastEventAt         time.Time          // Arrival time of the latest event.
-	longestPause        time.Duration      // Longest time between two events.
-	status              int                // Status code that the caller got.
-	reason              string             // Reason for the outcome, as logged.
-	grant               *Grant             // Grant of the current attempt; nil before the first one.
-	sample              *hub.Sample        // Latest outcome that was recorded for a rollout; nil if none was.
+	retryCovered           bool
+	pending                *pendingRequest    // Entry in the set of requests without a final answer; nil before it is run.
+	sentAt                 time.Time          // Time of the latest send to a backend server.
+	fingerprintCache       string             // Result of fingerprint; empty before the first call.
+	returnFingerprintCache uint64             // Result of returnFingerprint; 0 before the first call.
+	crashed                bool               // An attempt was cut off at the beginning of its answer.
+	lastEventID            string             // Id of the latest event that the caller has.
+	serverID               string             // Id of the latest backend server.
+	hub                    string             // Hub that placed the latest attempt; empty when this instance did.
+	placedAfter            time.Duration      // Time from the arrival to the latest placement.
+	predictedFirstEvent    time.Duration      // Predicted time from the latest placement to the first event.
+	serverLimit            fleet.RequestLimit // Known limit of the latest backend server when the request was sent to it.
+	load                   placement.Load     // Load of the backend server, from all instances, when it was chosen.
+	timeToFirstEvent       time.Duration      // Time from the arrival to the first event.
+	lastEventAt            time.Time          // Arrival time of the latest event.
+	longestPause           time.Duration      // Longest time between two events.
+	status                 int                // Status code that the caller got.
+	reason                 string             // Reason for the outcome, as logged.
+	grant                  *Grant             // Grant of the current attempt; nil before the first one.
+	refusal                *placement.Refusal // Refusal that the caller got; nil if it got none.
+	sample                 *hub.Sample        // Latest outcome that was recorded for a rollout; nil if none was.
 }
 
 // attemptResult is the outcome of an attempt at a backend server.
--- a/mustardseam/entry/scheduler.go
+++ b/mustardseam/entry/scheduler.go
@@ -24,7 +24,8 @@
 	// pending holds the callback of each queued request. It is called with mu held once the request is placed, or with nil
 	// when its wait has timed out.
 	pending           map[*placement.Waiting]func(*Grant)
-	runningByTeam     map[string]int // Requests at backend servers, keyed by team.
+	runningByTeam     map[string]int        // Predicted work at backend servers in milliseconds, keyed by team.
+	returning         placement.ReturnTable // Refused requests that are expected to return.
 	quota             *ratelimit.Quota
 	retryBudget       *ratelimit.Budget
 	coldLimits        *ratelimit.ColdLimiter
@@ -66,6 +67,7 @@
 	Load                placement.Load // Load of the backend server, from all instances, before this request.
 	Hub                 string         // Hub that placed the request; empty when this instance placed it.
 	job                 *placement.Job
+	work                int   // Predicted milliseconds that the request occupies a slot, as counted for its team.
 	id                  int64 // Id of the request at the hub; 0 when the hub does not know it.
 	firstEventSeen      bool  // The first event has arrived; set only for requests of other instances.
 	finished            bool  // Finish was called; guarded by the mutex of the Scheduler.
@@ -81,6 +83,10 @@
 	ReportFirstEvent(g *Grant, first time.Duration)
 	// ReportFinished reports the end of a request.
 	ReportFinished(g *Grant, o placement.Outcome)
+	// ReportReturn reports a refused request that is expected to return at any instance.
+	ReportReturn(fingerprint uint64, r placement.Return)
+	// ReturnsExpected reports whether the hub expects requests to return.
+	ReturnsExpected() bool
 }
 
 func newScheduler(cfg schedulerConfig) *Scheduler {
@@ -114,7 +120,7 @@
 	ok, retry := s.quota.Admit(now, team, units, len(s.sharingInstances(now)))
 	if !ok {
 		level, standing, asked := s.quota.Level(now, team.Name)
-		return &placement.Refusal{RetryAfter: retry, Reason: fmt.Sprintf(
+		return &placement.Refusal{Cause: placement.CauseQuota, RetryAfter: retry, Reason: fmt.Sprintf(
 			"quota of the team is used up: %.0f units left (%.0f of the standing share), %.0f expected from all, %.0f asked, "+
 				"%.0f a second allowed", level, standing, asked, units, team.Rate)}
 	}
@@ -180,7 +186,7 @@
 // finish updates the load of the backend server and of the team; mu must be held.
 func (s *Scheduler) finish(now time.Time, g *Grant, o placement.Outcome) {
 	s.board.Finish(now, g.Service, g.Server, g.job, o)
-	if s.runningByTeam[g.job.Team]--; s.runningByTeam[g.job.Team] <= 0 {
+	if s.runningByTeam[g.job.Team] -= g.work; s.runningByTeam[g.job.Team] <= 0 {
 		delete(s.runningByTeam, g.job.Team)
 	}
 }
--- a/mustardseam/entry/stop.go
+++ b/mustardseam/entry/stop.go
@@ -83,7 +83,7 @@
 		return nil
 	}
 	i.metrics.refusedStopping.Inc()
-	return &placement.Refusal{Reason: fmt.Sprintf("%v: %d ms left, %d ms needed at most, %d ms usual, %d ms longest", errStopping,
+	return &placement.Refusal{Cause: placement.CauseOther, Reason: fmt.Sprintf("%v: %d ms left, %d ms needed at most, %d ms usual, %d ms longest", errStopping,
 		p.finishBy.Sub(now).Milliseconds(), req.job.Deadline.Sub(now).Milliseconds(), total.median.Milliseconds(),
 		total.longest.Milliseconds())}
 }
--- a/mustardseam/hub/placement.go
+++ b/mustardseam/hub/placement.go
@@ -16,6 +16,7 @@
 	Completed   []CompletedRequest `json:"ended,omitempty"`     // Requests that ended.
 	Requests    []PlacementRequest `json:"asks,omitempty"`      // Requests to place.
 	Cancelled   []int64            `json:"withdrawn,omitempty"` // IDs of placement requests that are cancelled.
+	Returning   []ReturningRequest `json:"returning,omitempty"` // Requests that were refused and are expected to return.
 	// WaitMS is the time in milliseconds that the response may wait for a decision. If it is set, the message contains no
 	// update.
 	WaitMS int64 `json:"wait-ms,omitempty"`
@@ -59,6 +60,20 @@
 	ObjectiveMS     int64               `json:"objective-ms"`     // Milliseconds left until the objective; negative after it.
 	DeadlineMS      int64               `json:"deadline-ms"`      // Milliseconds left until the deadline.
 	Tried           []fleet.Incarnation `json:"tried,omitempty"`  // Backend servers that must not be chosen again.
+	// Fingerprint identifies the request among those that are expected to return; 0 if the hub expects none, or if the
+	// instance knows that it returns.
+	Fingerprint uint64 `json:"fingerprint,omitempty"`
+	FirstAgeMS  int64  `json:"first-age-ms,omitempty"` // Milliseconds since the first attempt of a request that returns.
+	Returned    bool   `json:"returned,omitempty"`     // The request was refused before.
+	Resumed     bool   `json:"resumed,omitempty"`      // The request is the rest of an interrupted stream.
+}
+
+// ReturningRequest is a request that was refused and is expected to return at any instance. Its times are relative.
+type ReturningRequest struct {
+	Fingerprint uint64 `json:"fingerprint"`
+	AgeMS       int64  `json:"age-ms"`   // Milliseconds since the arrival of the first attempt.
+	FromMS      int64  `json:"from-ms"`  // Milliseconds until the request is recognized.
+	UntilMS     int64  `json:"until-ms"` // Milliseconds until it is not recognized any more.
 }
 
 // Decision is the hub's decision on a placement request: a backend server or a refusal.
@@ -70,10 +85,14 @@
 	PlaceLocally bool              `json:"void,omitempty"`     // The instance is to place the request itself.
 	Reason       string            `json:"reason,omitempty"`   // Reason for a refusal.
 	RetryAfterMS int64             `json:"after-ms,omitempty"` // Milliseconds after which the caller may retry.
+	Cause        placement.Cause   `json:"cause,omitempty"`    // Cause of a refusal.
+	Returned     bool              `json:"returned,omitempty"` // The refused request had been refused before.
 }
 
 // PlacementResponse is the hub's response to a PlacementUpdate.
 type PlacementResponse struct {
 	Accepted  bool       `json:"known,omitempty"` // The hub places requests for the instance; otherwise it discards them.
 	Decisions []Decision `json:"decisions,omitempty"`
+	// Returning reports that the hub expects refused requests to return, and so needs the fingerprints of requests.
+	Returning bool `json:"returning,omitempty"`
 }
--- a/mustardseam/placement/job.go
+++ b/mustardseam/placement/job.go
@@ -20,10 +20,37 @@
 	Gap             time.Duration       // Longest pause between events that the caller expects; 0 for none.
 	Objective       time.Time           // Time by which the caller expects the first event or the answer.
 	Deadline        time.Time           // Time at which the request ends.
-	Arrived         time.Time           // Time at which the request arrived.
+	Arrived         time.Time           // Time at which this attempt of the caller arrived.
+	FirstArrival    time.Time           // Time at which the first attempt of the caller arrived; zero if this is the first one.
+	Fingerprint     uint64              // Identifies the request at the hub if it may be a returning one; 0 otherwise.
+	Resumed         bool                // The job is the rest of a stream that was interrupted.
+	FirstEvent      time.Duration       // Predicted time to the first event at an idle backend server; 0 if unknown.
+	ServiceTime     time.Duration       // Predicted time at a backend server; 0 if unknown.
 	Tried           []fleet.Incarnation // Backend servers that must not be chosen again.
 }
 
+// WithReturn returns the job of a request whose caller was refused before. Its objective counts from the first attempt.
+func (j *Job) WithReturn(firstArrival time.Time) *Job {
+	next := *j
+	next.FirstArrival = firstArrival
+	next.Objective = j.Objective.Add(firstArrival.Sub(j.arrival()))
+	return &next
+}
+
+// Returned reports whether the caller of the job was refused before.
+func (j *Job) Returned() bool { return !j.FirstArrival.IsZero() }
+
+// Late reports whether the job cannot meet its objective any more, even at an idle backend server.
+func (j *Job) Late(now time.Time) bool { return now.Add(j.FirstEvent).After(j.Objective) }
+
+// arrival returns the time at which the first attempt of the caller arrived, from which the objective counts.
+func (j *Job) arrival() time.Time {
+	if j.Returned() {
+		return j.FirstArrival
+	}
+	return j.Arrived
+}
+
 // tried reports whether the job was already sent to a backend server.
 func (j *Job) tried(s fleet.Incarnation) bool {
 	for _, t := range j.Tried {
--- a/mustardseam/placement/queue.go
+++ b/mustardseam/placement/queue.go
@@ -1,25 +1,46 @@
 package placement
 
 import (
+	"cmp"
 	"container/heap"
+	"maps"
+	"math"
 	"slices"
 	"time"
 )
 
+// unknownWork is the work, in seconds, of a job whose time at a backend server is not predicted.
+const unknownWork = 1.0
+
 // Waiting is a job in a queue.
 type Waiting struct {
 	Job     *Job
 	PlaceBy time.Time // Time at which the job is refused if it has not been placed.
 	seq     uint64    // Position in the order of arrival.
+	placed  bool      // The job was placed by the current call of Place.
 }
 
-// Queue holds the jobs of one service that wait for room, in the order in which they are to be placed: by tier;
-// within a tier those that can still meet their objective before those that are late; then by the tier of the route;
-// then by the number of running requests of their team, fewest first; then by arrival.
+// work returns the predicted seconds that the job occupies a slot.
+func (w *Waiting) work() float64 { return jobWork(w.Job) }
+
+// jobWork returns the predicted seconds that a job occupies a slot.
+func jobWork(j *Job) float64 {
+	if j.ServiceTime <= 0 {
+		return unknownWork
+	}
+	return j.ServiceTime.Seconds()
+}
+
+// Queue holds the jobs of one service that wait for room, in the order in which they are to be placed: by tier; within a
+// tier by class, so that a late job does not displace one that can still meet its objective. Within a class, jobs of callers
+// that were refused before go first. Then those that can meet their objective are ordered by the tier of the route, by
+// whether their team has more running work than the mean of the waiting teams, and by the time by which they must begin;
+// late ones by the time at which their callers leave.
 type Queue struct {
 	waiting    []*Waiting
 	lastSeq    uint64
-	throughput throughput // Of the jobs placed from the queue.
+	refusals   uint64     // Number of refusals that named a time, which spreads these times.
+	throughput throughput // Of the work, in seconds, of the jobs placed from the queue.
 }
 
 // Len returns the number of waiting jobs.
@@ -45,27 +66,36 @@
 }
 
 // Place calls try for the waiting jobs in order and removes those that try reports as placed. It stops when try reports
-// that it wants no more.
+// that it wants no more. running returns the predicted work, in milliseconds, of the running jobs of a team.
 func (q *Queue) Place(now time.Time, running func(team string) int, try func(*Waiting) (placed, more bool)) {
 	if len(q.waiting) == 0 {
 		return
 	}
-	defer func(before int) { q.throughput.observe(now, before-len(q.waiting), true) }(len(q.waiting))
-	// Usually only a few jobs are placed before there is no room left, so a heap is cheaper than sorting all jobs.
-	h := &waitingHeap{
-		waiting: slices.Clone(q.waiting),
-		before:  func(a, b *Waiting) bool { return q.before(now, running, a, b) },
-	}
-	heap.Init(h)
-	removed := map[*Waiting]bool{}
-	for more := true; more && h.Len() > 0; {
-		w := heap.Pop(h).(*Waiting)
-		var placed bool
-		if placed, more = try(w); placed {
-			removed[w] = true
+	work := 0.0
+	defer func() { q.throughput.observe(now, work, true) }()
+	groups := q.groups(now)
+	overShare := q.teamsOverShare(running)
+	anyPlaced := false
+	for _, key := range slices.SortedFunc(maps.Keys(groups), groupKey.compare) {
+		// Usually only a few jobs are placed before there is no room left, so only the groups that are reached are
+		// ordered, and a heap is cheaper than sorting all jobs of one.
+		h := &waitingHeap{waiting: groups[key], before: func(a, b *Waiting) bool { return before(key.class, overShare, a, b) }}
+		heap.Init(h)
+		more := true
+		for more && h.Len() > 0 {
+			w := heap.Pop(h).(*Waiting)
+			if w.placed, more = try(w); w.placed {
+				anyPlaced = true
+				work += w.work()
+			}
+		}
+		if !more {
+			break
 		}
 	}
-	q.waiting = slices.DeleteFunc(q.waiting, func(w *Waiting) bool { return removed[w] })
+	if anyPlaced {
+		q.waiting = slices.DeleteFunc(q.waiting, func(w *Waiting) bool { return w.placed })
+	}
 }
 
 // MaxQueueDepth returns the largest number of requests beyond its slots that any waiting job allows at a backend server.
@@ -93,45 +123,106 @@
 	return expired
 }
 
-// PredictWait predicts how long a job would wait behind the jobs of higher tiers and those of its own tier whose route
-// has the same or a higher tier. It returns 0 if there are none, and false if too little is known of the rate at which
-// waiting jobs are placed.
+// PredictWait predicts how long a job would wait behind the work of the jobs that are to be placed before it. It returns 0 if
+// there are none, and false if too little is known of the rate at which work is placed from the queue. A job that would be
+// late by then also waits for the late jobs of its tier.
 func (q *Queue) PredictWait(now time.Time, j *Job) (time.Duration, bool) {
-	ahead := q.countAhead(j)
-	if ahead == 0 {
+	inTime, late := q.workAhead(now, j)
+	perSecond, known := q.throughput.perSecond(now, true)
+	if classOf(now, j) != classLate {
+		if inTime == 0 {
+			return 0, true
+		}
+		if wait := seconds(inTime / perSecond); !known || !j.Late(now.Add(wait)) {
+			return wait, known
+		}
+	}
+	if inTime+late == 0 {
 		return 0, true
 	}
-	perSecond, ok := q.throughput.perSecond(now, true)
-	if !ok {
-		return 0, false
+	return seconds((inTime + late) / perSecond), known
+}
+
+// workAhead returns the work of the waiting jobs that are to be placed before a job: inTime in any case, and late in addition
+// if the job is late.
+func (q *Queue) workAhead(now time.Time, j *Job) (inTime, late float64) {
+	for _, w := range q.waiting {
+		switch {
+		case w.Job.Tier > j.Tier:
+		case w.Job.Tier < j.Tier:
+			inTime += w.work()
+		case w.Job.Late(now) && !w.Job.Resumed:
+			if w.Job.Returned() || !j.Returned() {
+				late += w.work()
+			}
+		case w.Job.RouteTier <= j.RouteTier || j.Late(now):
+			inTime += w.work()
+		}
 	}
-	return time.Duration(float64(ahead) / perSecond * float64(time.Second)), true
+	return inTime, late
 }
 
-// countAhead returns the number of waiting jobs that are to be placed before a job.
-func (q *Queue) countAhead(j *Job) int {
-	ahead := 0
+// groupKey identifies the jobs of one tier and class.
+type groupKey struct {
+	tier  int
+	class queueClass
+}
+
+// compare returns the order of two groups.
+func (k groupKey) compare(o groupKey) int {
+	return cmp.Or(cmp.Compare(k.tier, o.tier), cmp.Compare(k.class, o.class))
+}
+
+// groups returns the waiting jobs by tier and class.
+func (q *Queue) groups(now time.Time) map[groupKey][]*Waiting {
+	groups := map[groupKey][]*Waiting{}
 	for _, w := range q.waiting {
-		if w.Job.Tier < j.Tier || w.Job.Tier == j.Tier && w.Job.RouteTier <= j.RouteTier {
-			ahead++
+		key := groupKey{tier: w.Job.Tier, class: classOf(now, w.Job)}
+		groups[key] = append(groups[key], w)
+	}
+	return groups
+}
+
+// teamsOverShare returns the teams whose running work is above the mean of the teams with waiting jobs.
+func (q *Queue) teamsOverShare(running func(team string) int) map[string]bool {
+	work, sum := map[string]int{}, 0
+	for _, w := range q.waiting {
+		if _, known := work[w.Job.Team]; !known {
+			work[w.Job.Team] = running(w.Job.Team)
+			sum += work[w.Job.Team]
+		}
+	}
+	over := map[string]bool{}
+	for team, own := range work {
+		if own*len(work) > sum {
+			over[team] = true
 		}
 	}
-	return ahead
+	return over
 }
 
-// before reports whether job a is to be placed before job b.
-func (q *Queue) before(now time.Time, running func(string) int, a, b *Waiting) bool {
-	if a.Job.Tier != b.Job.Tier {
-		return a.Job.Tier < b.Job.Tier
+// before reports whether job a is to be placed before job b of the same tier and class.
+func before(class queueClass, overShare map[string]bool, a, b *Waiting) bool {
+	if ra, rb := a.Job.Returned(), b.Job.Returned(); ra != rb {
+		return ra
 	}
-	if la, lb := now.After(a.Job.Objective), now.After(b.Job.Objective); la != lb {
-		return lb
+	if class == classLate {
+		if !a.PlaceBy.Equal(b.PlaceBy) {
+			return a.PlaceBy.Before(b.PlaceBy)
+		}
+		return a.seq < b.seq
 	}
 	if a.Job.RouteTier != b.Job.RouteTier {
 		return a.Job.RouteTier < b.Job.RouteTier
 	}
-	if ra, rb := running(a.Job.Team), running(b.Job.Team); ra != rb {
-		return ra < rb
+	if oa, ob := overShare[a.Job.Team], overShare[b.Job.Team]; oa != ob {
+		return ob
+	}
+	if la, lb := a.Job.Objective.Add(-a.Job.FirstEvent), b.Job.Objective.Add(-b.Job.FirstEvent); !la.Equal(lb) {
+		return la.Before(lb)
 	}
 	return a.seq < b.seq
 }
+
+// seconds converts a number of seconds to a duration.
+func seconds(s float64) time.Duration { return milliseconds(min(s, math.MaxInt32) * 1000) }
--- a/mustardseam/placement/throughput.go
+++ b/mustardseam/placement/throughput.go
@@ -12,22 +12,22 @@
 	minThroughputTime = 500 * time.Millisecond
 )
 
-// throughput is the rate at which jobs leave a queue while jobs wait in it. The time in which none wait does not count, so
+// throughput is the rate at which work leaves a queue while jobs wait in it. The time in which none wait does not count, so
 // that a queue that is seldom in use does not look slow. Its zero value has observed nothing.
 type throughput struct {
-	placed  float64   // Decayed number of jobs that were placed.
+	placed  float64   // Decayed work of the jobs that were placed.
 	waited  float64   // Decayed seconds in which jobs waited.
 	updated time.Time // Time to which the two are decayed.
 }
 
-// observe counts jobs that were placed by a time. waiting reports whether jobs have waited since the latest call.
-func (t *throughput) observe(now time.Time, placed int, waiting bool) {
+// observe counts the work of jobs that were placed by a time. waiting reports whether jobs have waited since the latest call.
+func (t *throughput) observe(now time.Time, placed float64, waiting bool) {
 	span := max(0, now.Sub(t.updated))
 	decay := 0.0
 	if !t.updated.IsZero() {
 		decay = math.Exp(-span.Seconds() / throughputTimeConstant.Seconds())
 	}
-	t.placed, t.waited, t.updated = t.placed*decay+float64(placed), t.waited*decay, now
+	t.placed, t.waited, t.updated = t.placed*decay+placed, t.waited*decay, now
 	if waiting && decay > 0 {
 		t.waited += throughputTimeConstant.Seconds() * (1 - decay)
 	}
