--- a/mustardseam/placement/job.go
+++ b/mustardseam/placement/job.go
@@ -40,8 +40,17 @@
 // Returned reports whether the caller of the job was refused before.
 func (j *Job) Returned() bool { return !j.FirstArrival.IsZero() }
 
-// Late reports whether the job cannot meet its objective any more, even at an idle backend server.
-func (j *Job) Late(now time.Time) bool { return now.Add(j.FirstEvent).After(j.Objective) }
+// loadedFirstEvent is the factor by which first events take longer at an engine whose other slots are in use. A job that is
+// placed so late that this matters would displace one that can be in time.
+const loadedFirstEvent = 1.5
+
+// Late reports whether the job is not expected to meet its objective any more.
+func (j *Job) Late(now time.Time) bool { return now.After(j.latestStart()) }
+
+// latestStart returns the time by which the job must be sent to a backend server to meet its objective.
+func (j *Job) latestStart() time.Time {
+	return j.Objective.Add(-time.Duration(loadedFirstEvent * float64(j.FirstEvent)))
+}
 
 // arrival returns the time at which the first attempt of the caller arrived, from which the objective counts.
 func (j *Job) arrival() time.Time {
--- a/mustardseam/placement/wait.go
+++ b/mustardseam/placement/wait.go
@@ -15,6 +15,9 @@
 	// firstEventMargin is the multiple of the predicted time to the first event that must be left of the caller's patience
 	// when its stream is placed. Engines that are full of other streams take longer than predicted for idle ones.
 	firstEventMargin = 2
+	// serviceMargin is the multiple of the predicted time at a backend server that must be left until the deadline. Half of the
+	// requests take longer than predicted, and one that is cut off has used its slot for nothing.
+	serviceMargin = 1.25
 	// answerMargin must be left in addition, for the way of the answer to the caller and that of the request.
 	answerMargin = 100 * time.Millisecond
 	// minPatience, patienceObjectives and patienceGaps define when callers abandon a stream without events: after
@@ -50,7 +53,7 @@
 		return j.Arrived.Add(limit)
 	}
 	patience := min(limit, j.patience())
-	wait := min(limit-j.ServiceTime, patience-firstEventMargin*j.FirstEvent-answerMargin)
+	wait := min(limit-j.longService(), patience-firstEventMargin*j.FirstEvent-answerMargin)
 	if !j.Returned() {
 		wait = max(wait, time.Duration(minWaitFraction*float64(patience)))
 	}
@@ -89,7 +92,18 @@
 	if j.Gap <= 0 || j.Returned() {
 		return 0
 	}
-	return j.Deadline.Sub(now) - j.ServiceTime - j.patience()
+	return j.Deadline.Sub(now) - j.longService() - j.patience()
+}
+
+// longService returns the time at a backend server that few requests exceed.
+func (j *Job) longService() time.Duration {
+	return time.Duration(serviceMargin * float64(j.ServiceTime))
+}
+
+// secondCovers reports whether the second attempt of a caller that is refused now can wait until its latest start. It then
+// has the same chance to be served late as the first one, and is held for a shorter time if it is not served at all.
+func (j *Job) secondCovers(now time.Time) bool {
+	return j.Gap > 0 && float64(j.bridge(now)) <= maxRetryAfterFraction*(1-retrySpread)*float64(j.Deadline.Sub(now))
 }
 
 // refusal returns a refusal for a job that is not likely to be placed within a time.
@@ -123,12 +137,12 @@
 	if j.Returned() || j.Resumed {
 		return nil
 	}
-	wait, known := q.PredictWait(now, j)
-	if !known || now.Add(wait).Before(until) {
+	wait, long, known := q.predictWaits(now, j)
+	if !known || now.Add(wait).Before(until) && !(j.Late(now.Add(long)) && j.secondCovers(now)) {
 		return nil
 	}
 	return q.refusal(now, j, CausePredictedWait, wait, fmt.Sprintf("too much waits already: %v expected, %v allowed, %d waiting",
-		wait.Round(time.Millisecond), until.Sub(now).Round(time.Millisecond), len(q.waiting)))
+		wait.Round(time.Millisecond), until.Sub(now).Round(time.Millisecond), q.len))
 }
 
 // RefuseExpired returns the refusal of a job that waited until its limit.
