Count and log refusals by cause and attempt

Cause: the metrics did not tell refusals for want of room from others, nor the refusals of callers that had been refused before. Change: counters of refusals by cause, attempt, tier and route, a histogram of waits, gauges of the table of returning requests, and the event requests-refused. A quota refusal while the level covers the request has a cause of its own. Late requests do not queue at engines any more.

--- a/mustardseam/entry/handler.go
+++ b/mustardseam/entry/handler.go
@@ -204,7 +204,7 @@
 
 // recordPlacement records the placement of an attempt for the log line of the request and the metrics.
 func (i *Instance) recordPlacement(req *request, g *Grant) {
-	i.metrics.requestPlaced(g)
+	i.metrics.requestPlaced(req, g)
 	req.serverID, req.hub = g.Server.ID, g.Hub
 	req.placedAfter, req.predictedFirstEvent, req.load = time.Since(req.exchange.ReceivedAt), g.PredictedFirstEvent, g.Load
 }
@@ -266,6 +266,8 @@
 	seconds := math.Ceil(r.RetryAfter.Seconds()*1000) / 1000
 	r.Returned = r.Returned || req.job != nil && req.job.Returned()
 	req.status, req.reason, req.refusal = status, r.Reason, r
+	i.metrics.requestRefused(req, r)
+	i.logRefusals(r)
 	i.keepPlace(req, r)
 	h := http1.ResponseHeader{Status: status}
 	req.exchange.Reply(h.WithField(fasthttp.HeaderRetryAfter, strconv.FormatFloat(seconds, 'f', -1, 64)), nil)
--- a/mustardseam/entry/instance.go
+++ b/mustardseam/entry/instance.go
@@ -69,6 +69,7 @@
 	bounds          atomic.Pointer[Bounds]
 	pending         *pendingRequests
 	durations       *routeDurations
+	refusals        refusalCount
 	stopping        atomic.Pointer[stopPlan] // Schedule of the planned stop; nil before.
 	ctx             context.Context
 	cancel          context.CancelFunc
--- a/mustardseam/entry/log.go
+++ b/mustardseam/entry/log.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/mustardseam/mustardseam/mustardseam/event"
+	"github.com/mustardseam/mustardseam/mustardseam/placement"
 )
 
 // logRequest logs the outcome of a request and what it depended on.
@@ -29,6 +30,9 @@
 		}
 		l.Str("sample", outcome).Float64("first-ratio", s.FirstEventRatio/100).Float64("inter-token-us", 10*s.InterToken)
 	}
+	if r := req.refusal; r != nil {
+		l.Str("cause", string(r.Cause)).Str("attempt", attemptName(r))
+	}
 	l.Str("request", req.meta.ID).Str("route", route).Str("team", team).
 		Str("server", req.serverID).Str("placed-by", req.hub).Int("status", req.status).
 		Str("reason", req.reason).Int("sends", req.sends).Int("runs", req.runs).Str("last-event", req.lastEventID).
@@ -41,6 +45,16 @@
 		Int64("store-age-ms", i.storeAge()).Send()
 }
 
+// logRefusals logs, at most once a second, how many requests were refused.
+func (i *Instance) logRefusals(r *placement.Refusal) {
+	refused, second, ok := i.refusals.add(time.Now(), r.Returned)
+	if !ok {
+		return
+	}
+	event.RequestsRefused.Log(i.log()).Int("refused", refused).Int("second", second).Str("cause", string(r.Cause)).
+		Int("waiting", i.scheduler.Waiting()).Int("returning", i.scheduler.Returning()).Send()
+}
+
 // logRetry logs that a request is sent to another backend server.
 func (i *Instance) logRetry(req *request) {
 	event.RequestRetried.Log(i.log()).Str("request", req.meta.ID).Str("server", req.serverID).Str("reason", req.reason).
--- a/mustardseam/entry/metrics.go
+++ b/mustardseam/entry/metrics.go
@@ -1,11 +1,14 @@
 package entry
 
 import (
+	"fmt"
 	"io"
 	"strconv"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/mustardseam/mustardseam/mustardseam/placement"
 )
 
 // instanceMetrics holds the counters and histograms of an instance.
@@ -38,6 +41,8 @@
 	set.NewGauge("mustardseam_instances_placed_for", func() float64 { return float64(i.scheduler.Clients()) })
 	set.NewGauge("mustardseam_servers_limited", func() float64 { return float64(i.scheduler.LimitedServers()) })
 	set.NewGauge("mustardseam_prompt_patterns_quarantined", func() float64 { return float64(len(i.quarantine.Patterns(time.Now()))) })
+	set.NewGauge("mustardseam_returns_expected", func() float64 { return float64(i.scheduler.Returning()) })
+	set.NewGauge("mustardseam_returns_recognized_total", func() float64 { return float64(i.scheduler.ReturnsRecognized()) })
 	set.NewGauge("mustardseam_crashes_known", func() float64 { return float64(i.quarantine.Len()) })
 	return &instanceMetrics{
 		set:             set,
@@ -62,8 +67,30 @@
 	m.total.UpdateDuration(req.exchange.ReceivedAt)
 }
 
-// requestPlaced counts a request that was placed on a backend server.
-func (m *instanceMetrics) requestPlaced(g *Grant) {
+// requestRefused counts a refusal by cause, tier, route and attempt of the caller.
+func (m *instanceMetrics) requestRefused(req *request, r *placement.Refusal) {
+	tier, route := "", ""
+	if req.job != nil {
+		tier, route = strconv.Itoa(req.job.Tier), req.job.Route
+	}
+	m.set.GetOrCreateCounter(fmt.Sprintf("mustardseam_refusals_total{cause=%q,attempt=%q,tier=%q,route=%q}",
+		r.Cause, attemptName(r), tier, route)).Inc()
+}
+
+// attemptName names the attempt of the caller that was refused.
+func attemptName(r *placement.Refusal) string {
+	if r.Returned {
+		return "second"
+	}
+	return "first"
+}
+
+// requestPlaced counts a request that was placed on a backend server, and the time from its arrival.
+func (m *instanceMetrics) requestPlaced(req *request, g *Grant) {
+	if req.sends == 0 {
+		m.set.GetOrCreateHistogram(fmt.Sprintf("mustardseam_wait_seconds{tier=%q,route=%q}", strconv.Itoa(req.job.Tier),
+			req.job.Route)).Update(time.Since(req.exchange.ReceivedAt).Seconds())
+	}
 	if g.Hub != "" {
 		m.placedByHub.Inc()
 		return
--- a/mustardseam/entry/placement_server.go
+++ b/mustardseam/entry/placement_server.go
@@ -167,7 +167,7 @@
 	}
 	if req.Returned {
 		j.FirstArrival = ms(-req.FirstAgeMS)
-	} else if r, ok := s.returning.Take(now, req.Fingerprint); ok {
+	} else if r, ok := s.takeReturn(now, req.Fingerprint); ok {
 		j = j.WithReturn(r.FirstArrival)
 	}
 	w := s.placeOrQueue(now, req.Service, j, func(g *Grant, r *placement.Refusal) {
--- a/mustardseam/entry/returning.go
+++ b/mustardseam/entry/returning.go
@@ -78,7 +78,16 @@
 func (s *Scheduler) TakeReturn(now time.Time, fingerprint uint64) (placement.Return, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.returning.Take(now, fingerprint)
+	return s.takeReturn(now, fingerprint)
+}
+
+// takeReturn is TakeReturn; mu must be held.
+func (s *Scheduler) takeReturn(now time.Time, fingerprint uint64) (placement.Return, bool) {
+	r, ok := s.returning.Take(now, fingerprint)
+	if ok {
+		s.returnsRecognized++
+	}
+	return r, ok
 }
 
 // ExpectReturn records a request that was refused here, and reports it to the hub.
@@ -91,6 +100,13 @@
 	}
 }
 
+// ReturnsRecognized returns how many requests returned after a refusal and were recognized.
+func (s *Scheduler) ReturnsRecognized() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.returnsRecognized
+}
+
 // Returning returns the number of refused requests that are expected to return.
 func (s *Scheduler) Returning() int {
 	s.mu.Lock()
--- a/mustardseam/entry/scheduler.go
+++ b/mustardseam/entry/scheduler.go
@@ -40,6 +40,7 @@
 	// registered in sharersView.
 	sharersWhileStarting []string
 	sharersView          *fleet.View
+	returnsRecognized    int  // Requests that returned after a refusal and were recognized.
 	dispatchTimerRunning bool // The timer that calls dispatch is armed.
 	// coldAllowances caches the per-second limits of instances at cold backend servers; cleared when the sharers change.
 	coldAllowances    map[coldAllowanceKey]int
@@ -120,7 +121,11 @@
 	ok, retry := s.quota.Admit(now, team, units, len(s.sharingInstances(now)))
 	if !ok {
 		level, standing, asked := s.quota.Level(now, team.Name)
-		return &placement.Refusal{Cause: placement.CauseQuota, RetryAfter: retry, Reason: fmt.Sprintf(
+		cause := placement.CauseQuota
+		if level >= units {
+			cause = placement.CauseQuotaExpected
+		}
+		return &placement.Refusal{Cause: cause, RetryAfter: retry, Reason: fmt.Sprintf(
 			"quota of the team is used up: %.0f units left (%.0f of the standing share), %.0f expected from all, %.0f asked, "+
 				"%.0f a second allowed", level, standing, asked, units, team.Rate)}
 	}
--- a/mustardseam/event/catalogue.go
+++ b/mustardseam/event/catalogue.go
@@ -82,6 +82,7 @@
 	AnswerCut            = Event{7017, "answer-cut", zerolog.InfoLevel, "backend server ended the connection of a request without a complete answer"}
 	PromptQuarantined    = Event{7018, "prompt-quarantined", zerolog.WarnLevel, "backend servers crash on a request or on prompt parts; requests with all of them are refused"}
 	PromptReleased       = Event{7019, "prompt-released", zerolog.InfoLevel, "prompt parts are no longer refused in this combination"}
+	RequestsRefused      = Event{7020, "requests-refused", zerolog.WarnLevel, "requests were refused"}
 )
 
 // All returns all events in ascending order of their numbers.
@@ -97,6 +98,6 @@
 		RequestEnded, RequestRetried, SettingsReloaded, SettingsReloadFailed, StoreItemInvalid, ViewChanged,
 		HubChosen, HubLost, InstanceRegistered, StoreWriteFailed, ShutdownProgress,
 		HubPlacementStarted, HubPlacementStopped, PanicContained, ServerLimitChanged, ServerLimitInvalid, AnswerCut,
-		PromptQuarantined, PromptReleased,
+		PromptQuarantined, PromptReleased, RequestsRefused,
 	}
 }
--- a/mustardseam/placement/wait.go
+++ b/mustardseam/placement/wait.go
@@ -65,14 +65,14 @@
 	return max(minPatience, patienceObjectives*j.Objective.Sub(j.arrival()), patienceGaps*j.Gap)
 }
 
-// MaxQueueDepth returns how many requests beyond its slots a backend server may have when the job is sent to it. A request
-// that returns late has none, since it would keep those that can be in time from the next free slot.
+// MaxQueueDepth returns how many requests beyond its slots a backend server may have when the job is sent to it. A late
+// request has none, since it would keep those that can be in time from the next free slot.
 func (j *Job) MaxQueueDepth(now time.Time) int {
 	objective := j.Objective.Sub(j.arrival())
 	if j.Tier >= maxServerQueue || now.Sub(j.arrival()) <= time.Duration(serverQueueAfter*float64(objective)) {
 		return 0
 	}
-	if j.Returned() && j.Late(now) {
+	if !j.Resumed && j.Late(now) {
 		return 0
 	}
 	return maxServerQueue - max(0, j.Tier)
--- a/mustardseam/placement/wait_test.go
+++ b/mustardseam/placement/wait_test.go
@@ -136,6 +136,7 @@
 		{"highest tier", 0, 251 * time.Millisecond, 2},
 		{"next tier", 1, 251 * time.Millisecond, 1},
 		{"low tier", 2, time.Second, 0},
+		{"late", 0, 1001 * time.Millisecond, 0},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
