--- a/mustardseam/placement/cause.go
+++ b/mustardseam/placement/cause.go
@@ -12,5 +12,5 @@
 	CauseQuota         Cause = "quota"          // The quota of the team is used up.
 	// CauseQuotaExpected means that the quota of the team has units left, which the other instances are expected to use.
 	CauseQuotaExpected Cause = "quota-expected"
-	CauseOther         Cause = "other"          // A planned stop, a quarantined prompt or a missing configuration.
+	CauseOther         Cause = "other" // A planned stop, a quarantined prompt or a missing configuration.
 )
