Keep the wait of resumed streams and make the played load deterministic

Cause: the silence of a resumed stream's caller began before its rest was queued, so the longer wait would end after the caller left. The played load depended on the order of a map and looked at all calls in each step. The test keeps its waiting calls in a list.

--- a/mustardseam/placement/load_test.go
+++ b/mustardseam/placement/load_test.go
@@ -42,11 +42,17 @@
 type admission interface {
 	// arrive refuses, places or queues a job.
 	arrive(now time.Time, j *Job, try func(*Job) bool) *Refusal
-	expired(now time.Time) map[*Job]*Refusal
+	expired(now time.Time) []expiredJob
 	withdraw(j *Job)
 	place(now time.Time, try func(*Job) bool)
 }
 
+// expiredJob is a job that waited until its limit.
+type expiredJob struct {
+	job     *Job
+	refusal *Refusal
+}
+
 // call is the state of one request over the two attempts of its caller.
 type call struct {
 	kind      *loadKind
@@ -70,6 +76,7 @@
 	table     ReturnTable
 	useTable  bool
 	running   []*call
+	waiting   []*call
 }
 
 // factorAt returns the load at a time as a multiple of the usual load.
@@ -102,8 +109,8 @@
 				p.attempt(now, c)
 			}
 		}
-		for j, r := range p.admission.expired(now) {
-			p.refused(now, p.byJob[j], r)
+		for _, e := range p.admission.expired(now) {
+			p.refused(now, p.byJob[e.job], e.refusal)
 		}
 		p.admission.place(now, func(j *Job) bool { return p.start(now, p.byJob[j]) })
 	}
@@ -127,9 +134,12 @@
 		started = p.start(now, c)
 		return started
 	})
-	c.waiting = r == nil && !started
-	if r != nil {
+	switch {
+	case r != nil:
 		p.refused(now, c, r)
+	case !started:
+		c.waiting = true
+		p.waiting = append(p.waiting, c)
 	}
 }
 
@@ -187,8 +197,9 @@
 		}
 		return true
 	})
-	for _, c := range p.calls {
-		if c.waiting && (now.Sub(c.job.Arrived) >= c.patience() || !now.Before(c.job.Deadline)) {
+	p.waiting = slices.DeleteFunc(p.waiting, func(c *call) bool { return !c.waiting })
+	for _, c := range p.waiting {
+		if now.Sub(c.job.Arrived) >= c.patience() || !now.Before(c.job.Deadline) {
 			c.held += now.Sub(c.job.Arrived)
 			c.waiting, c.outcome = false, "left"
 			p.admission.withdraw(c.job)
@@ -262,13 +273,12 @@
 	return nil
 }
 
-func (a *presentAdmission) expired(now time.Time) map[*Job]*Refusal {
-	refusals := map[*Job]*Refusal{}
+func (a *presentAdmission) expired(now time.Time) (list []expiredJob) {
 	for _, w := range a.queue.RemoveExpired(now) {
 		delete(a.entries, w.Job)
-		refusals[w.Job] = a.queue.RefuseExpired(now, w.Job)
+		list = append(list, expiredJob{w.Job, a.queue.RefuseExpired(now, w.Job)})
 	}
-	return refusals
+	return list
 }
 
 func (a *presentAdmission) withdraw(j *Job) {
@@ -331,23 +341,22 @@
 	return nil
 }
 
-func (a *formerAdmission) expired(now time.Time) map[*Job]*Refusal {
-	refusals := map[*Job]*Refusal{}
+func (a *formerAdmission) expired(now time.Time) (list []expiredJob) {
 	a.waiting = slices.DeleteFunc(a.waiting, func(j *Job) bool {
 		if now.Before(a.placeBy(j)) {
 			return false
 		}
-		refusals[j] = nil
+		list = append(list, expiredJob{job: j})
 		return true
 	})
-	for j := range refusals {
-		wait, known := a.predict(now, j)
+	for i, e := range list {
+		wait, known := a.predict(now, e.job)
 		if !known {
 			wait = minRetryAfter
 		}
-		refusals[j] = &Refusal{RetryAfter: a.retryAfter(now, j, max(wait, now.Sub(j.Arrived)))}
+		list[i].refusal = &Refusal{RetryAfter: a.retryAfter(now, e.job, max(wait, now.Sub(e.job.Arrived)))}
 	}
-	return refusals
+	return list
 }
 
 func (a *formerAdmission) withdraw(j *Job) {
--- a/mustardseam/placement/wait.go
+++ b/mustardseam/placement/wait.go
@@ -53,6 +53,10 @@
 		return j.Arrived.Add(limit)
 	}
 	patience := min(limit, j.patience())
+	if j.Resumed {
+		// The caller's silence began before the rest of its stream was queued.
+		return j.Arrived.Add(time.Duration(minWaitFraction * float64(patience)))
+	}
 	wait := min(limit-j.longService(), patience-firstEventMargin*j.FirstEvent-answerMargin)
 	if !j.Returned() {
 		wait = max(wait, time.Duration(minWaitFraction*float64(patience)))
