--- a/mustardseam/ratelimit/quota.go
+++ b/mustardseam/ratelimit/quota.go
@@ -1,7 +1,6 @@
 package ratelimit
 
 import (
-	"math"
 	"math/rand/v2"
 	"time"
 
@@ -78,26 +77,6 @@
 	reachable      float64       // Share of the limits that the instances in contact with this one may use; 0 counts as 1.
 }
 
-// teamQuota is the state of the quota of one team.
-type teamQuota struct {
-	bucket           tokenBucket // Whole limit, less the usage that this instance knows of.
-	localShare       tokenBucket // Share that this instance may use without reports from other instances.
-	pendingUsage     Usage       // Usage through this instance that it has not reported yet.
-	reportedUsage    Usage       // Usage in the latest report of this instance.
-	pendingRequests  int         // Number of requests in pendingUsage.
-	reportedRequests int         // Number of requests in reportedUsage.
-	meanUnits        float64     // Smoothed number of units per request.
-	othersRate       float64     // Units per second requested through the other instances.
-	recentUnits      float64     // Units used through all instances, decayed with usageTimeConstant.
-	recentAt         time.Time   // Time to which recentUnits is decayed.
-}
-
-// addRecent adds units to the recent usage.
-func (t *teamQuota) addRecent(now time.Time, units float64) {
-	t.recentUnits = max(0, t.recentUnits*math.Exp(-now.Sub(t.recentAt).Seconds()/usageTimeConstant.Seconds())+units)
-	t.recentAt = now
-}
-
 // NewQuota returns a quota that has admitted no requests.
 func NewQuota(cfg QuotaConfig) *Quota {
 	if cfg.Random == nil {
@@ -175,13 +154,6 @@
 	return true, 0
 }
 
-// charge records admitted units.
-func (t *teamQuota) charge(now time.Time, units float64) {
-	t.bucket.deduct(now, units)
-	t.pendingUsage.Admitted += units
-	t.addRecent(now, units)
-}
-
 // initBuckets sets the initial levels of the buckets at the first request of a team.
 func (q *Quota) initBuckets(now time.Time, t *teamQuota, team string, burst, startLevel, n float64) {
 	level, stored := q.storedLevels[team]
