Send reports again to a hub that was started again

Cause: the first report over a connection to the killed process of a hub failed, so that its instance stayed with another hub for 1.5 s more; two hubs then each shared out the whole quotas (QUOTA). Change: a report whose connection was closed is sent once more on a new connection; it is recorded once, by its sequence number. TestReportAfterRestartOfHub failed before.

--- a/mustardseam/hub/client.go
+++ b/mustardseam/hub/client.go
@@ -2,7 +2,9 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"net"
+	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -49,6 +51,11 @@
 	}
 	var resp ReportResponse
 	err := c.call(addr+reportPath, timeout, r, &resp)
+	if errors.Is(err, fasthttp.ErrConnectionClosed) || errors.Is(err, syscall.ECONNRESET) {
+		// The hub may have started again since the connection was used last. A report is recorded once, by its sequence number.
+		resp = ReportResponse{}
+		err = c.call(addr+reportPath, timeout, r, &resp)
+	}
 	return resp, err
 }
 
