--- a/mustardseam/autoscale/decide.go
+++ b/mustardseam/autoscale/decide.go
@@ -30,8 +30,7 @@
 	// deadBand is the relative difference below which the number in force is not raised, so that noise gives no orders.
 	deadBand = 0.03
 	// fallMargin is the factor on the number needed at the highest load of the hold time, to which the number in force
-	// falls. It leaves room for the loss of a fifth of the backend servers: a backend server costs about a twentieth of what
-	// it earns when it is needed, so that a reserve is cheaper than refused requests.
+	// falls. It leaves room for the loss of a fifth of the backend servers at that load without refusals.
 	fallMargin = 1.25
 	// fallStep is the largest share of the number in force that is removed at a time, and minFall the smallest reduction
 	// worth an order.
--- a/mustardseam/placement/board.go
+++ b/mustardseam/placement/board.go
@@ -44,10 +44,10 @@
 
 // serviceModel holds averages over all backend servers of a service, an engine service or a plain one.
 type serviceModel struct {
-	interToken  average   // Inter-token latency in milliseconds, of the latest measurements.
-	usualToken  average   // Inter-token latency in milliseconds, over many measurements; the measure of slowdown.
-	firstEvent  linearFit // Milliseconds to the first event by prompt tokens, at a backend server of average speed.
-	serviceTime average   // Milliseconds that a request occupies a slot.
+	interToken      average   // Inter-token latency in milliseconds, of the latest measurements.
+	usualInterToken average   // Inter-token latency in milliseconds, over many measurements; the measure of slowdown.
+	firstEvent      linearFit // Milliseconds to the first event by prompt tokens, at a backend server of average speed.
+	serviceTime     average   // Milliseconds that a request occupies a slot.
 }
 
 // BoardConfig configures how a board breaks ties between similar choices.
--- a/mustardseam/placement/cost.go
+++ b/mustardseam/placement/cost.go
@@ -122,10 +122,10 @@
 // slowdown returns the ratio of a backend server's inter-token latency to the average of its service, or 1 if it is
 // unknown.
 func (b *Board) slowdown(st *serverState, m *serviceModel) float64 {
-	if st.interToken.count == 0 || m.usualToken.count == 0 || m.usualToken.value <= 0 {
+	if st.interToken.count == 0 || m.usualInterToken.count == 0 || m.usualInterToken.value <= 0 {
 		return 1
 	}
-	return st.interToken.value / m.usualToken.value
+	return st.interToken.value / m.usualInterToken.value
 }
 
 // milliseconds converts a number of milliseconds to a duration.
--- a/mustardseam/placement/outcome.go
+++ b/mustardseam/placement/outcome.go
@@ -101,5 +101,5 @@
 	st.interTokenChanged = true
 	m := b.model(svc.Name)
 	m.interToken.add(ms)
-	m.usualToken.addWeighted(ms, serviceSmoothing)
+	m.usualInterToken.addWeighted(ms, serviceSmoothing)
 }
--- a/mustardseam/ratelimit/quota.go
+++ b/mustardseam/ratelimit/quota.go
@@ -284,19 +284,3 @@
 	t := q.quotaFor(team)
 	return t.bucket.currentLevel(now), t.localShare.currentLevel(now), t.othersRate * unseenIntervals * q.reportInterval.Seconds()
 }
-
-// quotaFor returns the quota of a team and creates it if necessary.
-func (q *Quota) quotaFor(team string) *teamQuota {
-	t := q.teams[team]
-	if t == nil {
-		t = &teamQuota{}
-		t.bucket.setLevel(q.cfg.Start, 0)
-		t.localShare.setLevel(q.cfg.Start, 0)
-		if level, ok := q.adoptedLevels[team]; ok {
-			t.bucket.setLevel(q.adoptedLevelsAt, level)
-			t.localShare.setLevel(q.adoptedLevelsAt, level/q.adoptedShares)
-		}
-		q.teams[team] = t
-	}
-	return t
-}
--- a/mustardseam/ratelimit/teamquota.go
+++ b/mustardseam/ratelimit/teamquota.go
@@ -31,3 +31,19 @@
 	t.pendingUsage.Admitted += units
 	t.addRecent(now, units)
 }
+
+// quotaFor returns the quota of a team and creates it if necessary.
+func (q *Quota) quotaFor(team string) *teamQuota {
+	t := q.teams[team]
+	if t == nil {
+		t = &teamQuota{}
+		t.bucket.setLevel(q.cfg.Start, 0)
+		t.localShare.setLevel(q.cfg.Start, 0)
+		if level, ok := q.adoptedLevels[team]; ok {
+			t.bucket.setLevel(q.adoptedLevelsAt, level)
+			t.localShare.setLevel(q.adoptedLevelsAt, level/q.adoptedShares)
+		}
+		q.teams[team] = t
+	}
+	return t
+}
