--- /dev/null
+++ b/review/standin-2/kv.go
@@ -0,0 +1,302 @@
+package main
+
+import (
+	"encoding/json"
+	"net"
+	"net/http"
+	"sort"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+const (
+	// kvLatency is the time that the store takes for an answer.
+	kvLatency = 4 * time.Millisecond
+	// kvPageItems is the number of items of a page of a list.
+	kvPageItems = 500
+	// kvMaxWait is the longest time for which a watch waits.
+	// kvIdleTimeout is how long the store keeps an idle connection.
+	kvIdleTimeout = 5 * time.Second
+	kvMaxWait     = 30 * time.Second
+)
+
+// kvStore is a stand-in for the metadata store. It keeps its whole history.
+type kvStore struct {
+	addr string
+
+	mu      sync.Mutex
+	rev     int64
+	items   map[string]kvItem
+	history []kvItem
+	leases  map[int64]*kvLease
+	changed chan struct{} // Closed and replaced at each change.
+}
+
+// kvItem is an item, or its removal, as in the answers of the store.
+type kvItem struct {
+	Key       string `json:"key"`
+	Value     []byte `json:"value"`
+	Rev       int64  `json:"rev"`
+	CreateRev int64  `json:"createRev"`
+	Lease     int64  `json:"lease"`
+	Removed   bool   `json:"removed,omitempty"`
+}
+
+// kvLease is a lease and its keys.
+type kvLease struct {
+	ttl   time.Duration
+	timer *time.Timer
+}
+
+// newKVStore returns a store that serves on a free port of an address.
+func newKVStore(ip string) *kvStore {
+	s := &kvStore{rev: 1, items: map[string]kvItem{}, leases: map[int64]*kvLease{}, changed: make(chan struct{})}
+	ln, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
+	check(err)
+	s.addr = ln.Addr().String()
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /-/kv-key", s.get)
+	mux.HandleFunc("GET /-/kv-range", s.list)
+	mux.HandleFunc("GET /-/kv-watch", s.watch)
+	mux.HandleFunc("POST /-/kv-txn", s.txn)
+	mux.HandleFunc("POST /-/kv-lease", s.grant)
+	mux.HandleFunc("POST /-/kv-keep/{id}", s.keep)
+	mux.HandleFunc("DELETE /-/kv-lease-end/{id}", s.end)
+	server := &http.Server{Handler: mux, IdleTimeout: kvIdleTimeout}
+	go func() { _ = server.Serve(ln) }()
+	return s
+}
+
+// put writes a key as the operator or a backend server does, and returns the time of the acknowledgement.
+func (s *kvStore) put(key string, value any) time.Time {
+	b, err := json.Marshal(value)
+	check(err)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rev++
+	s.write(kvItem{Key: key, Value: b})
+	s.notify()
+	return time.Now()
+}
+
+// remove deletes a key and returns the time of the acknowledgement.
+func (s *kvStore) remove(key string) time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rev++
+	s.write(kvItem{Key: key, Removed: true})
+	s.notify()
+	return time.Now()
+}
+
+// write records a change at the current revision; mu must be held.
+func (s *kvStore) write(i kvItem) {
+	i.Rev, i.CreateRev = s.rev, s.rev
+	if old, ok := s.items[i.Key]; ok {
+		i.CreateRev = old.CreateRev
+	}
+	if i.Removed {
+		delete(s.items, i.Key)
+	} else {
+		s.items[i.Key] = i
+	}
+	s.history = append(s.history, i)
+}
+
+func (s *kvStore) notify() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func answer(w http.ResponseWriter, status int, body any) {
+	time.Sleep(kvLatency)
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Store-Era", "1")
+	w.WriteHeader(status)
+	if body != nil {
+		_ = json.NewEncoder(w).Encode(body)
+	}
+}
+
+func (s *kvStore) get(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	i, ok := s.items[r.URL.Query().Get("key")]
+	rev := s.rev
+	s.mu.Unlock()
+	if !ok {
+		answer(w, http.StatusNotFound, map[string]any{"asOf": rev})
+		return
+	}
+	answer(w, http.StatusOK, map[string]any{
+		"key": i.Key, "value": i.Value, "rev": i.Rev, "createRev": i.CreateRev, "lease": i.Lease, "asOf": rev,
+	})
+}
+
+func (s *kvStore) list(w http.ResponseWriter, r *http.Request) {
+	prefix, after := r.URL.Query().Get("prefix"), r.URL.Query().Get("after")
+	s.mu.Lock()
+	items := []kvItem{}
+	for key, i := range s.items {
+		if strings.HasPrefix(key, prefix) && key > after {
+			items = append(items, i)
+		}
+	}
+	rev := s.rev
+	s.mu.Unlock()
+	sort.Slice(items, func(a, b int) bool { return items[a].Key < items[b].Key })
+	more := len(items) > kvPageItems
+	if more {
+		items = items[:kvPageItems]
+	}
+	answer(w, http.StatusOK, map[string]any{"items": items, "morePages": more, "asOf": rev})
+}
+
+func (s *kvStore) watch(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	after, err := strconv.ParseInt(q.Get("after"), 10, 64)
+	ms, waitErr := strconv.Atoi(q.Get("waitMs"))
+	if err != nil || waitErr != nil {
+		answer(w, http.StatusBadRequest, nil)
+		return
+	}
+	timeout := time.After(min(kvMaxWait, time.Duration(ms)*time.Millisecond))
+	for {
+		s.mu.Lock()
+		events := []kvItem{}
+		for _, i := range s.history {
+			if i.Rev > after && strings.HasPrefix(i.Key, q.Get("prefix")) {
+				events = append(events, i)
+			}
+		}
+		rev, changed := s.rev, s.changed
+		s.mu.Unlock()
+		expired := false
+		if len(events) == 0 {
+			select {
+			case <-changed:
+				continue
+			case <-timeout:
+				expired = true
+			case <-r.Context().Done():
+				return
+			}
+		}
+		if len(events) > 0 || expired {
+			answer(w, http.StatusOK, map[string]any{"events": events, "asOf": rev})
+			return
+		}
+	}
+}
+
+func (s *kvStore) txn(w http.ResponseWriter, r *http.Request) {
+	var t struct {
+		Expect []struct {
+			Key string `json:"key"`
+			Rev int64  `json:"rev"`
+		} `json:"expect"`
+		Writes []kvItem `json:"writes"`
+		Delete []string `json:"delete"`
+	}
+	if json.NewDecoder(r.Body).Decode(&t) != nil {
+		answer(w, http.StatusBadRequest, nil)
+		return
+	}
+	s.mu.Lock()
+	status, rev, current := http.StatusOK, int64(0), []kvItem{}
+	for _, e := range t.Expect {
+		if s.items[e.Key].Rev != e.Rev {
+			status = http.StatusPreconditionFailed
+		}
+		if i, ok := s.items[e.Key]; ok {
+			current = append(current, i)
+		}
+	}
+	for _, i := range t.Writes {
+		if i.Lease != 0 && s.leases[i.Lease] == nil && status == http.StatusOK {
+			status = http.StatusNotFound
+		}
+	}
+	if status == http.StatusOK {
+		s.rev++
+		rev = s.rev
+		for _, i := range t.Writes {
+			s.write(kvItem{Key: i.Key, Value: i.Value, Lease: i.Lease})
+		}
+		for _, key := range t.Delete {
+			s.write(kvItem{Key: key, Removed: true})
+		}
+		s.notify()
+	}
+	s.mu.Unlock()
+	switch status {
+	case http.StatusOK:
+		answer(w, status, map[string]any{"rev": rev})
+	case http.StatusPreconditionFailed:
+		answer(w, status, map[string]any{"items": current})
+	default:
+		answer(w, status, nil)
+	}
+}
+
+func (s *kvStore) grant(w http.ResponseWriter, r *http.Request) {
+	var t struct {
+		TTLMS int64 `json:"ttlMs"`
+	}
+	if json.NewDecoder(r.Body).Decode(&t) != nil {
+		answer(w, http.StatusBadRequest, nil)
+		return
+	}
+	s.mu.Lock()
+	s.rev++
+	id, l := s.rev, &kvLease{ttl: time.Duration(t.TTLMS) * time.Millisecond}
+	l.timer = time.AfterFunc(l.ttl, func() { s.expire(id) })
+	s.leases[id] = l
+	s.mu.Unlock()
+	answer(w, http.StatusOK, map[string]any{"lease": id, "ttlMs": t.TTLMS})
+}
+
+// expire ends a lease and removes its keys. It reports whether there was one.
+func (s *kvStore) expire(id int64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l := s.leases[id]
+	if l == nil {
+		return false
+	}
+	l.timer.Stop()
+	delete(s.leases, id)
+	s.rev++
+	for key, i := range s.items {
+		if i.Lease == id {
+			s.write(kvItem{Key: key, Removed: true})
+		}
+	}
+	s.notify()
+	return true
+}
+
+func (s *kvStore) keep(w http.ResponseWriter, r *http.Request) {
+	id, err := strconv.ParseInt(r.PathValue("id"), 10, 64)
+	s.mu.Lock()
+	l := s.leases[id]
+	if l != nil {
+		l.timer.Reset(l.ttl)
+	}
+	s.mu.Unlock()
+	if err != nil || l == nil {
+		answer(w, http.StatusNotFound, nil)
+		return
+	}
+	answer(w, http.StatusOK, map[string]any{"ttlMs": l.ttl.Milliseconds()})
+}
+
+func (s *kvStore) end(w http.ResponseWriter, r *http.Request) {
+	id, err := strconv.ParseInt(r.PathValue("id"), 10, 64)
+	if err != nil || !s.expire(id) {
+		answer(w, http.StatusNotFound, nil)
+		return
+	}
+	answer(w, http.StatusOK, map[string]any{})
+}
