--- a/review/standin-2/hubcut.go
+++ b/review/standin-2/hubcut.go
@@ -1,7 +1,9 @@
 package main
 
 import (
+	"math/rand/v2"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 )
@@ -9,12 +11,15 @@
 // cutTime is how long the hub is cut off.
 const cutTime = 5 * time.Second
 
+// lingerTime is how long the replica goes on serving after drainMs; then it exits.
+const lingerTime = time.Second
+
 // hubCut cuts the hub off from the store and has a replica leave at once, which does not report it: its entry is removed. The other
 // instance is in touch all the while and must send the replica nothing from drainMs after the removal on.
 func hubCut(r *run) int {
 	kv := newKVStore(r.ip(1))
 	kv.put("op/config", config(1, route("order", "/order/", "unsafe", 1200, 1)))
-	work := func(*http.Request) time.Duration { return 200 * time.Millisecond }
+	work := func(*http.Request) time.Duration { return 150*time.Millisecond + rand.N(100*time.Millisecond) }
 	var replicas []*replica
 	for n, id := range []string{"i-one", "i-two"} {
 		s := newReplica(r.recorder, r.ip(21+n), id, "orders", []string{"za", "zb"}[n], 6, work)
@@ -51,18 +56,25 @@
 	acknowledged := kv.remove("servers/" + leaving.id)
 	r.note("the entry of %s is removed from the store", leaving.id)
 	time.AfterFunc(cutTime, proxies[0].heal)
+	time.AfterFunc(drainTime+lingerTime, leaving.exit)
 	clients.Wait()
 
 	broken, latest := 0, time.Time{}
+	lost, atLeaving := 0, map[string]bool{}
 	for _, e := range r.all() {
+		if e.kind == "answered" && atLeaving[e.id] && !strings.HasPrefix(e.note, "200") {
+			lost++
+		}
 		if e.kind != "reached" || e.who != leaving.id {
 			continue
 		}
 		latest = e.at
+		atLeaving[e.id] = true
 		if e.at.After(acknowledged.Add(drainTime)) {
 			broken++
 		}
 	}
 	r.note("latest request at %s: %.3f s after the removal", leaving.id, latest.Sub(acknowledged).Seconds())
+	r.note("%d orders that it had begun got no answer of a replica", lost)
 	return broken
 }
--- a/review/standin-2/kv.go
+++ b/review/standin-2/kv.go
@@ -2,8 +2,10 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"sort"
 	"strconv"
 	"strings"
@@ -32,6 +34,8 @@
 	history []kvItem
 	leases  map[int64]*kvLease
 	changed chan struct{} // Closed and replaced at each change.
+	era     int64         // Rises by one each time the store is restored from a copy.
+	away    bool          // Calls are answered 503, which means that nothing was done.
 }
 
 // kvItem is an item, or its removal, as in the answers of the store.
@@ -52,18 +56,23 @@
 
 // newKVStore returns a store that serves on a free port of an address.
 func newKVStore(ip string) *kvStore {
-	s := &kvStore{rev: 1, items: map[string]kvItem{}, leases: map[int64]*kvLease{}, changed: make(chan struct{})}
+	s := &kvStore{era: 1, rev: 1, items: map[string]kvItem{}, leases: map[int64]*kvLease{}, changed: make(chan struct{})}
 	ln, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
 	check(err)
 	s.addr = ln.Addr().String()
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /-/kv-key", s.get)
-	mux.HandleFunc("GET /-/kv-range", s.list)
-	mux.HandleFunc("GET /-/kv-watch", s.watch)
-	mux.HandleFunc("POST /-/kv-txn", s.txn)
-	mux.HandleFunc("POST /-/kv-lease", s.grant)
-	mux.HandleFunc("POST /-/kv-keep/{id}", s.keep)
-	mux.HandleFunc("DELETE /-/kv-lease-end/{id}", s.end)
+	for pattern, f := range map[string]http.HandlerFunc{
+		"GET /-/kv-key": s.get, "GET /-/kv-range": s.list, "GET /-/kv-watch": s.watch, "POST /-/kv-txn": s.txn,
+		"POST /-/kv-lease": s.grant, "POST /-/kv-keep/{id}": s.keep, "DELETE /-/kv-lease-end/{id}": s.end,
+	} {
+		mux.HandleFunc(pattern, func(w http.ResponseWriter, r *http.Request) {
+			if s.isAway() {
+				s.answer(w, http.StatusServiceUnavailable, nil)
+				return
+			}
+			f(w, r)
+		})
+	}
 	server := &http.Server{Handler: mux, IdleTimeout: kvIdleTimeout}
 	go func() { _ = server.Serve(ln) }()
 	return s
@@ -110,10 +119,13 @@
 	s.changed = make(chan struct{})
 }
 
-func answer(w http.ResponseWriter, status int, body any) {
+func (s *kvStore) answer(w http.ResponseWriter, status int, body any) {
 	time.Sleep(kvLatency)
+	s.mu.Lock()
+	era := s.era
+	s.mu.Unlock()
 	w.Header().Set("Content-Type", "application/json")
-	w.Header().Set("Store-Era", "1")
+	w.Header().Set("Store-Era", strconv.FormatInt(era, 10))
 	w.WriteHeader(status)
 	if body != nil {
 		_ = json.NewEncoder(w).Encode(body)
@@ -126,10 +138,10 @@
 	rev := s.rev
 	s.mu.Unlock()
 	if !ok {
-		answer(w, http.StatusNotFound, map[string]any{"asOf": rev})
+		s.answer(w, http.StatusNotFound, map[string]any{"asOf": rev})
 		return
 	}
-	answer(w, http.StatusOK, map[string]any{
+	s.answer(w, http.StatusOK, map[string]any{
 		"key": i.Key, "value": i.Value, "rev": i.Rev, "createRev": i.CreateRev, "lease": i.Lease, "asOf": rev,
 	})
 }
@@ -150,7 +162,7 @@
 	if more {
 		items = items[:kvPageItems]
 	}
-	answer(w, http.StatusOK, map[string]any{"items": items, "morePages": more, "asOf": rev})
+	s.answer(w, http.StatusOK, map[string]any{"items": items, "morePages": more, "asOf": rev})
 }
 
 func (s *kvStore) watch(w http.ResponseWriter, r *http.Request) {
@@ -158,12 +170,23 @@
 	after, err := strconv.ParseInt(q.Get("after"), 10, 64)
 	ms, waitErr := strconv.Atoi(q.Get("waitMs"))
 	if err != nil || waitErr != nil {
-		answer(w, http.StatusBadRequest, nil)
+		s.answer(w, http.StatusBadRequest, nil)
 		return
 	}
 	timeout := time.After(min(kvMaxWait, time.Duration(ms)*time.Millisecond))
+	s.mu.Lock()
+	era, known := s.era, s.rev
+	s.mu.Unlock()
+	if after > known {
+		s.answer(w, http.StatusGone, nil)
+		return
+	}
 	for {
 		s.mu.Lock()
+		if s.era != era || s.away {
+			s.mu.Unlock()
+			panic(http.ErrAbortHandler) // A watch that is waiting may be cut.
+		}
 		events := []kvItem{}
 		for _, i := range s.history {
 			if i.Rev > after && strings.HasPrefix(i.Key, q.Get("prefix")) {
@@ -184,7 +207,7 @@
 			}
 		}
 		if len(events) > 0 || expired {
-			answer(w, http.StatusOK, map[string]any{"events": events, "asOf": rev})
+			s.answer(w, http.StatusOK, map[string]any{"events": events, "asOf": rev})
 			return
 		}
 	}
@@ -200,7 +223,7 @@
 		Delete []string `json:"delete"`
 	}
 	if json.NewDecoder(r.Body).Decode(&t) != nil {
-		answer(w, http.StatusBadRequest, nil)
+		s.answer(w, http.StatusBadRequest, nil)
 		return
 	}
 	s.mu.Lock()
@@ -232,11 +255,11 @@
 	s.mu.Unlock()
 	switch status {
 	case http.StatusOK:
-		answer(w, status, map[string]any{"rev": rev})
+		s.answer(w, status, map[string]any{"rev": rev})
 	case http.StatusPreconditionFailed:
-		answer(w, status, map[string]any{"items": current})
+		s.answer(w, status, map[string]any{"items": current})
 	default:
-		answer(w, status, nil)
+		s.answer(w, status, nil)
 	}
 }
 
@@ -245,7 +268,7 @@
 		TTLMS int64 `json:"ttlMs"`
 	}
 	if json.NewDecoder(r.Body).Decode(&t) != nil {
-		answer(w, http.StatusBadRequest, nil)
+		s.answer(w, http.StatusBadRequest, nil)
 		return
 	}
 	s.mu.Lock()
@@ -254,7 +277,7 @@
 	l.timer = time.AfterFunc(l.ttl, func() { s.expire(id) })
 	s.leases[id] = l
 	s.mu.Unlock()
-	answer(w, http.StatusOK, map[string]any{"lease": id, "ttlMs": t.TTLMS})
+	s.answer(w, http.StatusOK, map[string]any{"lease": id, "ttlMs": t.TTLMS})
 }
 
 // expire ends a lease and removes its keys. It reports whether there was one.
@@ -286,17 +309,55 @@
 	}
 	s.mu.Unlock()
 	if err != nil || l == nil {
-		answer(w, http.StatusNotFound, nil)
+		s.answer(w, http.StatusNotFound, nil)
 		return
 	}
-	answer(w, http.StatusOK, map[string]any{"ttlMs": l.ttl.Milliseconds()})
+	s.answer(w, http.StatusOK, map[string]any{"ttlMs": l.ttl.Milliseconds()})
 }
 
 func (s *kvStore) end(w http.ResponseWriter, r *http.Request) {
 	id, err := strconv.ParseInt(r.PathValue("id"), 10, 64)
 	if err != nil || !s.expire(id) {
-		answer(w, http.StatusNotFound, nil)
+		s.answer(w, http.StatusNotFound, nil)
 		return
 	}
-	answer(w, http.StatusOK, map[string]any{})
+	s.answer(w, http.StatusOK, map[string]any{})
+}
+
+// kvCopy is a copy of the store.
+type kvCopy struct {
+	rev     int64
+	items   map[string]kvItem
+	history []kvItem
+}
+
+// copied returns a copy of the store.
+func (s *kvStore) copied() kvCopy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return kvCopy{rev: s.rev, items: maps.Clone(s.items), history: slices.Clone(s.history)}
+}
+
+// leave makes the store go away.
+func (s *kvStore) leave() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.away = true
+	s.notify()
+}
+
+// restore brings the store back from a copy.
+func (s *kvStore) restore(c kvCopy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rev, s.items, s.history = c.rev, c.items, c.history
+	s.away = false
+	s.era++
+	s.notify()
+}
+
+func (s *kvStore) isAway() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.away
 }
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -8,6 +8,7 @@
 	"os"
 	"path/filepath"
 	"runtime/debug"
+	"strconv"
 	"time"
 )
 
@@ -33,6 +34,7 @@
 // cases are the cases by name. Each returns the number of times that the rule was broken.
 var cases = map[string]func(*run) int{
 	"silent-store": silentStore,
+	"restoration":  restoration,
 	"hub-cut":      hubCut,
 	"late-stop":    lateStop,
 }
@@ -128,3 +130,9 @@
 		"service": "orders", "attempts": attempts, "public": false, "sticky": false, "resumable": false,
 	}
 }
+
+// firstEra returns the era of the store before its first restoration, 0 unless ERA names another one.
+func firstEra() int64 {
+	n, _ := strconv.ParseInt(os.Getenv("ERA"), 10, 64)
+	return n
+}
