--- a/review/standin-2/hubcut.go
+++ b/review/standin-2/hubcut.go
@@ -17,7 +17,7 @@
 // hubCut cuts the hub off from the store and has a replica leave at once, which does not report it: its entry is removed. The other
 // instance is in touch all the while and must send the replica nothing from drainMs after the removal on.
 func hubCut(r *run) int {
-	kv := newKVStore(r.ip(1))
+	kv := newKVStore(r.ip(1), kvShortIdle)
 	kv.put("op/config", config(1, route("order", "/order/", "unsafe", 1200, 1)))
 	work := func(*http.Request) time.Duration { return 150*time.Millisecond + rand.N(100*time.Millisecond) }
 	var replicas []*replica
--- a/review/standin-2/kv.go
+++ b/review/standin-2/kv.go
@@ -19,9 +19,10 @@
 	// kvPageItems is the number of items of a page of a list.
 	kvPageItems = 500
 	// kvMaxWait is the longest time for which a watch waits.
-	// kvIdleTimeout is how long the store keeps an idle connection.
-	kvIdleTimeout = 5 * time.Second
-	kvMaxWait     = 30 * time.Second
+	kvMaxWait = 30 * time.Second
+	// kvShortIdle and kvLongIdle are times for which the store keeps an idle connection.
+	kvShortIdle = 5 * time.Second
+	kvLongIdle  = 60 * time.Second
 )
 
 // kvStore is a stand-in for the metadata store. It keeps its whole history.
@@ -54,8 +55,8 @@
 	timer *time.Timer
 }
 
-// newKVStore returns a store that serves on a free port of an address.
-func newKVStore(ip string) *kvStore {
+// newKVStore returns a store that serves on a free port of an address and closes connections that are idle for idleTimeout.
+func newKVStore(ip string, idleTimeout time.Duration) *kvStore {
 	s := &kvStore{era: 1, rev: 1, items: map[string]kvItem{}, leases: map[int64]*kvLease{}, changed: make(chan struct{})}
 	ln, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
 	check(err)
@@ -73,7 +74,7 @@
 			f(w, r)
 		})
 	}
-	server := &http.Server{Handler: mux, IdleTimeout: kvIdleTimeout}
+	server := &http.Server{Handler: mux, IdleTimeout: idleTimeout}
 	go func() { _ = server.Serve(ln) }()
 	return s
 }
@@ -361,3 +362,18 @@
 	defer s.mu.Unlock()
 	return s.away
 }
+
+// awaitWrite waits until a key is written, for a limited time.
+func (s *kvStore) awaitWrite(key string, limit time.Duration) {
+	s.mu.Lock()
+	before := s.items[key].Rev
+	s.mu.Unlock()
+	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		s.mu.Lock()
+		rev := s.items[key].Rev
+		s.mu.Unlock()
+		if rev != before {
+			return
+		}
+	}
+}
--- a/review/standin-2/latestop.go
+++ b/review/standin-2/latestop.go
@@ -18,7 +18,7 @@
 // lateStop stops and starts the two machines of a zone in turn while clients send short streams, and a few long ones. A request
 // that a stopping machine takes later than 3 s after its SIGTERM must get a complete answer or a refusal.
 func lateStop(r *run) int {
-	kv := newKVStore(r.ip(1))
+	kv := newKVStore(r.ip(1), kvLongIdle)
 	kv.put("op/config", modelConfig(1))
 	work := func(*http.Request) time.Duration { return eventGap }
 	for n, id := range []string{"e-one", "e-two", "e-three"} {
--- a/review/standin-2/restoration.go
+++ b/review/standin-2/restoration.go
@@ -19,7 +19,7 @@
 // restoration brings the store back from a copy and, long after, has a replica leave. All instances are in touch and must send it
 // nothing from drainMs after the acknowledgement on.
 func restoration(r *run) int {
-	kv := newKVStore(r.ip(1))
+	kv := newKVStore(r.ip(1), kvLongIdle)
 	kv.era = firstEra()
 	write := func(version int) {
 		kv.put("op/config", config(version, route("order", "/order/", "unsafe", 1200, 1)))
--- a/review/standin-2/silentstore.go
+++ b/review/standin-2/silentstore.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"math/rand/v2"
 	"net/http"
 	"sync"
 	"time"
@@ -13,10 +12,13 @@
 	contactTime = 3 * time.Second // contactMs
 )
 
+// sinceWrite is how long before the connections go silent the instance that is the hub has used one of them for a write.
+const sinceWrite = 200 * time.Millisecond
+
 // silentStore lets the open connections to the store go silent and then has a replica leave. The instances are in touch again
 // contactMs later and must send it nothing from drainMs after the acknowledgement on.
 func silentStore(r *run) int {
-	kv := newKVStore(r.ip(1))
+	kv := newKVStore(r.ip(1), kvLongIdle)
 	kv.put("op/config", config(1, route("order", "/order/", "unsafe", 1200, 1)))
 	work := func(*http.Request) time.Duration { return 30 * time.Millisecond }
 	var replicas []*replica
@@ -42,7 +44,9 @@
 			}
 		})
 	}
-	time.Sleep(4*time.Second + rand.N(3*time.Second))
+	time.Sleep(3 * time.Second)
+	kv.awaitWrite("mustardseam/quotas", 4*time.Second)
+	time.Sleep(sinceWrite)
 	silent := time.Now()
 	if r.trouble {
 		r.note("the open connections to the store go silent: %d and %d", proxies[0].silence(), proxies[1].silence())
