--- a/review/standin-2/client.go
+++ b/review/standin-2/client.go
@@ -15,6 +15,7 @@
 	method, host, path, key, body string
 	deadline                      time.Duration
 	events                        int // Events that the backend server is to send; 0 for no stream.
+	tokens                        int // Tokens of the prompt; 0 if the request states none.
 }
 
 // result is what a client got.
@@ -40,6 +41,9 @@
 	if a.key != "" {
 		req.Header.Set("Authorization", "Bearer "+a.key)
 	}
+	if a.tokens > 0 {
+		req.Header.Set("Mustardseam-Token-Count", fmt.Sprintf("%d,0", a.tokens))
+	}
 	if a.events > 0 {
 		req.Header.Set("Stand-In-Events", fmt.Sprint(a.events))
 	}
--- a/review/standin-2/instance.go
+++ b/review/standin-2/instance.go
@@ -157,7 +157,9 @@
 
 // kill ends the process.
 func (i *instance) kill() {
-	_ = i.cmd.Process.Kill()
-	<-i.done
+	if !i.ended() {
+		_ = i.cmd.Process.Kill()
+		<-i.done
+	}
 	_ = i.log.Close()
 }
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -33,10 +33,12 @@
 
 // cases are the cases by name. Each returns the number of times that the rule was broken.
 var cases = map[string]func(*run) int{
-	"silent-store": silentStore,
-	"restoration":  restoration,
-	"hub-cut":      hubCut,
-	"late-stop":    lateStop,
+	"silent-store":      silentStore,
+	"restoration":       restoration,
+	"replaced-machines": replacedMachines,
+	"many-versions":     manyVersions,
+	"hub-cut":           hubCut,
+	"late-stop":         lateStop,
 }
 
 func main() {
--- a/review/standin-2/restoration.go
+++ b/review/standin-2/restoration.go
@@ -11,7 +11,7 @@
 const (
 	// copyAge is how old the copy is from which the store is restored, and awayTime how long it is away before.
 	copyAge  = 3 * time.Second
-	awayTime = time.Second
+	awayTime = 300 * time.Millisecond
 	// calmTime is the time from the return of the store to the leaving of a replica.
 	calmTime = 8 * time.Second
 )
