--- a/review/standin-2/kv.go
+++ b/review/standin-2/kv.go
@@ -23,9 +23,11 @@
 	// kvShortIdle and kvLongIdle are times for which the store keeps an idle connection.
 	kvShortIdle = 5 * time.Second
 	kvLongIdle  = 60 * time.Second
+	// kvHistory is how long the store keeps its history, historyS of the settings.
+	kvHistory = 20 * time.Second
 )
 
-// kvStore is a stand-in for the metadata store. It keeps its whole history.
+// kvStore is a stand-in for the metadata store.
 type kvStore struct {
 	addr string
 
@@ -178,6 +180,7 @@
 	}
 	timeout := time.After(min(kvMaxWait, time.Duration(ms)*time.Millisecond))
 	s.mu.Lock()
+	s.forgetHistory()
 	era, known, discarded := s.era, s.rev, s.discarded
 	s.mu.Unlock()
 	if after > known || after < discarded {
@@ -393,12 +396,10 @@
 	panic("key " + key + " is not written")
 }
 
-// forgetHistory discards the changes that are older than the history that the store keeps.
-func (s *kvStore) forgetHistory(age time.Duration) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
+// forgetHistory discards the changes that are older than the history that the store keeps; mu must be held.
+func (s *kvStore) forgetHistory() {
 	old := 0
-	for old < len(s.history) && time.Since(s.history[old].at) > age {
+	for old < len(s.history) && time.Since(s.history[old].at) > kvHistory {
 		s.discarded = s.history[old].Rev
 		old++
 	}
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -37,6 +37,7 @@
 	"restoration":       restoration,
 	"replaced-machines": replacedMachines,
 	"many-versions":     manyVersions,
+	"oversized-watch":   oversizedWatch,
 	"hub-cut":           hubCut,
 	"late-stop":         lateStop,
 }
--- a/review/standin-2/manyversions.go
+++ b/review/standin-2/manyversions.go
@@ -31,14 +31,7 @@
 // requests that it has passed on.
 func manyVersions(r *run) int {
 	kv := newKVStore(r.ip(1), kvLongIdle)
-	write := func(version, routes int) {
-		var list []map[string]any
-		for n := range routes - 1 {
-			list = append(list, route(fmt.Sprintf("route-%04d", n), fmt.Sprintf("/added%04d/", n), "safe", 1200+version%5, 2))
-		}
-		kv.put("op/config", config(version, append(list, route("order", "/order/", "unsafe", 1200, 1))...))
-		kv.forgetHistory(historyTime)
-	}
+	write := func(version, routes int) { kv.put("op/config", largeConfig(version, routes)) }
 	write(1, routesBefore)
 	work := func(*http.Request) time.Duration { return 100*time.Millisecond + rand.N(100*time.Millisecond) }
 	for n, id := range []string{"i-one", "i-two"} {
@@ -126,12 +119,8 @@
 	return max(0, broken-allowedCuts)
 }
 
-const (
-	// historyTime is historyS of the settings.
-	historyTime = 20 * time.Second
-	// allowedCuts is the number of connections that may be closed without an answer.
-	allowedCuts = 3
-)
+// allowedCuts is the number of connections that may be closed without an answer.
+const allowedCuts = 3
 
 // residentBytes returns the memory of the process.
 func (i *instance) residentBytes() int64 {
