Show a cold replica that instances crash together after machines were replaced (review case 10)

The case now shows what callers lose: the instances do not know of each other, send a cold replica more than it bears, and the orders that it has begun are lost.

--- a/review/standin-2/replica.go
+++ b/review/standin-2/replica.go
@@ -24,8 +24,12 @@
 	seals                   atomic.Int64
 	rec                     *recorder
 
-	mu  sync.Mutex
-	seq int64
+	mu         sync.Mutex
+	seq        int64
+	limit      float64 // Requests in a second above which it crashes until limitUntil.
+	limitUntil time.Time
+	arrivals   []time.Time // Arrivals of the last second.
+	gone       bool        // It has crashed.
 }
 
 // newReplica returns a replica that serves on a free port of ip.
@@ -54,6 +58,32 @@
 // exit ends the replica with its connections, as a process that exits does.
 func (r *replica) exit() { _ = r.server.Close() }
 
+// crashAbove makes the replica crash when it gets more than n requests in a second within a time from now.
+func (r *replica) crashAbove(n float64, d time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.limit, r.limitUntil = n, time.Now().Add(d)
+}
+
+// crashed reports whether the replica has crashed.
+func (r *replica) crashed() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.gone
+}
+
+// arrive counts a request and reports whether the replica crashes under it.
+func (r *replica) arrive(now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for len(r.arrivals) > 0 && now.Sub(r.arrivals[0]) >= time.Second {
+		r.arrivals = r.arrivals[1:]
+	}
+	r.arrivals = append(r.arrivals, now)
+	r.gone = r.gone || now.Before(r.limitUntil) && float64(len(r.arrivals)) > r.limit
+	return r.gone
+}
+
 // ServeHTTP runs a request.
 func (r *replica) ServeHTTP(w http.ResponseWriter, req *http.Request) {
 	id := req.Header.Get("Mustardseam-Request-Id")
@@ -71,6 +101,10 @@
 	}
 	arrived := time.Now()
 	r.rec.add(event{at: arrived, kind: "reached", id: id, who: r.id})
+	if r.arrive(arrived) {
+		r.exit()
+		return
+	}
 	if r.running.Add(1) > int64(r.slots+24) {
 		r.running.Add(-1)
 		h.Set("Mustardseam-Not-Executed", "1")
