Log why a stopping instance accepted a request

Change: the line has stop-ms and accepted (time-limit, history, unknown). The decision is the same; mayFinish is now accept and returns the ground. The tests of it check the same cases.

--- a/mustardseam/entry/log.go
+++ b/mustardseam/entry/log.go
@@ -29,6 +29,9 @@
 		}
 		l.Str("sample", outcome).Float64("first-ratio", s.FirstEventRatio/100).Float64("inter-token-us", 10*s.InterToken)
 	}
+	if req.accepted != refusedByStop {
+		l.Int64("stop-ms", req.stopAge.Milliseconds()).Str("accepted", string(req.accepted))
+	}
 	l.Str("request", req.meta.ID).Str("route", route).Str("team", team).
 		Str("server", req.serverID).Str("placed-by", req.hub).Int("status", req.status).
 		Str("reason", req.reason).Int("sends", req.sends).Int("runs", req.runs).Str("last-event", req.lastEventID).
--- a/mustardseam/entry/request.go
+++ b/mustardseam/entry/request.go
@@ -44,6 +44,8 @@
 	status              int                // Status code that the caller got.
 	reason              string             // Reason for the outcome, as logged.
 	grant               *Grant             // Grant of the current attempt; nil before the first one.
+	stopAge             time.Duration      // Time from the stop signal to the decision whether to accept the request; 0 without a stop.
+	accepted            acceptance         // Why the request was accepted in a planned stop.
 	sample              *hub.Sample        // Latest outcome that was recorded for a rollout; nil if none was.
 }
 
--- a/mustardseam/entry/stop.go
+++ b/mustardseam/entry/stop.go
@@ -53,7 +53,7 @@
 // withdrawLate refuses the requests that wait for a backend server and could no longer end before the instance does.
 func (i *Instance) withdrawLate(p *stopPlan, now time.Time) {
 	for _, r := range i.pending.all() {
-		if _, run := i.durations.summary(r.route); !p.mayFinish(now, r.received, r.deadline, r.repeatable, run) {
+		if _, run := i.durations.summary(r.route); p.accept(now, r.received, r.deadline, r.repeatable, run) == refusedByStop {
 			r.withdraw()
 		}
 	}
@@ -81,7 +81,9 @@
 	}
 	total, _ := i.durations.summary(req.route.Name)
 	now := time.Now()
-	if p.mayFinish(now, req.exchange.ReceivedAt, req.job.Deadline, req.route.Repeatable(), total) {
+	req.stopAge = now.Sub(p.start)
+	req.accepted = p.accept(now, req.exchange.ReceivedAt, req.job.Deadline, req.route.Repeatable(), total)
+	if req.accepted != refusedByStop {
 		return nil
 	}
 	i.metrics.refusedStopping.Inc()
@@ -101,7 +103,7 @@
 		return true
 	}
 	_, run := i.durations.summary(req.route.Name)
-	return p.mayFinish(time.Now(), req.exchange.ReceivedAt, req.job.Deadline, req.route.Repeatable(), run)
+	return p.accept(time.Now(), req.exchange.ReceivedAt, req.job.Deadline, req.route.Repeatable(), run) != refusedByStop
 }
 
 // Active returns the number of requests that are being processed.
--- a/mustardseam/entry/stop_plan.go
+++ b/mustardseam/entry/stop_plan.go
@@ -24,6 +24,7 @@
 
 // stopPlan is the schedule of a planned stop; it is immutable.
 type stopPlan struct {
+	start     time.Time // The stop signal arrived.
 	closeIdle time.Time // Idle connections of callers are closed.
 	acceptAny time.Time // Until then, requests are accepted that may not end in time.
 	finishBy  time.Time // Requests that have not ended get their final answer.
@@ -34,25 +35,42 @@
 func newStopPlan(start time.Time, grace time.Duration) *stopPlan {
 	end := start.Add(grace - min(exitMargin, grace/8))
 	return &stopPlan{
+		start:     start,
 		closeIdle: start.Add(min(unlistDelay, grace/2)), acceptAny: start.Add(min(acceptTime, grace/2)),
 		finishBy: end.Add(-min(answerMargin, grace/40)), end: end,
 	}
 }
 
-// mayFinish reports whether a request that ends at its deadline, at the latest, can be expected to end in time if it begins
-// now; usual describes the durations of earlier ones. Until acceptAny, one that may be repeated is accepted on even odds, since
-// its caller would be sent here again.
-func (p *stopPlan) mayFinish(now, received, deadline time.Time, repeatable bool, usual durationSummary) bool {
+// acceptance is the reason for which a stopping instance accepts a request; it is empty if the request is refused.
+type acceptance string
+
+const (
+	refusedByStop       acceptance = ""
+	acceptedByTimeLimit acceptance = "time-limit" // The request ends at its deadline, which is early enough.
+	acceptedByHistory   acceptance = "history"    // Similar requests took less time than is left.
+	acceptedUnknown     acceptance = "unknown"    // Nothing is known of similar requests, and callers are still sent here.
+)
+
+// accept decides whether a request that ends at its deadline, at the latest, can be expected to end in time if it begins now;
+// usual describes the durations of earlier ones. Until acceptAny, one that may be repeated is accepted on even odds, since its
+// caller would be sent here again.
+func (p *stopPlan) accept(now, received, deadline time.Time, repeatable bool, usual durationSummary) acceptance {
 	left := p.finishBy.Sub(now)
+	fits := usual.longest <= left
 	switch {
 	case !deadline.After(p.finishBy):
-		return true
+		return acceptedByTimeLimit
 	case received.After(p.acceptAny):
-		return usual.known && usual.bound() <= left
+		fits = usual.known && usual.bound() <= left
+	case !usual.known && !now.After(p.acceptAny):
+		return acceptedUnknown
 	case !usual.known:
-		return !now.After(p.acceptAny)
+		fits = false
 	case repeatable:
-		return usual.median <= left
+		fits = usual.median <= left
+	}
+	if !fits {
+		return refusedByStop
 	}
-	return usual.longest <= left
+	return acceptedByHistory
 }
--- a/mustardseam/entry/stop_plan_test.go
+++ b/mustardseam/entry/stop_plan_test.go
@@ -7,9 +7,9 @@
 	"gotest.tools/v3/assert"
 )
 
-// TestMayFinish guards against a request that is accepted in a planned stop and cut off at its end, and against one that is
+// TestAccept guards against a request that is accepted in a planned stop and cut off at its end, and against one that is
 // refused although it would have ended in time.
-func TestMayFinish(t *testing.T) {
+func TestAccept(t *testing.T) {
 	const ms = time.Millisecond
 	fast := durationSummary{median: 30 * ms, longest: 60 * ms, known: true}
 	slow := durationSummary{median: 2300 * ms, longest: 2400 * ms, known: true}
@@ -52,7 +52,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			start := time.Unix(1000, 0)
 			p, at := newStopPlan(start, test.grace), start.Add(test.after)
-			assert.Equal(t, p.mayFinish(at, at, at.Add(test.limit), test.repeatable, test.usual), test.accepted)
+			assert.Equal(t, p.accept(at, at, at.Add(test.limit), test.repeatable, test.usual) != refusedByStop, test.accepted)
 		})
 	}
 }
@@ -68,7 +68,7 @@
 			for after := min(acceptTime, grace/2) + time.Millisecond; after < grace; after += 250 * time.Millisecond {
 				at := start.Add(after)
 				ends := at.Add(limit)
-				assert.Equal(t, p.mayFinish(at, at, ends, false, durationSummary{}), !ends.After(p.finishBy),
+				assert.Equal(t, p.accept(at, at, ends, false, durationSummary{}) == acceptedByTimeLimit, !ends.After(p.finishBy),
 					"grace period %v, limit %v, arrival after %v", grace, limit, after)
 			}
 		}
@@ -95,6 +95,6 @@
 		{3 * time.Second, false, durationSummary{}, false},
 		{3 * time.Second, true, durationSummary{}, false},
 	} {
-		assert.Equal(t, p.mayFinish(start.Add(test.after), received, deadline, test.repeatable, test.run), test.waits, "%+v", test)
+		assert.Equal(t, p.accept(start.Add(test.after), received, deadline, test.repeatable, test.run) != refusedByStop, test.waits, "%+v", test)
 	}
 }
