Accept late streams in a planned stop only if something bounds them

Cause: after 2.9 s a stream was accepted if twice the longest of the latest 64 durations of its route, less the median, fitted into the time left. Sizes of streams and the speed of backend servers vary more than that, and a stream that has begun can only be cut.

Change: after 2.9 s a stream is accepted only if its time limit ends before the process does, or if the maximum number of output tokens that its caller names does so at the slowest recent pace of its route. Others are refused as not run, which their callers can act on. The rest of the schedule is unchanged.

More is refused than would have been cut, since nothing known at the arrival tells a short stream from a long one unless its caller names a limit. A refused caller goes elsewhere; one that was cut off has lost its answer and, on some routes, does not know what ran.

--- a/mustardseam/entry/handler.go
+++ b/mustardseam/entry/handler.go
@@ -80,10 +80,7 @@
 	defer cancel(nil)
 	ctx, cancelDeadline := context.WithDeadlineCause(ctx, req.job.Deadline, errTimeout)
 	defer cancelDeadline()
-	req.pending = &pendingRequest{
-		route: req.route.Name, repeatable: req.route.Repeatable(), received: req.exchange.ReceivedAt, deadline: req.job.Deadline,
-		cancel: cancel,
-	}
+	req.pending = &pendingRequest{stopRequest: req.stopRequest(), route: req.route.Name, cancel: cancel}
 	i.pending.add(req.pending)
 	defer i.pending.remove(req.pending)
 	i.scheduler.CountFirst(req.service)
--- a/mustardseam/entry/pending_bench_test.go
+++ b/mustardseam/entry/pending_bench_test.go
@@ -18,7 +18,7 @@
 		p, d := newPendingRequests(), newRouteDurations()
 		b.ReportAllocs()
 		for n := 0; b.Loop(); n++ {
-			r := &pendingRequest{route: names[n%routes], received: now, deadline: now}
+			r := &pendingRequest{stopRequest: stopRequest{received: now, deadline: now}, route: names[n%routes]}
 			p.add(r)
 			_ = r.beginWait() && r.beginSend()
 			p.remove(r)
--- a/mustardseam/entry/pending_request.go
+++ b/mustardseam/entry/pending_request.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"sync/atomic"
-	"time"
 )
 
 // Phases of a pendingRequest.
@@ -15,12 +14,10 @@
 
 // pendingRequest is what a planned stop needs to know of a request that has no final answer yet.
 type pendingRequest struct {
-	route      string
-	repeatable bool
-	received   time.Time
-	deadline   time.Time
-	cancel     context.CancelCauseFunc
-	phase      atomic.Int32
+	stopRequest
+	route  string
+	cancel context.CancelCauseFunc
+	phase  atomic.Int32
 }
 
 // beginWait records that the request waits for a backend server. It returns false if the request was withdrawn.
--- a/mustardseam/entry/recent_durations.go
+++ b/mustardseam/entry/recent_durations.go
@@ -27,7 +27,10 @@
 }
 
 // bound returns a duration within which the next request can be expected to end.
-func (s durationSummary) bound() time.Duration { return 2*s.longest - s.median + durationSlack }
+func (s durationSummary) bound() time.Duration { return s.highest() + durationSlack }
+
+// highest returns a duration that the next one can be expected not to exceed, without the allowance for the time of a request.
+func (s durationSummary) highest() time.Duration { return 2*s.longest - s.median }
 
 // add adds a duration and drops the oldest one if there are too many.
 func (r *recentDurations) add(d time.Duration) {
--- a/mustardseam/entry/recent_durations_test.go
+++ b/mustardseam/entry/recent_durations_test.go
@@ -31,9 +31,9 @@
 	for n := range minDurations {
 		d.record(now.Add(time.Duration(n)*time.Second), "a", now, now.Add(time.Duration(n)*time.Second/2))
 	}
-	total, run := d.summary("a")
-	assert.Equal(t, total.longest, 7*time.Second)
-	assert.Equal(t, run.longest, 3500*time.Millisecond)
+	s := d.summary("a")
+	assert.Equal(t, s.total.longest, 7*time.Second)
+	assert.Equal(t, s.run.longest, 3500*time.Millisecond)
 	d.sweep(now.Add(routeDurationsAge))
 	assert.Equal(t, len(d.routes), 1)
 	d.sweep(now.Add(routeDurationsAge + 8*time.Second))
--- a/mustardseam/entry/request.go
+++ b/mustardseam/entry/request.go
@@ -68,3 +68,19 @@
 func (req *request) mayRepeat() bool {
 	return req.runs == 0 || req.route.Repeatable() && req.runs < max(1, req.route.Attempts)
 }
+
+// stopRequest returns what a planned stop needs to know of the request.
+func (req *request) stopRequest() stopRequest {
+	r := stopRequest{
+		received: req.exchange.ReceivedAt, deadline: req.job.Deadline, repeatable: req.route.Repeatable(),
+		streamed: req.route.Kind == fleet.Stream,
+	}
+	if n := req.meta.MaxOutputTokens; n > 0 {
+		perEvent := 1
+		if s := req.view.Config.Service(req.service); s != nil {
+			perEvent = max(1, s.TokensPerEvent)
+		}
+		r.maxEvents = (n-1)/perEvent + 1
+	}
+	return r
+}
--- a/mustardseam/entry/route_durations.go
+++ b/mustardseam/entry/route_durations.go
@@ -19,8 +19,30 @@
 	latest time.Time
 	total  recentDurations // From the arrival to the end.
 	run    recentDurations // From the latest send to a backend server to the end.
+
+	firstEvent recentDurations // From the arrival to the first event of a stream.
+	event      recentDurations // Mean time between the events of a stream.
+}
+
+// routeSummary describes the recent durations of a route.
+type routeSummary struct{ total, run, firstEvent, event durationSummary }
+
+// streamBound returns a duration from its arrival within which a stream of at most n events can be expected to end. It returns
+// false if n is 0 or too little is known of earlier streams.
+func (s routeSummary) streamBound(n int) (time.Duration, bool) {
+	if n <= 0 || !s.firstEvent.known || !s.event.known {
+		return 0, false
+	}
+	perEvent := s.event.highest()
+	if perEvent > 0 && n > int(maxStreamBound/perEvent) {
+		return maxStreamBound, true
+	}
+	return s.firstEvent.bound() + time.Duration(n)*perEvent, true
 }
 
+// maxStreamBound is the longest bound of a stream. It exceeds every time limit, and prevents an overflow.
+const maxStreamBound = 24 * time.Hour
+
 func newRouteDurations() *routeDurations {
 	return &routeDurations{routes: map[string]*durationsOfRoute{}}
 }
@@ -29,24 +51,40 @@
 func (d *routeDurations) record(now time.Time, route string, received, sent time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	r := d.used(now, route)
+	r.total.add(now.Sub(received))
+	r.run.add(now.Sub(sent))
+}
+
+// recordStream records the pace of a stream that has ended.
+func (d *routeDurations) recordStream(now time.Time, route string, firstEvent, event time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	r := d.used(now, route)
+	r.firstEvent.add(firstEvent)
+	r.event.add(event)
+}
+
+// used returns the durations of a route in use. mu must be held.
+func (d *routeDurations) used(now time.Time, route string) *durationsOfRoute {
 	r := d.routes[route]
 	if r == nil {
 		r = &durationsOfRoute{}
 		d.routes[route] = r
 	}
 	r.latest = now
-	r.total.add(now.Sub(received))
-	r.run.add(now.Sub(sent))
+	return r
 }
 
-// summary returns how long the requests of a route take from their arrival, and from the latest send to a backend server.
-func (d *routeDurations) summary(route string) (total, run durationSummary) {
+// summary describes the durations of a route.
+func (d *routeDurations) summary(route string) routeSummary {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if r := d.routes[route]; r != nil {
-		return r.total.summary(), r.run.summary()
+	r := d.routes[route]
+	if r == nil {
+		return routeSummary{}
 	}
-	return durationSummary{}, durationSummary{}
+	return routeSummary{total: r.total.summary(), run: r.run.summary(), firstEvent: r.firstEvent.summary(), event: r.event.summary()}
 }
 
 // sweep removes routes that are no longer used.
--- a/mustardseam/entry/stop.go
+++ b/mustardseam/entry/stop.go
@@ -52,8 +52,14 @@
 
 // withdrawLate refuses the requests that wait for a backend server and could no longer end before the instance does.
 func (i *Instance) withdrawLate(p *stopPlan, now time.Time) {
+	routes := map[string]routeSummary{}
 	for _, r := range i.pending.all() {
-		if _, run := i.durations.summary(r.route); p.accept(now, r.received, r.deadline, r.repeatable, run) == refusedByStop {
+		d, ok := routes[r.route]
+		if !ok {
+			d = i.durations.summary(r.route)
+			routes[r.route] = d
+		}
+		if p.accept(now, r.stopRequest, d, d.run) == refusedByStop {
 			r.withdraw()
 		}
 	}
@@ -79,17 +85,17 @@
 	if p == nil {
 		return nil
 	}
-	total, _ := i.durations.summary(req.route.Name)
+	d := i.durations.summary(req.route.Name)
 	now := time.Now()
 	req.stopAge = now.Sub(p.start)
-	req.accepted = p.accept(now, req.exchange.ReceivedAt, req.job.Deadline, req.route.Repeatable(), total)
+	req.accepted = p.accept(now, req.stopRequest(), d, d.total)
 	if req.accepted != refusedByStop {
 		return nil
 	}
 	i.metrics.refusedStopping.Inc()
 	return &placement.Refusal{Reason: fmt.Sprintf("%v: %d ms left, %d ms needed at most, %d ms usual, %d ms longest", errStopping,
-		p.finishBy.Sub(now).Milliseconds(), req.job.Deadline.Sub(now).Milliseconds(), total.median.Milliseconds(),
-		total.longest.Milliseconds())}
+		p.finishBy.Sub(now).Milliseconds(), req.job.Deadline.Sub(now).Milliseconds(), d.total.median.Milliseconds(),
+		d.total.longest.Milliseconds())}
 }
 
 // beginSend records that a request is about to be sent to a backend server. It returns false if the request must not be
@@ -102,8 +108,8 @@
 	if p == nil {
 		return true
 	}
-	_, run := i.durations.summary(req.route.Name)
-	return p.accept(time.Now(), req.exchange.ReceivedAt, req.job.Deadline, req.route.Repeatable(), run) != refusedByStop
+	d := i.durations.summary(req.route.Name)
+	return p.accept(time.Now(), req.pending.stopRequest, d, d.run) != refusedByStop
 }
 
 // Active returns the number of requests that are being processed.
--- a/mustardseam/entry/stop_plan.go
+++ b/mustardseam/entry/stop_plan.go
@@ -41,32 +41,28 @@
 	}
 }
 
-// acceptance is the reason for which a stopping instance accepts a request; it is empty if the request is refused.
-type acceptance string
-
-const (
-	refusedByStop       acceptance = ""
-	acceptedByTimeLimit acceptance = "time-limit" // The request ends at its deadline, which is early enough.
-	acceptedByHistory   acceptance = "history"    // Similar requests took less time than is left.
-	acceptedUnknown     acceptance = "unknown"    // Nothing is known of similar requests, and callers are still sent here.
-)
-
-// accept decides whether a request that ends at its deadline, at the latest, can be expected to end in time if it begins now;
-// usual describes the durations of earlier ones. Until acceptAny, one that may be repeated is accepted on even odds, since its
-// caller would be sent here again.
-func (p *stopPlan) accept(now, received, deadline time.Time, repeatable bool, usual durationSummary) acceptance {
+// accept decides whether a request can be expected to end in time if it begins now. The recent durations of its route are d;
+// usual describes those that are comparable to what the request has before it.
+//
+// Until acceptAny, one that may be repeated is accepted on even odds, since its caller would be sent here again. Later, a
+// streamed answer must be bounded by its size or its time limit: earlier streams of its route may be shorter, and once it has
+// begun, its caller can no longer be told to go elsewhere.
+func (p *stopPlan) accept(now time.Time, r stopRequest, d routeSummary, usual durationSummary) acceptance {
 	left := p.finishBy.Sub(now)
+	bound, bounded := d.streamBound(r.maxEvents)
 	fits := usual.longest <= left
 	switch {
-	case !deadline.After(p.finishBy):
+	case !r.deadline.After(p.finishBy):
 		return acceptedByTimeLimit
-	case received.After(p.acceptAny):
-		fits = usual.known && usual.bound() <= left
+	case r.streamed && bounded && bound <= left:
+		return acceptedBySize
+	case r.received.After(p.acceptAny):
+		fits = !r.streamed && usual.known && usual.bound() <= left
 	case !usual.known && !now.After(p.acceptAny):
 		return acceptedUnknown
 	case !usual.known:
 		fits = false
-	case repeatable:
+	case r.repeatable:
 		fits = usual.median <= left
 	}
 	if !fits {
--- a/mustardseam/entry/stop_plan_test.go
+++ b/mustardseam/entry/stop_plan_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -52,7 +53,8 @@
 		t.Run(test.name, func(t *testing.T) {
 			start := time.Unix(1000, 0)
 			p, at := newStopPlan(start, test.grace), start.Add(test.after)
-			assert.Equal(t, p.accept(at, at, at.Add(test.limit), test.repeatable, test.usual) != refusedByStop, test.accepted)
+			r := stopRequest{received: at, deadline: at.Add(test.limit), repeatable: test.repeatable}
+			assert.Equal(t, p.accept(at, r, routeSummary{}, test.usual) != refusedByStop, test.accepted)
 		})
 	}
 }
@@ -68,8 +70,11 @@
 			for after := min(acceptTime, grace/2) + time.Millisecond; after < grace; after += 250 * time.Millisecond {
 				at := start.Add(after)
 				ends := at.Add(limit)
-				assert.Equal(t, p.accept(at, at, ends, false, durationSummary{}) == acceptedByTimeLimit, !ends.After(p.finishBy),
-					"grace period %v, limit %v, arrival after %v", grace, limit, after)
+				for _, streamed := range []bool{false, true} {
+					r := stopRequest{received: at, deadline: ends, streamed: streamed}
+					assert.Equal(t, p.accept(at, r, routeSummary{}, durationSummary{}) == acceptedByTimeLimit, !ends.After(p.finishBy),
+						"grace period %v, limit %v, arrival after %v", grace, limit, after)
+				}
 			}
 		}
 	}
@@ -95,6 +100,50 @@
 		{3 * time.Second, false, durationSummary{}, false},
 		{3 * time.Second, true, durationSummary{}, false},
 	} {
-		assert.Equal(t, p.accept(start.Add(test.after), received, deadline, test.repeatable, test.run) != refusedByStop, test.waits, "%+v", test)
+		r := stopRequest{received: received, deadline: deadline, repeatable: test.repeatable}
+		assert.Equal(t, p.accept(start.Add(test.after), r, routeSummary{}, test.run) != refusedByStop, test.waits, "%+v", test)
+	}
+}
+
+// TestAcceptLateStream guards against a stream whose end is not known and that is accepted after its callers have left because
+// earlier ones were short, and against the refusal of one that must end in time.
+func TestAcceptLateStream(t *testing.T) {
+	const ms = time.Millisecond
+	of := func(d time.Duration) durationSummary { return durationSummary{median: d, longest: d, known: true} }
+	short := routeSummary{total: of(500 * ms), run: of(500 * ms), firstEvent: of(100 * ms), event: of(10 * ms)}
+	slowOnce := routeSummary{
+		total: of(500 * ms), run: of(500 * ms), firstEvent: of(100 * ms), event: durationSummary{median: 10 * ms, longest: 20 * ms, known: true},
+	}
+	tests := []struct {
+		name      string
+		after     time.Duration // Time from the stop signal to the arrival.
+		limit     time.Duration
+		maxEvents int
+		durations routeSummary
+		want      acceptance
+	}{
+		{"while callers leave", 2900 * ms, 10 * time.Second, 0, short, acceptedByHistory},
+		{"later", 2901 * ms, 10 * time.Second, 0, short, refusedByStop},
+		{"later with a time limit", 5 * time.Second, 2400 * ms, 0, short, acceptedByTimeLimit},
+		{"later with a time limit that is too long", 5 * time.Second, 2401 * ms, 0, short, refusedByStop},
+		{"later with a size", 5 * time.Second, 10 * time.Second, 200, short, acceptedBySize},
+		{"later with a size that is too large", 5 * time.Second, 10 * time.Second, 206, short, refusedByStop},
+		{"later with a size on a route that varies", 5 * time.Second, 10 * time.Second, 68, slowOnce, acceptedBySize},
+		{"later with a size that is too large on a route that varies", 5 * time.Second, 10 * time.Second, 69, slowOnce, refusedByStop},
+		{"later with a size of which nothing is known", 5 * time.Second, 10 * time.Second, 1, routeSummary{}, refusedByStop},
+		{"later with the largest size", 3 * time.Second, 10 * time.Second, math.MaxInt, short, refusedByStop},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			start := time.Unix(1000, 0)
+			at := start.Add(test.after)
+			for _, repeatable := range []bool{false, true} {
+				r := stopRequest{
+					received: at, deadline: at.Add(test.limit), repeatable: repeatable, streamed: true, maxEvents: test.maxEvents,
+				}
+				got := newStopPlan(start, 8*time.Second).accept(at, r, test.durations, test.durations.total)
+				assert.Equal(t, got, test.want)
+			}
+		})
 	}
 }
--- a/mustardseam/entry/stream.go
+++ b/mustardseam/entry/stream.go
@@ -133,6 +133,9 @@
 	if resp.SelfDelimited() {
 		i.recordSound(req)
 	}
+	if s.events > 1 {
+		i.durations.recordStream(time.Now(), req.route.Name, s.first.Sub(req.exchange.ReceivedAt), s.betweenEvents())
+	}
 	o.OK, o.Total = true, time.Since(sent)
 	o.Output = s.events * g.Service.TokensPerEvent
 	o.InterToken = s.interToken(g.Service)
--- a/mustardseam/entry/stream_progress.go
+++ b/mustardseam/entry/stream_progress.go
@@ -17,5 +17,10 @@
 	if s.events < 2 || svc.TokensPerEvent <= 0 {
 		return 0
 	}
-	return s.latest.Sub(s.first) / time.Duration((s.events-1)*svc.TokensPerEvent)
+	return s.betweenEvents() / time.Duration(svc.TokensPerEvent)
+}
+
+// betweenEvents returns the mean time between two events, of which there must be two.
+func (s streamProgress) betweenEvents() time.Duration {
+	return s.latest.Sub(s.first) / time.Duration(s.events-1)
 }
