Refuse requests that arrive when a planned stop ends early

What callers would see: a request that arrives at the moment at which a stopping instance has found no connection left, 2.5 s after the signal or later, is accepted, sent to a backend server and cut off, since the process ends within 0.1 s (LOST). Found by reading, on the way of connections to an ending process; no caller is known to have met it.

Cause: the schedule of the stop allowed the request, as it knew nothing of the early end; a connection that had been accepted but not yet been counted was served after the server had closed.

Change: before it ends early, the instance refuses all further requests, and goes on if one is being processed. The server closes a connection that it has accepted after Close without reading it, and the instance waits up to 50 ms for those that are being refused.

--- a/mustardseam/entry/stop.go
+++ b/mustardseam/entry/stop.go
@@ -13,6 +13,8 @@
 	stopPollInterval = 50 * time.Millisecond
 	// lastAnswerPollInterval is how often Stop checks whether the final answers have been sent.
 	lastAnswerPollInterval = 5 * time.Millisecond
+	// lastConnTimeout bounds the wait for callers that sent a request just before the instance stopped accepting connections.
+	lastConnTimeout = 50 * time.Millisecond
 	// logCloseTimeout bounds the writing of the last log lines.
 	logCloseTimeout = 100 * time.Millisecond
 )
@@ -31,7 +33,7 @@
 			i.server.CloseIdle()
 			idleClosed = true
 		}
-		if idleClosed && i.server.OpenConns() == 0 && i.active.Load() == 0 {
+		if idleClosed && i.server.OpenConns() == 0 && i.refuseFurther(p) {
 			break
 		}
 		i.withdrawLate(p, now)
@@ -41,6 +43,10 @@
 	i.duties.stop()
 	i.reporter.reportEnd()
 	i.server.Close()
+	select {
+	case <-i.server.Done():
+	case <-time.After(lastConnTimeout):
+	}
 	i.cancel()
 	i.follower.Stop()
 	if err := i.peers.Close(); err != nil {
@@ -50,6 +56,18 @@
 	i.cfg.LogWriter.Close(logCloseTimeout)
 }
 
+// refuseFurther makes the instance refuse all requests that arrive from now on, because the process ends early. It returns false
+// and changes nothing if a request is being processed.
+func (i *Instance) refuseFurther(p *stopPlan) bool {
+	i.stopping.Store(p.withFinishBy(time.Now()))
+	// A request is counted before it reads the schedule.
+	if i.active.Load() == 0 {
+		return true
+	}
+	i.stopping.Store(p)
+	return false
+}
+
 // withdrawLate refuses the requests that wait for a backend server and could no longer end before the instance does.
 func (i *Instance) withdrawLate(p *stopPlan, now time.Time) {
 	routes := map[string]routeSummary{}
--- a/mustardseam/entry/stop_plan.go
+++ b/mustardseam/entry/stop_plan.go
@@ -41,6 +41,13 @@
 	}
 }
 
+// withFinishBy returns the schedule with another time from which on no request is accepted.
+func (p *stopPlan) withFinishBy(t time.Time) *stopPlan {
+	next := *p
+	next.finishBy = t
+	return &next
+}
+
 // accept decides whether a request can be expected to end in time if it begins now. The recent durations of its route are d;
 // usual describes those that are comparable to what the request has before it.
 //
@@ -52,6 +59,8 @@
 	bound, bounded := d.streamBound(r.maxEvents)
 	fits := usual.longest <= left
 	switch {
+	case left <= 0:
+		return refusedByStop
 	case !r.deadline.After(p.finishBy):
 		return acceptedByTimeLimit
 	case r.streamed && bounded && bound <= left:
--- a/mustardseam/entry/stop_plan_test.go
+++ b/mustardseam/entry/stop_plan_test.go
@@ -147,3 +147,16 @@
 		})
 	}
 }
+
+// TestNothingIsAcceptedAfterEarlyEnd guards against a request that is accepted when a planned stop has ended before its time.
+func TestNothingIsAcceptedAfterEarlyEnd(t *testing.T) {
+	start := time.Unix(1000, 0)
+	at := start.Add(2600 * time.Millisecond)
+	p := newStopPlan(start, 8*time.Second)
+	r := stopRequest{received: at, deadline: at.Add(300 * time.Millisecond)}
+	assert.Equal(t, p.accept(at, r, routeSummary{}, durationSummary{}), acceptedByTimeLimit)
+	assert.Equal(t, p.withFinishBy(at).accept(at, r, routeSummary{}, durationSummary{}), refusedByStop)
+	unlimited := stopRequest{received: at, deadline: at.Add(time.Minute)}
+	assert.Equal(t, p.accept(at, unlimited, routeSummary{}, durationSummary{}), acceptedUnknown)
+	assert.Equal(t, p.withFinishBy(at).accept(at, unlimited, routeSummary{}, durationSummary{}), refusedByStop)
+}
--- a/mustardseam/http1/server.go
+++ b/mustardseam/http1/server.go
@@ -133,13 +133,25 @@
 			continue
 		}
 		c := newServerConn(s, raw)
-		s.mu.Lock()
-		s.conns[c] = struct{}{}
-		s.mu.Unlock()
+		if !s.addConn(c) {
+			// The caller can tell that its request was not read.
+			_ = raw.Close()
+			return
+		}
 		go c.serve()
 	}
 }
 
+// addConn adds an open connection; it returns false after Close.
+func (s *Server) addConn(c *serverConn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.closed {
+		s.conns[c] = struct{}{}
+	}
+	return !s.closed
+}
+
 func (s *Server) removeConn(c *serverConn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
