Count running requests when a planned stop accepts late ones

Cause: the bound of a late request was taken from ended requests only, while others of the same route had already been at a backend server for longer than that. Change: after 2.9 s, a request is accepted by the durations of its route only if the longest time for which one is running, and 250 ms, also fit into the time that is left. The time in a queue does not count. The reason of a refusal names it.

--- a/mustardseam/entry/handler.go
+++ b/mustardseam/entry/handler.go
@@ -182,7 +182,7 @@
 	}
 	g, err := i.acquireCounted(ctx, req)
 	if err != nil {
-		req.pending.beginSend() // It no longer waits; a failed retry may leave the first answer to be sent.
+		req.pending.beginSend(time.Now()) // It no longer waits; a failed retry may leave the first answer to be sent.
 		return nil, err
 	}
 	if !i.beginSend(req) {
--- a/mustardseam/entry/pending_bench_test.go
+++ b/mustardseam/entry/pending_bench_test.go
@@ -20,7 +20,7 @@
 		for n := 0; b.Loop(); n++ {
 			r := &pendingRequest{stopRequest: stopRequest{received: now, deadline: now}, route: names[n%routes]}
 			p.add(r)
-			_ = r.beginWait() && r.beginSend()
+			_ = r.beginWait() && r.beginSend(now)
 			p.remove(r)
 			d.record(now, r.route, now, now)
 		}
--- a/mustardseam/entry/pending_request.go
+++ b/mustardseam/entry/pending_request.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync/atomic"
+	"time"
 )
 
 // Phases of a pendingRequest.
@@ -18,13 +19,26 @@
 	route  string
 	cancel context.CancelCauseFunc
 	phase  atomic.Int32
+	waited atomic.Int64 // Time from the arrival to the latest send in nanoseconds.
 }
 
 // beginWait records that the request waits for a backend server. It returns false if the request was withdrawn.
 func (r *pendingRequest) beginWait() bool { return r.phase.CompareAndSwap(phaseSent, phaseWaiting) }
 
 // beginSend records that the request is about to be sent. It returns false if the request was withdrawn.
-func (r *pendingRequest) beginSend() bool { return r.phase.CompareAndSwap(phaseWaiting, phaseSent) }
+func (r *pendingRequest) beginSend(now time.Time) bool {
+	r.waited.Store(int64(now.Sub(r.received)))
+	return r.phase.CompareAndSwap(phaseWaiting, phaseSent)
+}
+
+// runTime returns how long the request has been at a backend server; 0 if it waits for one.
+func (r *pendingRequest) runTime(now time.Time) time.Duration {
+	waited := time.Duration(r.waited.Load())
+	if r.phase.Load() != phaseSent || waited == 0 {
+		return 0
+	}
+	return now.Sub(r.received) - waited
+}
 
 // withdraw ends the wait of the request, if it waits.
 func (r *pendingRequest) withdraw() {
--- a/mustardseam/entry/pending_requests.go
+++ b/mustardseam/entry/pending_requests.go
@@ -1,6 +1,9 @@
 package entry
 
-import "sync"
+import (
+	"sync"
+	"time"
+)
 
 // pendingRequests is the set of requests without a final answer; its methods are safe for concurrent use.
 type pendingRequests struct {
@@ -34,3 +37,16 @@
 	}
 	return all
 }
+
+// longestRun returns the longest time for which a request of a route has been at a backend server; 0 if none is.
+func (p *pendingRequests) longestRun(now time.Time, route string) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	longest := time.Duration(0)
+	for r := range p.requests {
+		if r.route == route {
+			longest = max(longest, r.runTime(now))
+		}
+	}
+	return longest
+}
--- a/mustardseam/entry/route_durations.go
+++ b/mustardseam/entry/route_durations.go
@@ -24,8 +24,18 @@
 	event      recentDurations // Mean time between the events of a stream.
 }
 
-// routeSummary describes the recent durations of a route.
-type routeSummary struct{ total, run, firstEvent, event durationSummary }
+// routeSummary describes the recent durations of a route; it is immutable.
+type routeSummary struct {
+	total, run, firstEvent, event durationSummary
+
+	running time.Duration // Longest time for which a request has been at a backend server; 0 if none is.
+}
+
+// withRunning returns the summary with the longest time for which a request has been at a backend server.
+func (s routeSummary) withRunning(d time.Duration) routeSummary {
+	s.running = d
+	return s
+}
 
 // streamBound returns a duration from its arrival within which a stream of at most n events can be expected to end. It returns
 // false if n is 0 or too little is known of earlier streams.
--- a/mustardseam/entry/stop.go
+++ b/mustardseam/entry/stop.go
@@ -74,7 +74,7 @@
 	for _, r := range i.pending.all() {
 		d, ok := routes[r.route]
 		if !ok {
-			d = i.durations.summary(r.route)
+			d = i.routeSummary(now, r.route)
 			routes[r.route] = d
 		}
 		if p.accept(now, r.stopRequest, d, d.run) == refusedByStop {
@@ -83,6 +83,11 @@
 	}
 }
 
+// routeSummary describes the durations of a route, including those of requests that have not ended.
+func (i *Instance) routeSummary(now time.Time, route string) routeSummary {
+	return i.durations.summary(route).withRunning(i.pending.longestRun(now, route))
+}
+
 // endPending gives the requests that have not ended their final answer and waits until it is sent.
 func (i *Instance) endPending(p *stopPlan) {
 	if n := i.active.Load(); n > 0 {
@@ -103,31 +108,32 @@
 	if p == nil {
 		return nil
 	}
-	d := i.durations.summary(req.route.Name)
 	now := time.Now()
+	d := i.routeSummary(now, req.route.Name)
 	req.stopAge = now.Sub(p.start)
 	req.accepted = p.accept(now, req.stopRequest(), d, d.total)
 	if req.accepted != refusedByStop {
 		return nil
 	}
 	i.metrics.refusedStopping.Inc()
-	return &placement.Refusal{Reason: fmt.Sprintf("%v: %d ms left, %d ms needed at most, %d ms usual, %d ms longest", errStopping,
+	return &placement.Refusal{Reason: fmt.Sprintf("%v: %d ms left, %d ms needed at most, %d ms usual, %d ms longest, %d ms running", errStopping,
 		p.finishBy.Sub(now).Milliseconds(), req.job.Deadline.Sub(now).Milliseconds(), d.total.median.Milliseconds(),
-		d.total.longest.Milliseconds())}
+		d.total.longest.Milliseconds(), d.running.Milliseconds())}
 }
 
 // beginSend records that a request is about to be sent to a backend server. It returns false if the request must not be
 // sent, because it could not end before a planned stop does.
 func (i *Instance) beginSend(req *request) bool {
-	if !req.pending.beginSend() {
+	now := time.Now()
+	if !req.pending.beginSend(now) {
 		return false
 	}
 	p := i.stopping.Load()
 	if p == nil {
 		return true
 	}
-	d := i.durations.summary(req.route.Name)
-	return p.accept(time.Now(), req.pending.stopRequest, d, d.run) != refusedByStop
+	d := i.routeSummary(now, req.route.Name)
+	return p.accept(now, req.pending.stopRequest, d, d.run) != refusedByStop
 }
 
 // Active returns the number of requests that are being processed.
--- a/mustardseam/entry/stop_plan.go
+++ b/mustardseam/entry/stop_plan.go
@@ -66,7 +66,7 @@
 	case r.streamed && bounded && bound <= left:
 		return acceptedBySize
 	case r.received.After(p.acceptAny):
-		fits = !r.streamed && usual.known && usual.bound() <= left
+		fits = !r.streamed && usual.known && max(usual.bound(), d.running+durationSlack) <= left
 	case !usual.known && !now.After(p.acceptAny):
 		return acceptedUnknown
 	case !usual.known:
--- a/mustardseam/entry/stop_plan_test.go
+++ b/mustardseam/entry/stop_plan_test.go
@@ -148,6 +148,32 @@
 	}
 }
 
+// TestRunningRequestsCount guards against a late request that is accepted by the durations of ended requests while one that has
+// not ended has already taken longer.
+func TestRunningRequestsCount(t *testing.T) {
+	start := time.Unix(1000, 0)
+	at := start.Add(4 * time.Second) // 3.4 s are left.
+	p := newStopPlan(start, 8*time.Second)
+	r := stopRequest{received: at, deadline: at.Add(10 * time.Second)}
+	short := durationSummary{median: 100 * time.Millisecond, longest: 100 * time.Millisecond, known: true}
+	assert.Equal(t, p.accept(at, r, routeSummary{}.withRunning(3150*time.Millisecond), short), acceptedByHistory)
+	assert.Equal(t, p.accept(at, r, routeSummary{}.withRunning(3151*time.Millisecond), short), refusedByStop)
+}
+
+// TestPendingRunTime guards against the time in a queue that counts as the duration of a run.
+func TestPendingRunTime(t *testing.T) {
+	now := time.Unix(1000, 0)
+	p := newPendingRequests()
+	r := &pendingRequest{route: "a", stopRequest: stopRequest{received: now}}
+	p.add(r)
+	assert.Equal(t, p.longestRun(now.Add(time.Second), "a"), time.Duration(0), "not sent yet")
+	assert.Assert(t, r.beginWait())
+	assert.Equal(t, p.longestRun(now.Add(2*time.Second), "a"), time.Duration(0), "waiting")
+	assert.Assert(t, r.beginSend(now.Add(2*time.Second)))
+	assert.Equal(t, p.longestRun(now.Add(5*time.Second), "a"), 3*time.Second)
+	assert.Equal(t, p.longestRun(now.Add(5*time.Second), "b"), time.Duration(0))
+}
+
 // TestNothingIsAcceptedAfterEarlyEnd guards against a request that is accepted when a planned stop has ended before its time.
 func TestNothingIsAcceptedAfterEarlyEnd(t *testing.T) {
 	start := time.Unix(1000, 0)
