Reserve the memory of a response head before it is parsed

What callers saw: with 280 callers of backend servers that send short header lines without end, a process exceeds the memory of its machine (101 to 107 MB of 96), and all requests at it end with it.

Cause: a head was parsed again with each line that arrived; what had been parsed of it was kept while its reader waited for the end, and its memory was reserved only when it was complete. In one long line the same bytes peaked at 40 MB.

Change: a head is awaited in the read buffer and parsed once, after its lines are reserved in the memory for answers. A line that cannot belong to a head ends the wait at once, as before; an end that the parser does not take for one fails at once instead of at the deadline.

--- a/mustardseam/http1/client.go
+++ b/mustardseam/http1/client.go
@@ -116,7 +116,7 @@
 		cc.close()
 		return nil, err
 	}
-	r, err := cc.receive(call)
+	r, err := cc.receive(ctx, c, call)
 	if err != nil {
 		if cc.reused && ctx.Err() == nil && time.Since(sentAt) < resetTimeout {
 			c.recordReset(sentAt.Sub(cc.idleSince))
@@ -125,13 +125,7 @@
 		cc.close()
 		return nil, err
 	}
-	r.client, r.server, r.stopInterrupt, r.exclusive = c, call.Server.Incarnation(), stopInterrupt, call.Exclusive
-	if lines := r.Header.Len() - uncountedLines; lines > 0 {
-		if err := r.reserve(ctx, int64(lines)*bytesPerLine); err != nil {
-			r.Close()
-			return nil, err
-		}
-	}
+	r.stopInterrupt = stopInterrupt
 	return r, nil
 }
 
--- a/mustardseam/http1/clientconn.go
+++ b/mustardseam/http1/clientconn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"io"
 	"net"
@@ -121,14 +122,17 @@
 	return eris.Wrapf(ErrIncompleteResponse, "send request to backend server %s: %v", call.Server.ID, err)
 }
 
-// receive reads the header of the response. It skips interim responses and late responses to earlier requests.
-func (c *clientConn) receive(call Call) (*Response, error) {
+// receive reads the header of the response to a request of a client. It skips interim responses and late responses to earlier
+// requests.
+func (c *clientConn) receive(ctx context.Context, client *Client, call Call) (*Response, error) {
 	for skipped, interim := 0, 0; skipped < maxSkippedResponses && interim <= maxInterimResponses; {
-		r := &Response{upstream: c}
-		if err := r.Header.Read(c.br); err != nil {
+		r := &Response{upstream: c, client: client, server: call.Server.Incarnation(), exclusive: call.Exclusive}
+		if err := c.readHead(ctx, r); err != nil {
+			r.release(r.reserved)
 			return nil, eris.Wrapf(c.incompleteCause(), "read answer of backend server %s: %v", call.Server.ID, err)
 		}
 		if code := r.Header.StatusCode(); code >= 100 && code < 200 {
+			r.release(r.reserved)
 			interim++
 			continue
 		}
@@ -138,6 +142,7 @@
 			return r, nil
 		}
 		skipped++
+		r.release(r.reserved)
 		if n, err := io.Copy(io.Discard, io.LimitReader(r.body, maxSkippedBodyBytes)); err != nil || n >= maxSkippedBodyBytes {
 			break
 		}
