Count long events of streams in the memory for answers

What callers would see: with 280 callers of backend servers whose event or comment never ends, a process exceeds the memory of its machine (118 to 122 MB of 96), and all requests at it end with it.

Cause: each event was bounded by 256 KB, but the buffers of all streams together by nothing. Streams of complete events peaked at 55 to 74 MB in the same test, and the peak is the same before the first event, so that it is not what callers do not read.

Change: the buffer of an event longer than 16 KB is reserved in the memory for answers before it grows and released when the next event is read. A stream that gets none within 2 s ends as after a broken answer. Usual events reserve nothing.

TestEndlessEventIsBounded also checks that nothing stays reserved.

--- a/mustardseam/entry/stream.go
+++ b/mustardseam/entry/stream.go
@@ -26,7 +26,7 @@
 	ctx context.Context, req *request, g *Grant, resp *http1.Response, sent time.Time, stall *stallTimer,
 ) attemptResult {
 	req.runs++
-	events := http1.NewEventReader(resp)
+	events := http1.NewEventReader(ctx, resp)
 	o := placement.Outcome{Answered: true}
 	var s streamProgress
 	var comments []byte // Comments that arrived before the first event.
--- a/mustardseam/http1/eventstream.go
+++ b/mustardseam/http1/eventstream.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"io"
 
 	"github.com/rotisserie/eris"
@@ -20,19 +21,33 @@
 
 // EventReader splits an event stream (text/event-stream) into events.
 type EventReader struct {
-	br *bufio.Reader
+	ctx  context.Context // Context of the call.
+	resp *Response
+	br   *bufio.Reader // Reads from resp.
+	held int64         // Bytes reserved for the latest event.
 }
 
-// NewEventReader returns an EventReader for a response body.
-func NewEventReader(r io.Reader) *EventReader { return &EventReader{br: bufio.NewReader(r)} }
+// NewEventReader returns an EventReader for the body of a response to a call with the given context.
+func NewEventReader(ctx context.Context, r *Response) *EventReader {
+	return &EventReader{ctx: ctx, resp: r, br: bufio.NewReader(r)}
+}
 
-// Next returns the next event. It returns io.EOF at the end of a complete stream and ErrDisconnected if the stream ends
-// inside an event.
+// Next returns the next event, which is valid until the following call. It returns io.EOF at the end of a complete stream,
+// ErrDisconnected if the stream ends inside an event, and ErrIncompleteResponse if an event is too long or the answers that are
+// held at the same time would take too much memory.
 func (e *EventReader) Next() (Event, error) {
+	if e.held > 0 {
+		e.resp.release(e.held)
+		e.held = 0
+	}
 	var raw []byte
 	for {
 		line, err := e.br.ReadSlice('\n')
-		raw = append(raw, line...)
+		room, memoryErr := e.grow(raw, len(line))
+		if memoryErr != nil {
+			return Event{}, memoryErr
+		}
+		raw = append(room, line...)
 		switch {
 		case len(raw) > maxEventBytes:
 			return Event{}, eris.Wrap(ErrIncompleteResponse, "event exceeds the size limit")
@@ -49,6 +64,22 @@
 	}
 }
 
+// grow makes room for n more bytes. The memory of a long event is reserved first.
+func (e *EventReader) grow(raw []byte, n int) ([]byte, error) {
+	need := len(raw) + n
+	if need <= max(cap(raw), uncountedBytes) {
+		return raw, nil
+	}
+	size := max(need, 2*cap(raw))
+	if err := e.resp.reserve(e.ctx, int64(size)); err != nil {
+		return nil, err
+	}
+	raw = append(make([]byte, 0, size), raw...)
+	e.resp.release(e.held)
+	e.held = int64(size)
+	return raw, nil
+}
+
 // eventID returns the value of the last id field.
 func eventID(raw []byte) string {
 	id := ""
--- a/mustardseam/http1/response_limits_test.go
+++ b/mustardseam/http1/response_limits_test.go
@@ -109,12 +109,14 @@
 		t.Run(test.name, func(t *testing.T) {
 			t.Parallel()
 			s, sent, closed := startEndlessServer(t, "HTTP/1.1 200 OK\r\nId: r\r\n\r\n"+test.prefix, test.repeat, 0)
-			r, err := NewClient(ClientConfig{}).Do(context.Background(), newCall(s, "r", false))
+			client := NewClient(ClientConfig{})
+			r, err := client.Do(context.Background(), newCall(s, "r", false))
 			assert.NilError(t, err)
-			_, err = NewEventReader(r).Next()
+			_, err = NewEventReader(context.Background(), r).Next()
 			assert.Assert(t, errors.Is(err, ErrIncompleteResponse), "%v", err)
 			r.Close()
 			<-closed
+			assert.Equal(t, client.answers.used.Load(), int64(0))
 			assert.Assert(t, sent.Load() <= maxSentBytes)
 		})
 	}
