Bound the memory of the messages of instances

What callers would see: 40 connections on which another instance sends a message without an end take 356 to 389 MB of a machine with 96, and all requests at the process end with it; the address for readiness checks takes 338 MB in the same way.

Cause: each body was bounded, by 8 MB and 4 MB, but all together by nothing, and a body was read whole before its handler was called. Change: the handler reads a message and counts what exceeds 16 KB in an account of 16 MB for all; one that does not fit gets 503 on a connection that is closed.

--- a/mustardseam/hub/server.go
+++ b/mustardseam/hub/server.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"net"
 	"time"
@@ -36,20 +35,22 @@
 
 // NewServer returns a server that accepts calls on the listener.
 func NewServer(cfg ServerConfig) *Server {
+	// Bodies are read by decode, which counts their memory.
 	app := fiber.New(fiber.Config{
-		BodyLimit: maxBodyBytes, ReadTimeout: ioTimeout, WriteTimeout: ioTimeout, IdleTimeout: 2 * maxIdleTime,
+		BodyLimit: maxBodyBytes, StreamRequestBody: true, ReadTimeout: ioTimeout, WriteTimeout: ioTimeout, IdleTimeout: 2 * maxIdleTime,
 	})
+	messages := &messageAccount{}
 	app.Post(reportPath, func(c fiber.Ctx) error {
 		var r Report
-		if err := json.Unmarshal(c.Body(), &r); err != nil || r.Instance == "" {
-			return c.SendStatus(fiber.StatusBadRequest)
+		if err := messages.decode(c, &r); err != nil || r.Instance == "" {
+			return refuse(c, err)
 		}
 		return respond(c, cfg, "report of another instance", func() any { return cfg.HandleReport(r) })
 	})
 	app.Post(placePath, func(c fiber.Ctx) error {
 		var u PlacementUpdate
-		if err := json.Unmarshal(c.Body(), &u); err != nil || u.Instance == "" {
-			return c.SendStatus(fiber.StatusBadRequest)
+		if err := messages.decode(c, &u); err != nil || u.Instance == "" {
+			return refuse(c, err)
 		}
 		return respond(c, cfg, "news of another instance", func() any { return cfg.HandleUpdate(u) })
 	})
@@ -62,6 +63,15 @@
 	return s
 }
 
+// refuse refuses a message that could not be read, and closes its connection, on which the rest of it may follow.
+func refuse(c fiber.Ctx, err error) error {
+	c.RequestCtx().SetConnectionClose()
+	if errors.Is(err, errMessagesFull) {
+		return c.SendStatus(fiber.StatusServiceUnavailable)
+	}
+	return c.SendStatus(fiber.StatusBadRequest)
+}
+
 // respond sends the result of handle as JSON, or status 500 when it panicked.
 func respond(c fiber.Ctx, cfg ServerConfig, task string, handle func() any) error {
 	var result any
