Close idle connections on which a backend server goes on sending

What callers would see: nothing by itself; a backend server that sends bytes without end after an answer with a length fills the receive buffers of each connection that is kept, which count as memory of the machine, until its idle timeout, which the backend server names.

Cause: an idle connection was only looked at when a request was about to use it. Result: TestIdleConnectionWithBytesIsClosed failed before (the connection stays open) and passes. Tests of http1 and entry pass.

--- a/mustardseam/http1/client.go
+++ b/mustardseam/http1/client.go
@@ -136,14 +136,15 @@
 	c.staleAfter = min(c.staleAfter, max(idleTime, minStaleAfter))
 }
 
-// CloseExpired closes idle connections that have expired and those to backend servers for which keep returns false.
+// CloseExpired closes idle connections that have expired, those to backend servers for which keep returns false, and those that the
+// backend server has closed or on which it goes on sending.
 func (c *Client) CloseExpired(now time.Time, keep func(fleet.Incarnation) bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for server, conns := range c.idle {
 		var kept []*clientConn
 		for _, cc := range conns {
-			if keep(server) && now.Before(cc.idleUntil) {
+			if keep(server) && now.Before(cc.idleUntil) && cc.isOpenAndEmpty() {
 				kept = append(kept, cc)
 			} else {
 				cc.close()
--- a/mustardseam/http1/response_limits_test.go
+++ b/mustardseam/http1/response_limits_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
 	"github.com/mustardseam/mustardseam/mustardseam/fleet"
 )
@@ -96,6 +97,40 @@
 	}
 }
 
+// TestIdleConnectionWithBytesIsClosed guards against a backend server that sends endless bytes after an answer with a length, which
+// would stay in the buffers of the system for as long as the connection is kept.
+func TestIdleConnectionWithBytesIsClosed(t *testing.T) {
+	answered, ended := make(chan struct{}), make(chan struct{})
+	s := startScriptedServer(t, func(_ int, c net.Conn, br *bufio.Reader) {
+		defer close(ended)
+		_, err := readRequest(br)
+		if err == nil {
+			_, err = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: r\r\nContent-Length: 1\r\nKeep-Alive: timeout=3600\r\n\r\nx")
+		}
+		<-answered
+		for chunk := strings.Repeat("x", 4096); err == nil; {
+			_, err = io.WriteString(c, chunk)
+		}
+	})
+	client := NewClient(ClientConfig{})
+	r, err := client.Do(context.Background(), newCall(s, "r", false))
+	assert.NilError(t, err)
+	_, err = r.ReadBody(context.Background(), 1<<20)
+	assert.NilError(t, err)
+	r.Close()
+	close(answered)
+	keep := func(fleet.Incarnation) bool { return true }
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		client.CloseExpired(time.Now(), keep)
+		select {
+		case <-ended:
+			return poll.Success()
+		default:
+			return poll.Continue("the connection is open")
+		}
+	}, poll.WithTimeout(10*time.Second), poll.WithDelay(5*time.Millisecond))
+}
+
 // TestEndlessEventIsBounded guards against an event stream whose event never ends, or has an endless run of comments
 // before it.
 func TestEndlessEventIsBounded(t *testing.T) {
