Bound the size of a late stream only by the pace of many streams

What callers would see: an instance that has just started and stops again accepts a late stream by the maximum number of output tokens that its caller names, at the slowest pace of as few as eight streams. If these all met fast backend servers and the new one meets a slow one, it is cut off.

Change: the pace of a route bounds a late stream once 64 of its streams have ended.

--- a/mustardseam/entry/recent_durations.go
+++ b/mustardseam/entry/recent_durations.go
@@ -10,6 +10,9 @@
 	recentDurationCount = 64
 	// minDurations is the number of durations from which on they describe the usual ones.
 	minDurations = 8
+	// minStreams is the number of streams from which on they bound the pace of the next one. Backend servers of a route differ in
+	// speed, so that a few streams may all have met fast ones.
+	minStreams = recentDurationCount
 	// durationSlack is added to the durations of the past to bound the next one.
 	durationSlack = 250 * time.Millisecond
 )
@@ -42,9 +45,9 @@
 	r.next = (r.next + 1) % recentDurationCount
 }
 
-// summary returns the summary of the durations.
-func (r *recentDurations) summary() durationSummary {
-	if len(r.ring) < minDurations {
+// summary returns the summary of the durations, which is unknown if there are fewer than least.
+func (r *recentDurations) summary(least int) durationSummary {
+	if len(r.ring) < least {
 		return durationSummary{}
 	}
 	sorted := slices.Sorted(slices.Values(r.ring))
--- a/mustardseam/entry/route_durations.go
+++ b/mustardseam/entry/route_durations.go
@@ -94,7 +94,10 @@
 	if r == nil {
 		return routeSummary{}
 	}
-	return routeSummary{total: r.total.summary(), run: r.run.summary(), firstEvent: r.firstEvent.summary(), event: r.event.summary()}
+	return routeSummary{
+		total: r.total.summary(minDurations), run: r.run.summary(minDurations),
+		firstEvent: r.firstEvent.summary(minStreams), event: r.event.summary(minStreams),
+	}
 }
 
 // sweep removes routes that are no longer used.
