Reserve the addresses of programs under test

No code of the product was at fault.

Change: platformtest.Reservation keeps a socket that is bound to the port and never listens, until the test ends. Listening on the port is possible all the same, also again, and the kernel gives it to nobody who asks for any free port.

No check was changed.

--- a/soak/process_soak_test.go
+++ b/soak/process_soak_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -14,6 +13,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/mustardseam/mustardseam/platform/platformtest"
 )
 
 // graceSeconds is the grace period of an instance. A process that is still running one second after it is killed.
@@ -28,7 +29,6 @@
 	readyAddr string
 	store     *proxy
 	http      *http.Client
-	reserved  []net.Listener // Listeners that reserve its addresses until the first start.
 
 	restarting sync.Mutex // Held from the stop of the process to its next start.
 	mu         sync.Mutex // Held while the process is started or signalled.
@@ -71,23 +71,20 @@
 	return program
 }
 
-// reserveAddress returns a listener that reserves a loopback address for a process until it is started. When the 12
-// listeners of a site were closed immediately, two had the same address in one of a hundred sites.
-func reserveAddress(t *testing.T) net.Listener {
+// reserveAddress returns a loopback address that belongs to a process for the whole test, also between its stops and starts.
+func reserveAddress(t *testing.T) string {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	r, err := platformtest.NewReservation()
 	assert.NilError(t, err)
-	t.Cleanup(func() { _ = ln.Close() })
-	return ln
+	t.Cleanup(r.Close)
+	return r.Addr()
 }
 
-// newProcess writes the settings of an instance. control holds the listeners of the control addresses of all instances.
-func newProcess(t *testing.T, program string, n int, control []net.Listener, store *proxy) *process {
+// newProcess writes the settings of an instance. control holds the control addresses of all instances.
+func newProcess(t *testing.T, program string, n int, control []string, store *proxy) *process {
 	t.Helper()
-	frontListener, readyListener := reserveAddress(t), reserveAddress(t)
 	p := &process{
-		name: fmt.Sprintf("n%d", n), program: program, frontAddr: frontListener.Addr().String(), readyAddr: readyListener.Addr().String(),
-		store: store, reserved: []net.Listener{frontListener, readyListener, control[n]},
+		name: fmt.Sprintf("n%d", n), program: program, frontAddr: reserveAddress(t), readyAddr: reserveAddress(t), store: store,
 		http: &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}},
 	}
 	p.settings = filepath.Join(t.TempDir(), p.name+".toml")
@@ -116,7 +113,7 @@
 coldSlack = 5
 [platform]
 addr = %q
-`, p.name, control[0].Addr(), p.frontAddr, p.readyAddr, control[n].Addr(), graceSeconds, store.addr())
+`, p.name, control[0], p.frontAddr, p.readyAddr, control[n], graceSeconds, store.addr())
 	assert.NilError(t, os.WriteFile(p.settings, []byte(text), 0o600))
 	return p
 }
@@ -125,10 +122,6 @@
 func (p *process) start() error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, ln := range p.reserved {
-		_ = ln.Close()
-	}
-	p.reserved = nil
 	p.cmd = exec.Command(p.program, "serve", "--metrics-port", "0")
 	p.cmd.Env = append(os.Environ(), "MUSTARDSEAM_BOOT="+p.settings)
 	p.cmd.Stdout, p.cmd.Stderr = &p.log, &p.log
--- a/soak/site_soak_test.go
+++ b/soak/site_soak_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"strings"
 	"sync"
 	"syscall"
@@ -69,7 +68,7 @@
 		s.backends, s.links = append(s.backends, b), append(s.links, link)
 		s.registerBackend(n, "ready")
 	}
-	control := make([]net.Listener, instances)
+	control := make([]string, instances)
 	for n := range control {
 		control[n] = reserveAddress(t)
 	}
