Bound the connections of other instances

What callers would see: a peer that opens 1,600 connections to the address for other instances, or to that for readiness checks, and uses none of them takes 1,616 descriptors of a process that may have 1,500. Where the platform enforces the limit, new connections of callers and to backend servers fail.

Cause: the connections of callers are bounded by maxFds less 1,200, but nothing kept the others within the 1,200. For a connection beyond that, the one from which nothing has been read for the longest time is closed. Refusing the new one instead would let a peer that holds connections keep the readiness checks out.

Replaced connections of instances are counted in mustardseam_instance_connections_replaced_total.

--- a/mustardseam/entry/instance.go
+++ b/mustardseam/entry/instance.go
@@ -38,7 +38,9 @@
 	LogLevel       zerolog.Level
 	LogWriter      *logwriter.Writer
 	MaxConnections int // Maximum number of open connections of callers; 0 for no limit.
-	Duties         DutiesConfig
+	// MaxPeerConnections is the maximum number of open connections of other instances; 0 for no limit.
+	MaxPeerConnections int
+	Duties             DutiesConfig
 	// IgnorePrompts makes placement independent of what engines keep of a prompt.
 	IgnorePrompts bool
 	Memory        MemoryLimits
@@ -124,7 +126,7 @@
 		},
 	})
 	i.peers = hub.NewServer(hub.ServerConfig{
-		Listener: cfg.PeerListener, HandleReport: i.reporter.handleReport, HandleUpdate: i.reporter.placeFor,
+		Listener: cfg.PeerListener, MaxConns: cfg.MaxPeerConnections, HandleReport: i.reporter.handleReport, HandleUpdate: i.reporter.placeFor,
 		State: i.State, RecoverPanics: i.recoverPanics,
 	})
 	i.server = http1.NewServer(http1.ServerConfig{
--- a/mustardseam/entry/metrics.go
+++ b/mustardseam/entry/metrics.go
@@ -52,6 +52,7 @@
 	stat("mustardseam_connections_replaced_total", func(s http1.ServerStats) int64 { return s.ReplacedConns })
 	stat("mustardseam_connections_refused_total", func(s http1.ServerStats) int64 { return s.RefusedConns })
 	stat("mustardseam_answers_abandoned_total", func(s http1.ServerStats) int64 { return s.AbandonedAnswers })
+	set.NewGauge("mustardseam_instance_connections_replaced_total", func() float64 { return float64(i.peers.ReplacedConns()) })
 	set.NewGauge("mustardseam_answer_memory_bytes", func() float64 { return float64(i.client.Stats().AnswerMemory) })
 	set.NewGauge("mustardseam_answer_memory_limit_bytes", func() float64 { return float64(i.client.Stats().MemoryLimit) })
 	set.NewGauge("mustardseam_answers_refused_memory_total", func() float64 { return float64(i.client.Stats().RefusedAnswers) })
--- a/mustardseam/hub/server.go
+++ b/mustardseam/hub/server.go
@@ -8,6 +8,8 @@
 
 	"github.com/gofiber/fiber/v3"
 	"github.com/rotisserie/eris"
+
+	"github.com/mustardseam/mustardseam/mustardseam/tcp"
 )
 
 const (
@@ -20,6 +22,7 @@
 // ServerConfig holds the listener and the handlers of a Server.
 type ServerConfig struct {
 	Listener      net.Listener
+	MaxConns      int // Maximum number of open connections; 0 means no limit. The one that is idle longest is closed for a new one.
 	HandleReport  func(r Report) ReportResponse
 	HandleUpdate  func(u PlacementUpdate) PlacementResponse
 	RecoverPanics func(task string, f func()) bool // Runs f and recovers a panic in it; returns false after a panic.
@@ -29,6 +32,7 @@
 // Server handles the calls of other instances.
 type Server struct {
 	app  *fiber.App
+	ln   *tcp.Listener
 	done chan struct{}
 	err  error // Result of serving; valid after done is closed.
 }
@@ -55,10 +59,11 @@
 		return respond(c, cfg, "news of another instance", func() any { return cfg.HandleUpdate(u) })
 	})
 	app.Get("/state", func(c fiber.Ctx) error { return respond(c, cfg, "state dump", cfg.State) })
-	s := &Server{app: app, done: make(chan struct{})}
+	ln := tcp.NewListener(cfg.Listener, tcp.ListenerConfig{MaxConns: cfg.MaxConns, ReplaceIdle: true})
+	s := &Server{app: app, ln: ln, done: make(chan struct{})}
 	go func() {
 		defer close(s.done)
-		s.err = app.Listener(cfg.Listener, fiber.ListenConfig{DisableStartupMessage: true})
+		s.err = app.Listener(ln, fiber.ListenConfig{DisableStartupMessage: true})
 	}()
 	return s
 }
@@ -81,6 +86,9 @@
 	return c.JSON(result)
 }
 
+// ReplacedConns returns the number of connections that were closed for others because of MaxConns.
+func (s *Server) ReplacedConns() int64 { return s.ln.Replaced() }
+
 // Close stops the server and waits up to shutdownTimeout for calls in flight.
 func (s *Server) Close() error {
 	err := s.app.ShutdownWithTimeout(shutdownTimeout)
--- a/mustardseam/tcp/acceptedconn.go
+++ b/mustardseam/tcp/acceptedconn.go
@@ -39,7 +39,11 @@
 	if n > 0 {
 		return n, nil
 	}
-	return c.Conn.Read(b)
+	n, err := c.Conn.Read(b)
+	if n > 0 {
+		c.listener.idle.touch(c)
+	}
+	return n, err
 }
 
 // Write writes to the peer. It fails if it takes longer than ListenerConfig.WriteTimeout; a long write only if the peer takes
@@ -100,6 +104,7 @@
 func (c *acceptedConn) Close() error {
 	if c.closed.CompareAndSwap(false, true) {
 		c.listener.openConns.Add(-1)
+		c.listener.idle.remove(c)
 	}
 	return c.Conn.Close()
 }
--- a/mustardseam/tcp/listener.go
+++ b/mustardseam/tcp/listener.go
@@ -27,6 +27,9 @@
 	// MakeRoom is called with a connection beyond MaxConns. It returns true if another one is about to be closed for it; nil means
 	// that none ever is.
 	MakeRoom func(raw net.Conn) bool
+	// ReplaceIdle closes, for a connection beyond MaxConns, the one from which nothing has been read for the longest time. It takes
+	// the place of MakeRoom where the peers of all connections open a new one when theirs is closed.
+	ReplaceIdle bool
 }
 
 // Listener accepts connections up to a limit and sets a timeout for writes on them.
@@ -37,11 +40,17 @@
 	refusals    atomic.Int64 // Number of refusals in progress.
 	refused     atomic.Int64 // Number of connections refused because of the limit.
 	unsentBytes atomic.Int64 // Length of all long writes in progress.
+	idle        *idleOrder   // Nil without ReplaceIdle.
+	replaced    atomic.Int64 // Number of connections closed because of ReplaceIdle.
 }
 
 // NewListener returns a Listener that accepts connections from ln.
 func NewListener(ln net.Listener, cfg ListenerConfig) *Listener {
-	return &Listener{Listener: ln, cfg: cfg}
+	l := &Listener{Listener: ln, cfg: cfg}
+	if cfg.ReplaceIdle {
+		l.idle = newIdleOrder()
+	}
+	return l
 }
 
 // Accept returns the next connection within the limit. It refuses connections beyond the limit.
@@ -52,7 +61,9 @@
 			return nil, err
 		}
 		if l.admit(raw, l.openConns.Add(1)) {
-			return &acceptedConn{Conn: raw, listener: l}, nil
+			c := &acceptedConn{Conn: raw, listener: l}
+			l.idle.add(c)
+			return c, nil
 		}
 		l.openConns.Add(-1)
 		l.refused.Add(1)
@@ -63,9 +74,20 @@
 // admit reports whether a connection may be accepted with which n are open.
 func (l *Listener) admit(raw net.Conn, n int64) bool {
 	limit := int64(l.cfg.MaxConns)
-	return limit == 0 || n <= limit || n <= limit+maxReplacedConns && l.cfg.MakeRoom != nil && l.cfg.MakeRoom(raw)
+	if limit == 0 || n <= limit {
+		return true
+	}
+	if oldest := l.idle.longestIdle(); oldest != nil {
+		l.replaced.Add(1)
+		_ = oldest.Close()
+		return true
+	}
+	return n <= limit+maxReplacedConns && l.cfg.MakeRoom != nil && l.cfg.MakeRoom(raw)
 }
 
+// Replaced returns the number of connections that were closed for others because of ReplaceIdle.
+func (l *Listener) Replaced() int64 { return l.replaced.Load() }
+
 // Refused returns the number of connections that were refused because of the limit.
 func (l *Listener) Refused() int64 { return l.refused.Load() }
 
--- a/mustardseam/tcp/tcp_test.go
+++ b/mustardseam/tcp/tcp_test.go
@@ -202,3 +202,42 @@
 	assert.Assert(t, closed == nil)
 	stop()
 }
+
+// TestLongestIdleConnectionIsReplaced guards against peers that open connections without using them, and so keep others out or
+// exceed the limit of connections.
+func TestLongestIdleConnectionIsReplaced(t *testing.T) {
+	l := startListener(t, ListenerConfig{MaxConns: 2, ReplaceIdle: true})
+	connect := func() (peer, accepted net.Conn) {
+		t.Helper()
+		peer, err := net.Dial("tcp", l.Addr().String())
+		assert.NilError(t, err)
+		t.Cleanup(func() { _ = peer.Close() })
+		accepted, err = l.Accept()
+		assert.NilError(t, err)
+		t.Cleanup(func() { _ = accepted.Close() })
+		return peer, accepted
+	}
+	isOpen := func(c net.Conn) bool {
+		assert.NilError(t, c.SetReadDeadline(time.Now().Add(20*time.Millisecond)))
+		_, err := c.Read(make([]byte, 1))
+		return errors.Is(err, os.ErrDeadlineExceeded)
+	}
+	used, usedAccepted := connect()
+	unused, _ := connect()
+	_, err := io.WriteString(used, "x")
+	assert.NilError(t, err)
+	_, err = usedAccepted.Read(make([]byte, 1))
+	assert.NilError(t, err)
+
+	_, third := connect()
+	assert.Check(t, isOpen(used))
+	assert.Check(t, !isOpen(unused), "the connection that was never used is still open")
+	assert.Equal(t, l.Replaced(), int64(1))
+
+	// A closed connection leaves its place to the next one.
+	assert.NilError(t, third.Close())
+	connect()
+	assert.Check(t, isOpen(used))
+	assert.Equal(t, l.Replaced(), int64(1))
+	assert.Equal(t, l.Refused(), int64(0))
+}
