Bound the memory of decoded messages

What callers would see: another instance, or the store, sends a complete message within its length that consists of very many small elements, like {},{},{}. It takes 101 to 1,045 MB of a machine with 96, the process is killed, and all requests at it end with it.

Cause: the length of a message was bounded and counted, but not what it is decoded to. An element of three bytes becomes a struct of up to 200 bytes, in a slice that is copied as it grows. Change: package jsonsize estimates that size from the text.

--- a/mustardseam/hub/client.go
+++ b/mustardseam/hub/client.go
@@ -9,6 +9,8 @@
 
 	"github.com/rotisserie/eris"
 	"github.com/valyala/fasthttp"
+
+	"github.com/mustardseam/mustardseam/mustardseam/jsonsize"
 )
 
 const (
@@ -85,6 +87,9 @@
 	if resp.StatusCode() != fasthttp.StatusOK {
 		return eris.Errorf("send to %s: status %d", endpoint, resp.StatusCode())
 	}
+	if size := jsonsize.Decoded(resp.Body()); size > jsonsize.MaxDecoded {
+		return eris.Errorf("response of %s: %d bytes when decoded, limit %d", endpoint, size, jsonsize.MaxDecoded)
+	}
 	if err := json.Unmarshal(resp.Body(), response); err != nil {
 		return eris.Wrapf(err, "decode response of %s", endpoint)
 	}
--- a/mustardseam/hub/message.go
+++ b/mustardseam/hub/message.go
@@ -7,6 +7,8 @@
 	"sync/atomic"
 
 	"github.com/gofiber/fiber/v3"
+
+	"github.com/mustardseam/mustardseam/mustardseam/jsonsize"
 )
 
 const (
@@ -15,6 +17,8 @@
 	messageMemory = 2*maxBodyBytes + 1
 	// uncountedMessageBytes is the size up to which a message does not count. Nearly all are shorter.
 	uncountedMessageBytes = 16 << 10
+	// uncountedDecodedBytes is the size up to which a decoded message does not count. It admits all messages of a small fleet.
+	uncountedDecodedBytes = 64 << 10
 	// firstMessageBytes is the first size of the buffer of a message.
 	firstMessageBytes = 4 << 10
 )
@@ -26,13 +30,14 @@
 
 // messageAccount counts the bytes of the messages that are being read or handled; its methods are safe for concurrent use.
 type messageAccount struct {
-	used atomic.Int64
+	used    atomic.Int64 // Bytes of messages that are being read.
+	decoded atomic.Int64 // Bytes of decoded messages that are being handled, as jsonsize.Decoded estimates them.
 }
 
-// reserve reserves bytes; it returns false if they do not fit.
-func (a *messageAccount) reserve(bytes int64) bool {
-	if a.used.Add(bytes) > messageMemory {
-		a.used.Add(-bytes)
+// reserve adds bytes to an account with a limit; it returns false if they do not fit.
+func reserve(account *atomic.Int64, bytes, limit int64) bool {
+	if account.Add(bytes) > limit {
+		account.Add(-bytes)
 		return false
 	}
 	return true
@@ -45,14 +50,25 @@
 	held    int64 // Bytes reserved for body.
 }
 
-// decode reads the body of a request into v and releases its memory.
-func (a *messageAccount) decode(c fiber.Ctx, v any) error {
+// decode reads the body of a request into v. The caller must call release when v has been handled, also after an error.
+func (a *messageAccount) decode(c fiber.Ctx, v any) (release func(), err error) {
+	release = func() {}
 	m := message{account: a}
 	defer m.release()
 	if err := m.read(c.Request().BodyStream()); err != nil {
-		return err
+		return release, err
+	}
+	size := jsonsize.Decoded(m.body)
+	switch {
+	case size > jsonsize.MaxDecoded:
+		return release, errMessageTooLong
+	case size > uncountedDecodedBytes:
+		if !reserve(&a.decoded, size, jsonsize.MaxDecoded) {
+			return release, errMessagesFull
+		}
+		release = func() { a.decoded.Add(-size) }
 	}
-	return json.Unmarshal(m.body, v)
+	return release, json.Unmarshal(m.body, v)
 }
 
 // read reads the body; nil is an empty one.
@@ -85,7 +101,7 @@
 	if size > uncountedMessageBytes {
 		held = int64(size)
 	}
-	if !m.account.reserve(held) {
+	if !reserve(&m.account.used, held, messageMemory) {
 		return errMessagesFull
 	}
 	m.body = append(make([]byte, 0, size), m.body...)
--- a/mustardseam/hub/server.go
+++ b/mustardseam/hub/server.go
@@ -46,14 +46,18 @@
 	messages := &messageAccount{}
 	app.Post(reportPath, func(c fiber.Ctx) error {
 		var r Report
-		if err := messages.decode(c, &r); err != nil || r.Instance == "" {
+		release, err := messages.decode(c, &r)
+		defer release()
+		if err != nil || r.Instance == "" {
 			return refuse(c, err)
 		}
 		return respond(c, cfg, "report of another instance", func() any { return cfg.HandleReport(r) })
 	})
 	app.Post(placePath, func(c fiber.Ctx) error {
 		var u PlacementUpdate
-		if err := messages.decode(c, &u); err != nil || u.Instance == "" {
+		release, err := messages.decode(c, &u)
+		defer release()
+		if err != nil || u.Instance == "" {
 			return refuse(c, err)
 		}
 		return respond(c, cfg, "news of another instance", func() any { return cfg.HandleUpdate(u) })
