Let idle connections outlive the deadline of their latest request

What callers would see: they wait for a new connection to a backend server although a kept one is there, and operators pay for it. A kept connection could not be used again after the deadline of the request before: 0.1 s after a refusal.

Cause: the deadline of a request stayed set when its connection became idle. The check whether an idle connection is open reads from it, and a read after the deadline fails as on a closed connection. Change: a connection that becomes idle has no deadline. How long it may be idle is unchanged.

Evidence: TestIdleConnectionOutlivesDeadline failed before (2 connections for 2 calls) and passes.

--- a/mustardseam/http1/client.go
+++ b/mustardseam/http1/client.go
@@ -228,6 +228,8 @@
 
 // putIdle adds a connection to the idle pool. If the pool is full, the least recently used connection is closed.
 func (c *Client) putIdle(server fleet.Incarnation, cc *clientConn) {
+	// The deadline of the latest request would make the connection look closed.
+	cc.setDeadline(cc.conn.SetDeadline, time.Time{})
 	cc.idleSince = time.Now()
 	cc.idleUntil = cc.idleSince.Add(cc.keepAliveTimeout)
 	c.mu.Lock()
