Bound the answers to instances that do not read them

What callers would see: 400 connections to the address for other instances each ask for the whole store 20 times, 440 KB an answer, and read nothing. They take 221 MB of a machine with 96, the process is killed, and all requests at it end with it.

Cause: the messages that arrive had a bound for all together, the answers had none; each is written for up to 5 s. Change: answers beyond 16 KB each share 16 MB until they have been sent; one that does not fit becomes 503.

--- a/mustardseam/hub/message.go
+++ b/mustardseam/hub/message.go
@@ -28,10 +28,11 @@
 	errMessagesFull   = errors.New("messages exceed the memory limit")
 )
 
-// messageAccount counts the bytes of the messages that are being read or handled; its methods are safe for concurrent use.
+// messageAccount counts the bytes of the messages that are being read, handled or sent; its methods are safe for concurrent use.
 type messageAccount struct {
 	used    atomic.Int64 // Bytes of messages that are being read.
 	decoded atomic.Int64 // Bytes of decoded messages that are being handled, as jsonsize.Decoded estimates them.
+	answers atomic.Int64 // Bytes of answers that are being sent.
 }
 
 // reserve adds bytes to an account with a limit; it returns false if they do not fit.
--- a/mustardseam/hub/server.go
+++ b/mustardseam/hub/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"net"
 	"time"
@@ -31,10 +32,11 @@
 
 // Server handles the calls of other instances.
 type Server struct {
-	app  *fiber.App
-	ln   *tcp.Listener
-	done chan struct{}
-	err  error // Result of serving; valid after done is closed.
+	app      *fiber.App
+	ln       *tcp.Listener
+	messages *messageAccount
+	done     chan struct{}
+	err      error // Result of serving; valid after done is closed.
 }
 
 // NewServer returns a server that accepts calls on the listener.
@@ -51,7 +53,7 @@
 		if err != nil || r.Instance == "" {
 			return refuse(c, err)
 		}
-		return respond(c, cfg, "report of another instance", func() any { return cfg.HandleReport(r) })
+		return respond(c, cfg, messages, "report of another instance", func() any { return cfg.HandleReport(r) })
 	})
 	app.Post(placePath, func(c fiber.Ctx) error {
 		var u PlacementUpdate
@@ -60,11 +62,11 @@
 		if err != nil || u.Instance == "" {
 			return refuse(c, err)
 		}
-		return respond(c, cfg, "news of another instance", func() any { return cfg.HandleUpdate(u) })
+		return respond(c, cfg, messages, "news of another instance", func() any { return cfg.HandleUpdate(u) })
 	})
-	app.Get("/state", func(c fiber.Ctx) error { return respond(c, cfg, "state dump", cfg.State) })
+	app.Get("/state", func(c fiber.Ctx) error { return respond(c, cfg, messages, "state dump", cfg.State) })
 	ln := tcp.NewListener(cfg.Listener, tcp.ListenerConfig{MaxConns: cfg.MaxConns, ReplaceIdle: true})
-	s := &Server{app: app, ln: ln, done: make(chan struct{})}
+	s := &Server{app: app, ln: ln, messages: messages, done: make(chan struct{})}
 	go func() {
 		defer close(s.done)
 		s.err = app.Listener(ln, fiber.ListenConfig{DisableStartupMessage: true})
@@ -82,12 +84,16 @@
 }
 
 // respond sends the result of handle as JSON, or status 500 when it panicked.
-func respond(c fiber.Ctx, cfg ServerConfig, task string, handle func() any) error {
+func respond(c fiber.Ctx, cfg ServerConfig, messages *messageAccount, task string, handle func() any) error {
 	var result any
 	if !cfg.RecoverPanics(task, func() { result = handle() }) {
 		return c.SendStatus(fiber.StatusInternalServerError)
 	}
-	return c.JSON(result)
+	body, err := json.Marshal(result)
+	if err != nil {
+		return eris.Wrapf(err, "encode answer to %s", task)
+	}
+	return messages.send(c, body)
 }
 
 // ReplacedConns returns the number of connections that were closed for others because of MaxConns.
