--- a/mustardseam/tcp/listener.go
+++ b/mustardseam/tcp/listener.go
@@ -27,8 +27,8 @@
 	// MakeRoom is called with a connection beyond MaxConns. It returns true if another one is about to be closed for it; nil means
 	// that none ever is.
 	MakeRoom func(raw net.Conn) bool
-	// ReplaceIdle closes, for a connection beyond MaxConns, the one from which nothing has been read for the longest time. It takes
-	// the place of MakeRoom where the peers of all connections open a new one when theirs is closed.
+	// ReplaceIdle closes, for a connection beyond MaxConns, the one from which nothing has been read for the longest time. It is meant
+	// for peers that open a new connection when theirs is closed. MakeRoom is not called then.
 	ReplaceIdle bool
 }
 
