Encode answers to instances one after the other

What callers would see: the same as before, less often.

Cause: an answer is encoded before its size is known, and only then refused. Several hundred answers of 440 KB were encoded at the same time. Change: answers are encoded one after the other, so that those that are refused take the memory of one.

--- a/mustardseam/hub/answer.go
+++ b/mustardseam/hub/answer.go
@@ -2,10 +2,12 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"sync"
 	"sync/atomic"
 
 	"github.com/gofiber/fiber/v3"
+	"github.com/rotisserie/eris"
 )
 
 // answerMemory limits the bytes of the answers that are being sent, beyond uncountedMessageBytes of each. It admits the longest.
@@ -25,16 +27,33 @@
 	return nil
 }
 
-// send sends JSON as the answer to a request, or status 503 if the answers exceed their memory because peers do not read theirs.
-func (a *messageAccount) send(c fiber.Ctx, body []byte) error {
+// send sends a value as JSON in answer to a request, or status 503 if the answers exceed their memory because peers do not read theirs.
+func (a *messageAccount) send(c fiber.Ctx, v any) error {
+	body, ok, err := a.encode(v)
+	switch {
+	case err != nil:
+		return err
+	case !ok:
+		return refuse(c, errMessagesFull)
+	}
 	c.Set(fiber.HeaderContentType, fiber.MIMEApplicationJSONCharsetUTF8)
 	held := int64(len(body))
 	if held <= uncountedMessageBytes {
 		return c.Send(body)
 	}
-	if !reserve(&a.answers, held, answerMemory) {
-		return refuse(c, errMessagesFull)
-	}
 	c.Response().SetBodyStream(&answer{Reader: bytes.NewReader(body), account: &a.answers, held: held}, len(body))
 	return nil
 }
+
+// encode encodes an answer and reserves its memory, if it counts. It returns false if the memory is full. Answers are encoded one after
+// the other, so that those that are refused take no more memory than one.
+func (a *messageAccount) encode(v any) (body []byte, ok bool, err error) {
+	a.encoding.Lock()
+	defer a.encoding.Unlock()
+	body, err = json.Marshal(v)
+	if err != nil {
+		return nil, false, eris.Wrap(err, "encode answer")
+	}
+	size := int64(len(body))
+	return body, size <= uncountedMessageBytes || reserve(&a.answers, size, answerMemory), nil
+}
--- a/mustardseam/hub/message.go
+++ b/mustardseam/hub/message.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"sync"
 	"sync/atomic"
 
 	"github.com/gofiber/fiber/v3"
@@ -33,6 +34,8 @@
 	used    atomic.Int64 // Bytes of messages that are being read.
 	decoded atomic.Int64 // Bytes of decoded messages that are being handled, as jsonsize.Decoded estimates them.
 	answers atomic.Int64 // Bytes of answers that are being sent.
+
+	encoding sync.Mutex // Held while an answer is encoded.
 }
 
 // reserve adds bytes to an account with a limit; it returns false if they do not fit.
--- a/mustardseam/hub/server.go
+++ b/mustardseam/hub/server.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"net"
 	"time"
@@ -89,11 +88,7 @@
 	if !cfg.RecoverPanics(task, func() { result = handle() }) {
 		return c.SendStatus(fiber.StatusInternalServerError)
 	}
-	body, err := json.Marshal(result)
-	if err != nil {
-		return eris.Wrapf(err, "encode answer to %s", task)
-	}
-	return messages.send(c, body)
+	return messages.send(c, result)
 }
 
 // ReplacedConns returns the number of connections that were closed for others because of MaxConns.
