Review case 12: replaced machines leave a site without a hub

Shown: registrations of machines that are gone are never removed. With six of them ahead of the first living machine in the order of candidates, none becomes the hub, and a bad version that is on trial is never rolled back.

--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -15,7 +15,9 @@
 
 // cases lists the cases by name.
 var cases = map[string]func(s *site, trouble bool) (broken int, err error){
-	"cut-copy": cutCopy,
+	"cut-copy":          cutCopy,
+	"replaced-machines": replacedMachines,
+	"lost-evidence":     lostEvidence,
 }
 
 func main() {
--- a/review/standin-3/replica.go
+++ b/review/standin-3/replica.go
@@ -16,6 +16,7 @@
 	site    *site
 	id      string
 	service string
+	version string
 	ln      net.Listener
 	serve   func(c *replicaConn, r *replicaRequest) bool // Answers a request; returns false to close the connection.
 
@@ -43,7 +44,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &replica{site: s, id: id, service: service, ln: ln, serve: serve}
+	r := &replica{site: s, id: id, service: service, version: "v1", ln: ln, serve: serve}
 	go r.accept()
 	return r, nil
 }
@@ -51,7 +52,7 @@
 // entry is the replica's entry in the store.
 func (r *replica) entry(state string, born int64, seq int) map[string]any {
 	return map[string]any{
-		"service": r.service, "addr": r.ln.Addr().String(), "zone": "amman-a", "version": "v1", "slots": 6, "state": state,
+		"service": r.service, "addr": r.ln.Addr().String(), "zone": "amman-a", "version": r.version, "slots": 6, "state": state,
 		"coldLeftMs": 0, "seq": seq, "born": born,
 	}
 }
--- a/review/standin-3/site.go
+++ b/review/standin-3/site.go
@@ -31,14 +31,14 @@
 
 // instance is a process of the program under review.
 type instance struct {
-	site     *site
-	name, ip string
-	front    string
-	ready    string
-	control  string
-	settings string
-	cmd      *exec.Cmd
-	done     chan struct{}
+	site           *site
+	name, ip, zone string
+	front          string
+	ready          string
+	control        string
+	settings       string
+	cmd            *exec.Cmd
+	done           chan struct{}
 }
 
 func newSite(program, recordPath string) (*site, error) {
@@ -102,7 +102,7 @@
 // meet.
 func (s *site) newInstance(n int) (*instance, error) {
 	pid := os.Getpid()
-	i := &instance{site: s, name: fmt.Sprintf("front-amman-a-%d", n), ip: fmt.Sprintf("127.%d.%d.%d", 16+pid/250%200, pid%250, n)}
+	i := &instance{site: s, zone: "amman-a", name: fmt.Sprintf("front-amman-a-%d", n), ip: fmt.Sprintf("127.%d.%d.%d", 16+pid/250%200, pid%250, n)}
 	for _, addr := range []*string{&i.front, &i.ready, &i.control} {
 		port, err := freePort(i.ip)
 		if err != nil {
@@ -110,7 +110,7 @@
 		}
 		*addr = fmt.Sprintf("%s:%d", i.ip, port)
 	}
-	i.settings = filepath.Join(s.dir, i.name+".toml")
+	i.settings = filepath.Join(s.dir, fmt.Sprintf("%d.toml", n))
 	return i, nil
 }
 
@@ -120,7 +120,7 @@
 class = "front"
 serves = ["front","control"]
 ip = %q
-zone = "amman-a"
+zone = %q
 region = "amman"
 portRange = [7600,7615]
 seeds = [%q]
@@ -190,7 +190,7 @@
 
 // start starts the process with the command of the deploy file, and waits until it is ready.
 func (s *site) start(i *instance, seed string) error {
-	text := fmt.Sprintf(settingsText, i.name, i.ip, seed, i.front, i.ready, i.control, s.store.addr())
+	text := fmt.Sprintf(settingsText, i.name, i.ip, i.zone, seed, i.front, i.ready, i.control, s.store.addr())
 	if err := os.WriteFile(i.settings, []byte(text), 0o600); err != nil {
 		return err
 	}
