Review case 11: the broken second copy also makes an order run twice

Shown: if the copy of a refusal breaks off within Mustardseam-Not-Executed, the program takes the next answer for a refusal and sends an order that has run to another backend server.

--- a/review/standin-3/cutcopy.go
+++ b/review/standin-3/cutcopy.go
@@ -7,21 +7,28 @@
 	"time"
 )
 
-// cutCopy plays a faulty backend server that sends a second copy of an answer, late and broken off within its first line, and then
-// goes on with the answer to the request that is due.
+// cutCopy plays a faulty backend server that sends a second copy of an answer, late and broken off within its head, and then goes on
+// with the answer to the request that is due.
 func cutCopy(s *site, trouble bool) (int, error) {
 	const (
 		orders   = 1800
 		failEach = 4  // Each fourth order fails at the backend server.
-		fullEach = 9  // Each ninth request finds it full.
-		copyEach = 20 // The faulty one of three backend servers repeats each 20th answer.
+		fullEach = 5  // Each fifth request finds it full.
+		copyEach = 21 // The faulty one of three backend servers repeats each 21st answer.
 	)
-	// The copy is broken off within its first line, after the status and the beginning of the reason.
-	const cutAt = len("HTTP/1.1 200 OK")
+	// A copy is broken off within its first line, after the status and the beginning of the reason; that of a refusal within its
+	// second line.
+	cut := func(answer string) string {
+		const refusal = "HTTP/1.1 503 Service Unavailable\r\nMustardseam-Not-Executed: 1"
+		if strings.HasPrefix(answer, refusal) {
+			return refusal
+		}
+		return answer[:len("HTTP/1.1 200 OK")]
+	}
 
 	var mu sync.Mutex
-	given := map[string]int{} // Status that the replica gave, by request; 0 if it said that the request was not run.
-	ran := map[string]bool{}
+	given := map[string]int{}  // Status that the replica gave, by request; 0 if it said that the request was not run.
+	ran := map[string]int{}    // How often a request ran.
 	placed := map[string]int{} // How often an order was placed, by its body.
 	var replicas []*replica
 	for n := range 3 {
@@ -44,7 +51,7 @@
 			time.Sleep(2 * time.Millisecond)
 			mu.Lock()
 			if number%fullEach != 0 {
-				ran[req.id] = true
+				ran[req.id]++
 				given[req.id] = 200
 				if number%failEach == 0 {
 					given[req.id] = 500
@@ -60,7 +67,7 @@
 			c.late = ""
 			if faulty && number%copyEach == 0 {
 				// The second copy follows when the next answer is due.
-				c.late = answer[:cutAt]
+				c.late = cut(answer)
 			}
 			return true
 		}
@@ -100,7 +107,11 @@
 			broken++
 			s.logf("BROKEN (MIXED): %s bears the seal of the backend server with another status than it gave", id)
 		}
-		if a.err == nil && run && (a.status == 429 || a.status == 503) {
+		if run > 1 {
+			broken++
+			s.logf("BROKEN (TWICE): %s, which isn't idempotent, ran %d times", id, run)
+		}
+		if a.err == nil && run > 0 && (a.status == 429 || a.status == 503) {
 			broken++
 			s.logf("BROKEN (REFUSED): %s is answered %d and has run", id, a.status)
 		}
--- a/review/standin-3/evidence.go
+++ b/review/standin-3/evidence.go
@@ -35,10 +35,11 @@
 		rollback     = 5 * time.Second
 		duration     = 90 * time.Second // Of the rollout.
 		measured     = 60 * time.Second // From the order.
-		oldFails     = 14 // Failures of the old version in a hundred answers, as those of size-lookup.
-		newFails     = 25 // Failures of the new version in a hundred answers.
-		killAt       = 34 // Bad answers of the new version.
+		oldFails     = 14               // Failures of the old version in a hundred answers, as those of size-lookup.
+		newFails     = 38               // Failures of the new version in a hundred answers.
+		killAt       = 34               // Bad answers of the new version.
 	)
+
 	type arrival struct {
 		at      time.Time
 		id      string
@@ -136,7 +137,8 @@
 			return
 		}
 		for _, i := range machines {
-			if name := i.hub(); name == i.name {
+			if name := machines[0].hub(); name == i.name || name == "" && i == machines[0] {
+				name = i.name
 				s.logf("%s, which conducts the rollout, is killed after %d bad answers of v2", name, killAt)
 				i.kill()
 				time.Sleep(500 * time.Millisecond)
--- a/review/standin-3/replica.go
+++ b/review/standin-3/replica.go
@@ -115,5 +115,5 @@
 
 // refusal returns the answer of a replica that is full: it has not run the request.
 func (r *replica) refusal(id string) string {
-	return "HTTP/1.1 503 Service Unavailable\r\nMustardseam-Request-Id: " + id + "\r\nMustardseam-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+	return "HTTP/1.1 503 Service Unavailable\r\nMustardseam-Not-Executed: 1\r\nMustardseam-Request-Id: " + id + "\r\nContent-Length: 0\r\n\r\n"
 }
