Review case 15: the target of a superseded rollout counts as an old version

Shown: an order for v3 while the bad version v2 is on trial ends the trial without a verdict, and v2 gets what does not fit at v1.

--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -18,6 +18,7 @@
 	"cut-copy":          cutCopy,
 	"replaced-machines": replacedMachines,
 	"lost-evidence":     lostEvidence,
+	"superseded-order":  supersededOrder,
 	"disturbed-control": disturbedControl,
 }
 
