--- /dev/null
+++ b/review/standin-3/brokenhead.go
@@ -0,0 +1,119 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"sync"
+	"time"
+)
+
+// brokenHead plays a faulty backend server some of whose answers are none: their status is 000, or the name of a field in their head
+// holds a blank.
+func brokenHead(s *site, trouble bool) (int, error) {
+	const (
+		orders   = 1200
+		failEach = 4  // Each fourth order fails at the backend server.
+		badEach  = 21 // Each 21st answer of the faulty one of three backend servers is broken.
+	)
+	forms := []struct {
+		name string
+		head func(r *replica, id, body string) string
+	}{
+		{"status 000", func(r *replica, id, body string) string {
+			return strings.Replace(r.answer(id, 500, `{"error":"the order was not placed"}`), "HTTP/1.1 500 Internal Server Error", "HTTP/1.1 000 Error", 1)
+		}},
+		{"blank in a name", func(r *replica, id, body string) string {
+			return strings.Replace(r.answer(id, 200, `{"placed":"?"}`), "Content-Type", "Content Type", 1)
+		}},
+	}
+	var mu sync.Mutex
+	given := map[string]string{} // What the backend server did with a request: the form of the answer, or its status.
+	var replicas []*replica
+	for n := range 3 {
+		var r *replica
+		arrived := 0
+		serve := func(c *replicaConn, req *replicaRequest) bool {
+			mu.Lock()
+			arrived++
+			number, faulty := arrived, trouble && n == 0
+			mu.Unlock()
+			status, body := 200, `{"placed":"`+string(req.body)+`"}`
+			if number%failEach == 0 {
+				status, body = 500, `{"error":"the order was not placed"}`
+			}
+			answer, what := r.answer(req.id, status, body), fmt.Sprint(status)
+			if faulty && number%badEach == 0 {
+				form := forms[number/badEach%len(forms)]
+				answer, what = form.head(r, req.id, body), form.name
+			}
+			time.Sleep(2 * time.Millisecond)
+			mu.Lock()
+			given[req.id] = what
+			mu.Unlock()
+			s.logf("%s conn %d: request %s, answer %q", r.id, c.number, req.id, strings.ReplaceAll(answer, "\r\n", "|"))
+			_, err := c.Write([]byte(answer))
+			return err == nil
+		}
+		var err error
+		if r, err = newReplica(s, fmt.Sprintf("i-%d", n+1), "branch-orders", serve); err != nil {
+			return 0, err
+		}
+		replicas = append(replicas, r)
+	}
+	s.store.put("op/config", orderConfig(7))
+	for _, r := range replicas {
+		r.register()
+	}
+	i, err := s.newInstance(1)
+	if err != nil {
+		return 0, err
+	}
+	if err := s.start(i, i.control); err != nil {
+		return 0, err
+	}
+	time.Sleep(500 * time.Millisecond)
+	broken := 0
+	for n := range orders {
+		id := fmt.Sprintf("order-%d", n)
+		head, body, err := rawCall(i.front, id, fmt.Sprintf("hide %d", n))
+		mu.Lock()
+		what := given[id]
+		mu.Unlock()
+		s.logf("caller: %s got %q, body %q, error %v; the backend server gave: %s", id, strings.ReplaceAll(head, "\r\n", "|"), body, err, what)
+		status := ""
+		if words := strings.Fields(head); len(words) > 1 {
+			status = words[1]
+		}
+		sealed := strings.Contains(head, "Mustardseam-Response-Seal")
+		switch {
+		case err != nil || what == "200" || what == "500" || what == "":
+		case what == "status 000" && status[0] == '2':
+			broken++
+			s.logf("BROKEN (MIXED): %s is answered %s, although no backend server gave a success", id, status)
+		case what != "status 000" && sealed && strings.Contains(head, "Content Type"):
+			broken++
+			s.logf("BROKEN (MIXED): %s is answered %s with a line that is no field", id, status)
+		}
+	}
+	return broken, nil
+}
+
+// rawCall sends an order on a connection of its own and returns the head and the body of the answer as they came.
+func rawCall(addr, id, order string) (head, body string, err error) {
+	conn, err := net.DialTimeout("tcp", addr, time.Second)
+	if err != nil {
+		return "", "", err
+	}
+	defer func() { _ = conn.Close() }()
+	_ = conn.SetDeadline(time.Now().Add(3 * time.Second))
+	fmt.Fprintf(conn, "POST /orders/place HTTP/1.1\r\nHost: shop.example\r\nMustardseam-Request-Id: %s\r\nMustardseam-Deadline-Ms: 2500\r\nConnection: close\r\nContent-Length: %d\r\n\r\n%s", id, len(order), order)
+	b, err := io.ReadAll(bufio.NewReader(conn))
+	head, body, found := strings.Cut(string(b), "\r\n\r\n")
+	if err == nil && !found {
+		err = io.ErrUnexpectedEOF
+	}
+	return head, body, err
+}
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -15,8 +15,8 @@
 
 // cases lists the cases by name.
 var cases = map[string]func(s *site, trouble bool) (broken int, err error){
+	"broken-head":       brokenHead,
 	"cut-copy":          cutCopy,
-	"replaced-machines": replacedMachines,
 	"lost-evidence":     lostEvidence,
 	"superseded-order":  supersededOrder,
 	"disturbed-control": disturbedControl,
