--- a/review/standin-3/brokenhead.go
+++ b/review/standin-3/brokenhead.go
@@ -14,7 +14,7 @@
 // holds a blank.
 func brokenHead(s *site, trouble bool) (int, error) {
 	const (
-		orders   = 1200
+		orders   = 2400
 		failEach = 4  // Each fourth order fails at the backend server.
 		badEach  = 21 // Each 21st answer of the faulty one of three backend servers is broken.
 	)
