--- a/review/standin-3/brokenhead.go
+++ b/review/standin-3/brokenhead.go
@@ -14,20 +14,25 @@
 // holds a blank.
 func brokenHead(s *site, trouble bool) (int, error) {
 	const (
-		orders   = 2400
+		orders   = 1800
 		failEach = 4  // Each fourth order fails at the backend server.
 		badEach  = 21 // Each 21st answer of the faulty one of three backend servers is broken.
 	)
+	const placed = `{"placed":"?"}`
 	forms := []struct {
-		name string
-		head func(r *replica, id, body string) string
+		name  string
+		head  func(r *replica, id, body string) string
+		close bool // The backend server closes the connection after the answer.
 	}{
 		{"status 000", func(r *replica, id, body string) string {
 			return strings.Replace(r.answer(id, 500, `{"error":"the order was not placed"}`), "HTTP/1.1 500 Internal Server Error", "HTTP/1.1 000 Error", 1)
-		}},
+		}, false},
 		{"blank in a name", func(r *replica, id, body string) string {
-			return strings.Replace(r.answer(id, 200, `{"placed":"?"}`), "Content-Type", "Content Type", 1)
-		}},
+			return strings.Replace(r.answer(id, 200, placed), "Content-Type", "Content Type", 1)
+		}, false},
+		{"blank in the name of the length, and bytes after the answer", func(r *replica, id, body string) string {
+			return strings.Replace(r.answer(id, 200, placed), "Content-Length", "Content Length", 1) + placed
+		}, true},
 	}
 	var mu sync.Mutex
 	given := map[string]string{} // What the backend server did with a request: the form of the answer, or its status.
@@ -44,18 +49,22 @@
 			if number%failEach == 0 {
 				status, body = 500, `{"error":"the order was not placed"}`
 			}
-			answer, what := r.answer(req.id, status, body), fmt.Sprint(status)
+			answer, what, closes := r.answer(req.id, status, body), fmt.Sprint(status), false
 			if faulty && number%badEach == 0 {
 				form := forms[number/badEach%len(forms)]
-				answer, what = form.head(r, req.id, body), form.name
+				answer, what, closes = form.head(r, req.id, body), form.name, form.close
 			}
-			time.Sleep(2 * time.Millisecond)
+			work := 6 * time.Millisecond
+			if n == 0 {
+				work = 2 * time.Millisecond // The faulty one is the fastest, so that it gets most orders.
+			}
+			time.Sleep(work)
 			mu.Lock()
 			given[req.id] = what
 			mu.Unlock()
 			s.logf("%s conn %d: request %s, answer %q", r.id, c.number, req.id, strings.ReplaceAll(answer, "\r\n", "|"))
 			_, err := c.Write([]byte(answer))
-			return err == nil
+			return err == nil && !closes
 		}
 		var err error
 		if r, err = newReplica(s, fmt.Sprintf("i-%d", n+1), "branch-orders", serve); err != nil {
@@ -93,6 +102,9 @@
 		case what == "status 000" && status[0] == '2':
 			broken++
 			s.logf("BROKEN (MIXED): %s is answered %s, although no backend server gave a success", id, status)
+		case sealed && status[0] == '2' && strings.HasPrefix(what, "blank in the name of the length") && body != placed:
+			broken++
+			s.logf("BROKEN (MIXED): %s is answered %s with a body that isn't the backend server's", id, status)
 		case what != "status 000" && sealed && strings.Contains(head, "Content Type"):
 			broken++
 			s.logf("BROKEN (MIXED): %s is answered %s with a line that is no field", id, status)
