Forward an answer without a Content-Type without one

Callers of an answer without a Content-Type got "text/plain; charset=utf-8", also for streams: a field that the backend server had not sent.

Cause: the header of the library returns a default type unless told not to, and it was told so for requests only.

Found by a draw of changed heads (15 of 1,200). TestUnusualAnswerArrivesWhole with the new form "no type", with the real program, failed before on all kinds and framings and passes now.

--- a/mustardseam/http1/responsehead.go
+++ b/mustardseam/http1/responsehead.go
@@ -27,6 +27,7 @@
 			return err
 		}
 	}
+	r.Header.SetNoDefaultContentType(true)
 	if err := r.Header.Read(bufio.NewReaderSize(bytes.NewReader(b), n)); err != nil {
 		return err
 	}
