Send nothing after an answer that has no body

On a stream route, a 204 and the answer to a HEAD request were sent with the end mark of chunked coding after the head. A 204 had a Transfer-Encoding, and other 204 and 304 a Content-Length, which RFC 9110 section 8.6 and RFC 9112 section 6.1 forbid.

Cause: only the functions for whole answers looked at the method, and none at the status. Exchange now decides once, with the head, whether a body may follow it, and all writes of a body ask for that.

--- a/mustardseam/http1/exchange.go
+++ b/mustardseam/http1/exchange.go
@@ -17,6 +17,7 @@
 	conn       *serverConn
 	bw         *bufio.Writer
 	headerSent bool // The response header was written.
+	hasBody    bool // The response header that was written can be followed by a body.
 	untilClose bool // The response body ends when the connection is closed.
 	// closeAnnounced is true if the response header told the caller that the connection is closed after the response.
 	closeAnnounced bool
@@ -54,9 +55,7 @@
 func (e *Exchange) Reply(h ResponseHeader, body []byte) {
 	defer e.conn.beginSending(len(body))()
 	e.writeHeader(h, len(body))
-	if !e.Request.Header.IsHead() {
-		e.write(body)
-	}
+	e.writeBody(body)
 	e.complete = true
 	e.flush()
 }
@@ -66,9 +65,7 @@
 func (e *Exchange) ReplyUntilClose(h ResponseHeader, body []byte) {
 	defer e.conn.beginSending(len(body))()
 	e.beginUntilClose(h)
-	if !e.Request.Header.IsHead() {
-		e.write(body)
-	}
+	e.writeBody(body)
 	e.End()
 }
 
@@ -97,7 +94,7 @@
 // Send sends a part of the body of a response started with Begin. It returns ErrCallerGone if the caller has disconnected.
 func (e *Exchange) Send(chunk []byte) error {
 	switch {
-	case len(chunk) == 0:
+	case len(chunk) == 0 || !e.hasBody:
 	case e.untilClose:
 		e.write(chunk)
 		e.flush()
@@ -117,7 +114,7 @@
 // End completes a response started with Begin.
 func (e *Exchange) End() {
 	if !e.untilClose {
-		e.write([]byte("0\r\n\r\n"))
+		e.writeBody([]byte("0\r\n\r\n"))
 	}
 	e.complete = true
 	e.flush()
@@ -132,10 +129,18 @@
 
 func (e *Exchange) writeHeader(h ResponseHeader, length int) {
 	e.headerSent = true
+	e.hasBody = h.allowsBody() && !e.Request.Header.IsHead()
 	e.closeAnnounced = e.conn.closesAfterResponse(e.Request.Header)
 	e.write(h.encode(length, e.closeAnnounced))
 }
 
+// writeBody writes bytes of the body, unless the response has none: its recipient would take them for the next response.
+func (e *Exchange) writeBody(b []byte) {
+	if e.hasBody {
+		e.write(b)
+	}
+}
+
 func (e *Exchange) write(b []byte) {
 	if e.failed {
 		return
--- a/mustardseam/http1/head.go
+++ b/mustardseam/http1/head.go
@@ -24,6 +24,11 @@
 	return h
 }
 
+// allowsBody reports whether a response with the status can have a body.
+func (h ResponseHeader) allowsBody() bool {
+	return h.Status != fasthttp.StatusNoContent && h.Status != fasthttp.StatusNotModified
+}
+
 // Special values of the body length, for bodies of unknown length.
 const (
 	framingChunked    = -1 // The body is sent with chunked transfer coding.
@@ -39,6 +44,7 @@
 	b = append(b, "\r\n"...)
 	b = appendFields(b, h.Fields)
 	switch {
+	case !h.allowsBody():
 	case length >= 0:
 		b = appendField(b, fasthttp.HeaderContentLength, strconv.Itoa(length))
 	case length == framingChunked:
