Take an answer that loses its seal on the way for none

An answer with "Connection: Mustardseam-Response-Seal" reached callers as a success, or as the failure of the backend server, without the seal (MIXED). With "Connection: Mustardseam-Request-Id" it arrived without the name of the request.

Cause: fields that Connection names are removed before an answer is forwarded (RFC 9110 section 7.6.1), but whether the answer has a seal was checked before. An option of Connection must not name a field that concerns all recipients, so such an answer is none, and no promise either.

--- a/mustardseam/entry/wire.go
+++ b/mustardseam/entry/wire.go
@@ -93,5 +93,5 @@
 	Executed    ExecutionStatus = iota // The backend server ran the request.
 	NotExecuted                        // It refused the request and did not run it.
 	WrongServer                        // Another backend server has the address now; the request was not run.
-	Unsealed                           // The response lacks the seal field of a backend server.
+	Unsealed                           // The response is none of a backend server, for example because it has no seal.
 )
--- a/mustardseam/http1/hopbyhop.go
+++ b/mustardseam/http1/hopbyhop.go
@@ -19,12 +19,8 @@
 func EndToEndFields(header iter.Seq2[[]byte, []byte], exclude func(name string) bool) []HeaderField {
 	var fields []HeaderField
 	connectionFields := map[string]bool{}
-	for k, v := range header {
-		if strings.EqualFold(string(k), fasthttp.HeaderConnection) {
-			for name := range strings.SplitSeq(string(v), ",") {
-				connectionFields[strings.ToLower(strings.TrimSpace(name))] = true
-			}
-		}
+	for name := range connectionOptions(header) {
+		connectionFields[strings.ToLower(name)] = true
 	}
 	for k, v := range header {
 		name := strings.ToLower(string(k))
@@ -35,3 +31,30 @@
 	}
 	return fields
 }
+
+// IsConnectionOption reports whether a header has an option of Connection with the given name. A field of that name is not forwarded
+// (RFC 9110 section 7.6.1).
+func IsConnectionOption(header iter.Seq2[[]byte, []byte], name string) bool {
+	for option := range connectionOptions(header) {
+		if strings.EqualFold(option, name) {
+			return true
+		}
+	}
+	return false
+}
+
+// connectionOptions returns the options of all Connection fields.
+func connectionOptions(header iter.Seq2[[]byte, []byte]) iter.Seq[string] {
+	return func(yield func(string) bool) {
+		for k, v := range header {
+			if !strings.EqualFold(string(k), fasthttp.HeaderConnection) {
+				continue
+			}
+			for option := range strings.SplitSeq(string(v), ",") {
+				if !yield(strings.TrimSpace(option)) {
+					return
+				}
+			}
+		}
+	}
+}
