Take a head after the first lines of another one for none

Cause: a head within a head was refused only if it says something else, since each reading is valid. But the lines before the inner status line are then part of the answer in one reading only. A field value that goes over into a status line before the request is named now makes the head none. A value that is a status line and nothing more stays valid, as does one after the name of the request, and where answers name none.

The inner heads are now compared by what the lines before them said, without reading the rest again, and all of them instead of the last.

TestMalformedHead failed before in 4 new rows and passes; TestSoundHead passes with 4 new rows, as before.

--- a/mustardseam/rfc9112/checker.go
+++ b/mustardseam/rfc9112/checker.go
@@ -17,8 +17,15 @@
 	seen       uint64     // Singletons that occurred, by index.
 	length     int64      // Value of Content-Length, -1 if there is none.
 	chunked    bool
-	// inner is the offset of a status line that ends a later line or the reason phrase; 0 if there is none.
-	inner int
+	inner      []innerHead
+}
+
+// innerHead begins with a status line that ends a later line or the reason phrase, before the request is named. What precedes it may
+// be the beginning of a response to another request, which was cut off.
+type innerHead struct {
+	start   statusLine
+	seen    uint64 // Singletons that occurred before it.
+	inValue bool   // It is preceded by the beginning of a field value.
 }
 
 // NewChecker returns a checker for a head in which some fields may occur only once.
@@ -44,7 +51,7 @@
 				return Head{}, 0, fmt.Errorf("%w: status line %q", ErrMalformed, excerpt(line))
 			}
 		case len(line) == 0:
-			h, err := c.finish(b[:c.next])
+			h, err := c.finish()
 			if err != nil {
 				return Head{}, 0, err
 			}
@@ -54,8 +61,10 @@
 				return Head{}, 0, err
 			}
 		}
-		if inner := innerStatusLine(line); inner > 0 {
-			c.inner = begin + inner
+		if offset := innerStatusLine(line); offset > 0 && c.seen&c.singletons.identity == 0 {
+			start, _ := parseStatusLine(line[offset:])
+			_, value, inField := bytes.Cut(line[:offset], []byte(":"))
+			c.inner = append(c.inner, innerHead{start: start, seen: c.seen, inValue: inField && len(trimBlanks(value)) > 0})
 		}
 	}
 }
@@ -81,7 +90,7 @@
 		}
 		c.length = n
 	case transferEncoding:
-		if !bytes.EqualFold(value, []byte("chunked")) || c.start.minor == '0' {
+		if !bytes.EqualFold(value, []byte("chunked")) {
 			return fmt.Errorf("%w: transfer coding %q", ErrMalformed, excerpt(value))
 		}
 		c.chunked = true
@@ -89,32 +98,47 @@
 	return nil
 }
 
-// finish returns the whole head.
-func (c *Checker) finish(head []byte) (Head, error) {
-	h := Head{Status: c.start.status}
+// finish returns the whole head. It returns ErrMalformed if the head may be a part of one and another one, and says something else
+// then, or has lines that belong to another response.
+func (c *Checker) finish() (Head, error) {
+	h, err := newHead(c.start, c.chunked, c.length)
+	if err != nil {
+		return Head{}, err
+	}
+	for _, inner := range c.inner {
+		chunked, length := c.chunked, c.length
+		if c.singletons.contains(inner.seen, transferEncoding) {
+			chunked = false
+		}
+		if c.singletons.contains(inner.seen, contentLength) {
+			length = -1
+		}
+		other, err := newHead(inner.start, chunked, length)
+		if err == nil && other != h || inner.inValue && c.seen&c.singletons.identity != 0 {
+			return Head{}, fmt.Errorf("%w: head within a head", ErrMalformed)
+		}
+	}
+	return h, nil
+}
+
+// newHead returns a head with a status line and a framing; length is -1 if there is no Content-Length.
+func newHead(start statusLine, chunked bool, length int64) (Head, error) {
+	h := Head{Status: start.status}
 	switch {
-	case c.chunked && c.length >= 0:
+	case chunked && length >= 0:
 		return Head{}, fmt.Errorf("%w: length and chunks", ErrMalformed)
+	case chunked && start.minor == '0':
+		return Head{}, fmt.Errorf("%w: chunks in version 1.0", ErrMalformed)
 	case h.Status == statusSwitchingProtocols:
 		return Head{}, fmt.Errorf("%w: status %d", ErrMalformed, h.Status)
-	case h.IsInterim() && (c.chunked || c.length >= 0), h.Status == 204 && (c.chunked || c.length > 0):
+	case h.IsInterim() && (chunked || length >= 0), h.Status == 204 && (chunked || length > 0):
 		return Head{}, fmt.Errorf("%w: body of a response of status %d", ErrMalformed, h.Status)
 	case h.IsInterim() || h.Status == 204 || h.Status == 304:
 		h.Framing = NoBody
-	case c.chunked:
+	case chunked:
 		h.Framing = Chunked
-	case c.length >= 0:
-		h.Framing, h.Length = ByLength, c.length
-	}
-	if c.inner == 0 {
-		return h, nil
-	}
-	// What precedes the other status line may be the beginning of a response to another request, which was cut off. It is not if it
-	// names the request.
-	inner := NewChecker(c.singletons)
-	other, _, err := inner.Check(head[c.inner:])
-	if err == nil && other != h && inner.seen&c.singletons.identity == c.seen&c.singletons.identity {
-		return Head{}, fmt.Errorf("%w: head within a head", ErrMalformed)
+	case length >= 0:
+		h.Framing, h.Length = ByLength, length
 	}
 	return h, nil
 }
--- a/mustardseam/rfc9112/checker_test.go
+++ b/mustardseam/rfc9112/checker_test.go
@@ -97,6 +97,10 @@
 	{"not modified with a length", "HTTP/1.1 304 Not Modified\r\nContent-Length: 9\r\n", Head{Status: 304, Framing: NoBody}},
 	{"status line in a value", ok + "Via: 1.1 a\r\nX-Upstream: HTTP/1.1 200 OK\r\n", Head{Status: 200}},
 	{"other status line in a value", ok + "X-Id: r\r\nX-Upstream: HTTP/1.1 500 Error, retried\r\nA: b\r\n", Head{Status: 200}},
+	{"same status line as a value", ok + "X-Upstream: HTTP/1.1 200 OK\r\nX-Id: r\r\n", Head{Status: 200}},
+	{"same status line in a value, no name of the request", ok + "X-Upstream: retried, HTTP/1.1 200 OK\r\nA: b\r\n", Head{Status: 200}},
+	{"same status line after the name of the request", ok + "X-Id: r\r\nX-Upstream: retried, HTTP/1.1 200 OK\r\nA: b\r\n", Head{Status: 200}},
+	{"same status line in the reason", "HTTP/1.1 200 OHTTP/1.1 200 OK\r\nX-Id: r\r\n", Head{Status: 200}},
 	{"version in a value", "HTTP/1.1 500 Error\r\nX-Upstream: HTTP/1.1 2000\r\nUpgrade: HTTP/1.1\r\n", Head{Status: 500}},
 }
 
@@ -155,6 +159,10 @@
 		{"other head in a value", "HTTP/1.1 503 Unavailable\r\nA: HTTP/1.1 200 OK\r\nContent-Length: 3\r\n"},
 		{"other head with the name of the request", "HTTP/1.1 503 Unavailable\r\nA: bHTTP/1.1 200 OK\r\nX-Id: r\r\n"},
 		{"request named twice", ok + "X-Id: r\r\nA: bHTTP/1.1 200 OK\r\nX-Id: r\r\n"},
+		{"part of a field and the same head", ok + "A: bHTTP/1.1 200 OK\r\nX-Id: r\r\n"},
+		{"part of a field and the same head without a reason", ok + "C: d\r\nA: bHTTP/1.1 200\r\nX-Id: r\r\n"},
+		{"parts of two heads", ok + "A: bHTTP/1.1 200 OK\r\nC: HTTP/1.1 200 OK\r\nX-Id: r\r\n"},
+		{"other head before a status line as a value", "HTTP/1.1 503 Unavailable\r\nA: HTTP/1.1 200 OK\r\nC: HTTP/1.1 503 Unavailable\r\nX-Id: r\r\n"},
 		{"other framing after a value", ok + "Content-Length: 9\r\nA: HTTP/1.1 200 OK\r\nB: c\r\n"},
 	}
 	for _, test := range tests {
--- a/mustardseam/rfc9112/singletons.go
+++ b/mustardseam/rfc9112/singletons.go
@@ -75,3 +75,6 @@
 	}
 	return "", index, true
 }
+
+// contains reports whether a set of singletons, by index, has the one with the given name in lower case.
+func (s *Singletons) contains(set uint64, name string) bool { return set&(1<<s.index[name]) != 0 }
