--- a/mustardseam/directory/malformed_response_test.go
+++ b/mustardseam/directory/malformed_response_test.go
@@ -12,4 +12,8 @@
 		_, err := New(addr).Instances()
 		return err
 	})
+	rfc9112test.Check(t, `{}`, func(addr string) error {
+		_, err := New(addr).RequestWeights("w")
+		return err
+	})
 }
--- a/mustardseam/engine/malformed_response_test.go
+++ b/mustardseam/engine/malformed_response_test.go
@@ -12,4 +12,8 @@
 	c := New(Config{PollTimeout: 5 * time.Second, IdleTimeout: 5 * time.Second})
 	defer c.Close()
 	rfc9112test.Check(t, "{}", func(addr string) error { return c.SendOrder(addr, Order{}) })
+	rfc9112test.Check(t, "{}", func(addr string) error {
+		_, err := c.LoadReport("e", addr)
+		return err
+	})
 }
