Forward the response of a service without a type without one

The client of services got the default of the library, and the server for callers would have added it again. Both now add none.

TestResponseWithoutType and TestServiceResponseWithoutType failed before and pass; the tests of service, caller and instance pass.

--- a/mustardseam/caller/request_test.go
+++ b/mustardseam/caller/request_test.go
@@ -206,6 +206,16 @@
 	})
 }
 
+// TestServiceResponseWithoutType guards against a media type that the service did not send.
+func TestServiceResponseWithoutType(t *testing.T) {
+	f := newFakeScheduler()
+	f.status, f.body, f.header = 200, "tea", map[string]string{"X-A": "b"}
+	resp, body := sendRequest(t, startServer(t, f, defaultConfig), "POST /services/leather/x", "Idempotency-Key: k1\r\n", "body")
+	assert.Equal(t, body, "tea")
+	assert.Equal(t, resp.Header.Get("X-A"), "b")
+	assert.Assert(t, len(resp.Header.Values("Content-Type")) == 0, "%v", resp.Header)
+}
+
 // TestModelList guards against a list that clients of the API cannot parse or that contains services.
 func TestModelList(t *testing.T) {
 	_, body := sendRequest(t, startServer(t, newFakeScheduler(), defaultConfig), "GET /v1/models", "", "")
--- a/mustardseam/caller/server.go
+++ b/mustardseam/caller/server.go
@@ -34,7 +34,7 @@
 		BodyLimit: cfg.MaxBodyBytes, ReadBufferSize: cfg.MaxHeaderBytes, IdleTimeout: cfg.IdleTimeout, ReadTimeout: cfg.ReadTimeout,
 		Immutable: true, ErrorHandler: handleError,
 		// Bodies of service requests are forwarded unchanged.
-		DisablePreParseMultipartForm: true,
+		DisablePreParseMultipartForm: true, DisableDefaultContentType: true,
 	})
 	s.app.Get("/v1/models", s.listModels)
 	s.app.Post(chatCompletionsPath, func(c fiber.Ctx) error { return s.handleCompletion(c, true) })
--- a/mustardseam/service/client.go
+++ b/mustardseam/service/client.go
@@ -93,6 +93,7 @@
 // newResponse copies the response, whose memory is reused. Headers with the prefix of this system are dropped, so that
 // a service cannot pose as the scheduler.
 func newResponse(resp *fasthttp.Response) Response {
+	resp.Header.SetNoDefaultContentType(true)
 	out := Response{
 		Status: resp.StatusCode(), Header: EndToEndHeaders(resp.Header.All()), Body: append([]byte{}, resp.Body()...),
 	}
--- a/mustardseam/service/client_test.go
+++ b/mustardseam/service/client_test.go
@@ -58,6 +58,16 @@
 	}
 }
 
+// TestResponseWithoutType guards against a media type that the service did not send.
+func TestResponseWithoutType(t *testing.T) {
+	addr, _ := serve(t, reply("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"))
+	c := New()
+	defer c.Close()
+	a, err := c.Do(Call{Address: addr, Method: "POST", Path: "/", Deadline: time.Now().Add(time.Minute)})
+	assert.NilError(t, err)
+	assert.DeepEqual(t, a.Header, map[string]string{})
+}
+
 // reply returns a handler that writes the response.
 func reply(response string) func(*net.TCPConn, *http.Request) {
 	return func(c *net.TCPConn, _ *http.Request) { _, _ = io.WriteString(c, response) }
